--- /dev/null
+++ b/cmd/wisterialb/main.go
@@ -0,0 +1,12 @@
+// Command wisterialb is a router fleet for prepaid token budgets.
+package main
+
+import (
+	"os"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/command"
+)
+
+func main() {
+	os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
