--- /dev/null
+++ b/pkg/exchange/answer.go
@@ -0,0 +1,217 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// partBytes bounds one part of a plain body.
+	partBytes = 32 << 10
+	// endTimeout bounds the wait for the end of the body behind the end marker.
+	endTimeout = 50 * time.Millisecond
+	// endMarker is the data of the last event of a stream.
+	endMarker = "[DONE]"
+)
+
+// Part is one event of a stream or one piece of a body.
+type Part struct {
+	// Position counts from 1.
+	Position int64
+	Data     []byte
+}
+
+// Answer is an upstream's answer that is being read.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Stream is set for server-sent events.
+	Stream bool
+
+	config   ClientConfig
+	opening  opening
+	position int64
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	timer    *time.Timer
+	mutex    sync.Mutex
+	// connection is nil until one was got.
+	connection *connection
+	body       io.ReadCloser
+	scanner    *scanner
+	// delimited is set when the end of the body is marked.
+	delimited bool
+	// repeated counts events that were dropped as duplicates.
+	repeated int64
+	whole    bool
+}
+
+// start begins the bound on silence.
+func (answer *Answer) start(ctx context.Context) {
+	answer.ctx, answer.cancel = context.WithCancelCause(ctx)
+	if !answer.opening.patient {
+		answer.timer = time.AfterFunc(answer.config.FirstTimeout, func() { answer.cancel(errStalled) })
+	}
+}
+
+func (answer *Answer) gotConnection(info httptrace.GotConnInfo) {
+	taken, ok := info.Conn.(*connection)
+	if !ok {
+		return
+	}
+	taken.take()
+	answer.mutex.Lock()
+	defer answer.mutex.Unlock()
+	answer.connection = taken
+}
+
+// accept takes over the head of the response.
+func (answer *Answer) accept(response *http.Response) {
+	answer.Status = response.StatusCode
+	answer.Header = forwarded(response.Header)
+	answer.body = response.Body
+	answer.Stream = strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+	answer.delimited = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	if answer.Stream {
+		answer.scanner = newScanner(response.Body)
+	}
+}
+
+// own reports whether the answer belongs to the attempt.
+func (answer *Answer) own() bool {
+	named := answer.Header.Get(HeaderAttempt)
+	return named == "" || named == answer.opening.attempt
+}
+
+// Repeated returns how many duplicate events were dropped.
+func (answer *Answer) Repeated() int64 {
+	return answer.repeated
+}
+
+// Next returns the next part, io.EOF when the answer was whole, or an Error.
+func (answer *Answer) Next() (Part, error) {
+	if answer.whole {
+		return Part{}, io.EOF
+	}
+	answer.watch(answer.betweenTimeout())
+	defer answer.unwatch()
+	if answer.Stream {
+		return answer.nextEvent()
+	}
+	return answer.nextPiece()
+}
+
+func (answer *Answer) betweenTimeout() time.Duration {
+	if answer.position == answer.opening.after {
+		return answer.config.FirstTimeout
+	}
+	return answer.config.BetweenTimeout
+}
+
+func (answer *Answer) watch(timeout time.Duration) {
+	if answer.timer != nil {
+		answer.timer.Reset(timeout)
+	}
+}
+
+// unwatch stops the bound while the caller is busy with a part.
+func (answer *Answer) unwatch() {
+	if answer.timer != nil {
+		answer.timer.Stop()
+	}
+}
+
+func (answer *Answer) nextEvent() (Part, error) {
+	for {
+		event, err := answer.scanner.next()
+		if errors.Is(err, io.EOF) {
+			return Part{}, &Error{Reason: ReasonTruncated, Started: true, Err: errEnd}
+		}
+		if err != nil {
+			return Part{}, answer.fail(err, ReasonTruncated)
+		}
+		if string(event.data) == endMarker {
+			answer.end()
+			return Part{}, io.EOF
+		}
+		if event.id > 0 && event.id <= answer.position {
+			answer.repeated++
+			continue
+		}
+		if event.id != answer.position+1 {
+			return Part{}, answer.fail(errDisorder, ReasonDisorder)
+		}
+		answer.position++
+		return Part{Position: answer.position, Data: event.data}, nil
+	}
+}
+
+// end reads what stands behind the end marker, so that the connection can be
+// used again. The answer is whole in any case.
+func (answer *Answer) end() {
+	answer.whole = true
+	answer.unwatch()
+	timer := time.AfterFunc(endTimeout, func() { answer.cancel(errStalled) })
+	defer timer.Stop()
+	_, _ = io.CopyN(io.Discard, answer.scanner.reader, 1)
+}
+
+func (answer *Answer) nextPiece() (Part, error) {
+	buffer := make([]byte, partBytes)
+	count, err := io.ReadAtLeast(answer.body, buffer, 1)
+	if count > 0 {
+		answer.position++
+		return Part{Position: answer.position, Data: buffer[:count]}, nil
+	}
+	if !errors.Is(err, io.EOF) {
+		return Part{}, answer.fail(err, ReasonTruncated)
+	}
+	if !answer.delimited {
+		return Part{}, answer.fail(errEnd, ReasonTruncated)
+	}
+	answer.whole = true
+	return Part{}, io.EOF
+}
+
+// fail returns the failure for err.
+func (answer *Answer) fail(err error, fallback Reason) *Error {
+	answer.mutex.Lock()
+	defer answer.mutex.Unlock()
+	failure := &Error{Reason: reasonOf(answer.ctx, err, fallback), Started: true, Err: err}
+	if answer.connection == nil {
+		failure.Started = false
+		if failure.Reason == ReasonClosed {
+			failure.Reason = ReasonConnect
+		}
+		return failure
+	}
+	failure.Started = answer.connection.seal()
+	return failure
+}
+
+// Close ends the exchange. The connection is closed unless the answer was read
+// to its end.
+func (answer *Answer) Close() {
+	answer.unwatch()
+	if !answer.whole {
+		answer.abandon()
+	}
+	if answer.body != nil {
+		_ = answer.body.Close()
+	}
+	answer.cancel(context.Canceled)
+}
+
+func (answer *Answer) abandon() {
+	answer.mutex.Lock()
+	defer answer.mutex.Unlock()
+	if answer.connection != nil {
+		answer.connection.discard()
+	}
+}
--- /dev/null
+++ b/pkg/exchange/client.go
@@ -0,0 +1,230 @@
+// Package exchange speaks to one upstream: it sends an attempt, reads its
+// answer as a stream of events or body parts in bounded memory, resumes and
+// cancels attempts, and reads load reports.
+//
+// The flow: Client.Send takes a connection from the pool and writes the
+// request; Answer.Next returns one whole part after another and io.EOF after
+// the end marker; any other end is an Error which says whether the request
+// can have started. Answer.Close ends the exchange; the connection of an answer
+// that was not read to its end is closed and never used again.
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// The headers of the engines' protocol.
+const (
+	HeaderAttempt  = "Wisterialb-Attempt"
+	HeaderPriority = "Wisterialb-Priority"
+)
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	// Address is an IP number and port.
+	Address string
+	// ConnectTimeout bounds the setting up of a connection.
+	ConnectTimeout time.Duration
+	// FirstTimeout bounds the silence before the first part of an answer.
+	FirstTimeout time.Duration
+	// BetweenTimeout bounds the silence between two parts.
+	BetweenTimeout time.Duration
+	// ControlTimeout bounds cancelling, records, load reports and probes.
+	ControlTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept.
+	IdleTimeout time.Duration
+	// MaxIdle bounds the unused connections.
+	MaxIdle int
+}
+
+// Defaults of ClientConfig.
+const (
+	DefaultConnectTimeout = time.Second
+	DefaultFirstTimeout   = 5 * time.Second
+	DefaultBetweenTimeout = 2 * time.Second
+	DefaultControlTimeout = time.Second
+	DefaultIdleTimeout    = 30 * time.Second
+	DefaultMaxIdle        = 64
+)
+
+// Client speaks to one upstream. Its connections belong to a generation; Renew
+// starts the next one and no connection of an older one is taken again.
+type Client struct {
+	config     ClientConfig
+	generation atomic.Pointer[http.Transport]
+}
+
+// NewClient returns a client without open connections.
+func NewClient(config ClientConfig) *Client {
+	client := &Client{config: config.withDefaults()}
+	client.generation.Store(client.newTransport())
+	return client
+}
+
+func (config ClientConfig) withDefaults() ClientConfig {
+	config.ConnectTimeout = positive(config.ConnectTimeout, DefaultConnectTimeout)
+	config.FirstTimeout = positive(config.FirstTimeout, DefaultFirstTimeout)
+	config.BetweenTimeout = positive(config.BetweenTimeout, DefaultBetweenTimeout)
+	config.ControlTimeout = positive(config.ControlTimeout, DefaultControlTimeout)
+	config.IdleTimeout = positive(config.IdleTimeout, DefaultIdleTimeout)
+	config.MaxIdle = positive(config.MaxIdle, DefaultMaxIdle)
+	return config
+}
+
+// positive returns value, or fallback when value is not above zero.
+func positive[T ~int | ~int64](value, fallback T) T {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
+
+func (client *Client) newTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: client.config.ConnectTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &connection{Conn: conn}, nil
+		},
+		DisableCompression:  true,
+		IdleConnTimeout:     client.config.IdleTimeout,
+		MaxIdleConnsPerHost: client.config.MaxIdle,
+	}
+}
+
+// Renew starts a new generation: unused connections are closed, and those in
+// use are closed when their answers end.
+func (client *Client) Renew() {
+	old := client.generation.Swap(client.newTransport())
+	old.CloseIdleConnections()
+}
+
+// Close closes the unused connections.
+func (client *Client) Close() {
+	client.generation.Load().CloseIdleConnections()
+}
+
+// Request is one attempt.
+type Request struct {
+	Attempt  string
+	Priority int
+	Method   string
+	// Path is the path and query.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Patient requests have no bound on silence but the context's.
+	Patient bool
+	// Model is set when the answer has to name the attempt.
+	Model bool
+}
+
+// onceBody is a body that the transport can't rewind. Without it net/http
+// repeats a request by itself when the connection breaks and the request has an
+// Idempotency-Key header or a safe method.
+type onceBody struct {
+	io.Reader
+}
+
+// Close does nothing.
+func (onceBody) Close() error {
+	return nil
+}
+
+// Send sends the attempt and returns its answer when the head has arrived. The
+// error is an Error.
+func (client *Client) Send(ctx context.Context, request Request) (*Answer, error) {
+	body := onceBody{bytes.NewReader(request.Body)}
+	message, err := http.NewRequest(request.Method, "http://"+client.config.Address+request.Path, body)
+	if err != nil {
+		return nil, &Error{Reason: ReasonConnect, Err: err}
+	}
+	message.ContentLength = int64(len(request.Body))
+	message.Header = forwarded(request.Header)
+	message.Header.Set(HeaderAttempt, request.Attempt)
+	message.Header.Set(HeaderPriority, strconv.Itoa(request.Priority))
+	return client.open(ctx, message, opening{attempt: request.Attempt, patient: request.Patient, named: request.Model})
+}
+
+// Resume reopens the stream of an attempt behind a position.
+func (client *Client) Resume(ctx context.Context, attempt string, after int64) (*Answer, error) {
+	path := attemptPath(attempt) + "/events?after=" + strconv.FormatInt(after, 10)
+	message, err := http.NewRequest(http.MethodGet, "http://"+client.config.Address+path, onceBody{http.NoBody})
+	if err != nil {
+		return nil, &Error{Reason: ReasonConnect, Err: err}
+	}
+	return client.open(ctx, message, opening{attempt: attempt, after: after, named: true})
+}
+
+// opening says what is known of an answer before it arrives.
+type opening struct {
+	attempt string
+	after   int64
+	patient bool
+	named   bool
+}
+
+// open sends the message and waits for the answer's head.
+func (client *Client) open(ctx context.Context, message *http.Request, opening opening) (*Answer, error) {
+	answer := &Answer{config: client.config, opening: opening, position: opening.after}
+	answer.start(ctx)
+	trace := &httptrace.ClientTrace{GotConn: answer.gotConnection}
+	message = message.WithContext(httptrace.WithClientTrace(answer.ctx, trace)) //nolint:contextcheck // answer.ctx is derived from ctx
+	response, err := client.generation.Load().RoundTrip(message)                //nolint:bodyclose // Answer.Close closes it
+	if err != nil {
+		failure := answer.fail(err, ReasonClosed)
+		answer.Close()
+		return nil, failure
+	}
+	answer.accept(response)
+	if !answer.own() {
+		answer.Close()
+		return nil, &Error{Reason: ReasonForeign, Started: true, Err: errForeign}
+	}
+	return answer, nil
+}
+
+// hopHeaders concern one connection and are not forwarded.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Accept-Encoding",
+}
+
+func forwarded(header http.Header) http.Header {
+	copied := header.Clone()
+	if copied == nil {
+		copied = make(http.Header)
+	}
+	for _, name := range hopHeaders {
+		copied.Del(name)
+	}
+	return copied
+}
+
+// reasonOf names the reason of an error of the transport.
+func reasonOf(ctx context.Context, err error, fallback Reason) Reason {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errStalled):
+		return ReasonStalled
+	case cause != nil:
+		return ReasonCancelled
+	case errors.Is(err, errDisorder):
+		return ReasonDisorder
+	case errors.Is(err, errOversized):
+		return ReasonOversized
+	default:
+		return fallback
+	}
+}
