--- /dev/null
+++ b/pkg/standin/rpc.go
@@ -0,0 +1,138 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/twitchtv/twirp"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
+	"gitlab.com/wisterialb/wisterialb/pkg/platform/platformpb"
+)
+
+// newPlatformHandler serves the three services and the admin endpoints.
+func newPlatformHandler(standin *Platform) http.Handler {
+	server := &platformServer{standin: standin}
+	table := platformpb.NewTableServer(server)
+	objects := platformpb.NewObjectsServer(server)
+	vms := platformpb.NewVMsServer(server)
+	mux := http.NewServeMux()
+	mux.Handle(table.PathPrefix(), withClient(table))
+	mux.Handle(objects.PathPrefix(), withClient(objects))
+	mux.Handle(vms.PathPrefix(), withClient(vms))
+	mux.HandleFunc("GET /admin/faults", answerWith(standin.Faults))
+	mux.HandleFunc("POST /admin/faults", accept(standin.SetFaults))
+	mux.HandleFunc("GET /admin/counts", answerWith(standin.Counts))
+	mux.HandleFunc("POST /admin/silence", trigger(standin.Silence))
+	mux.HandleFunc("POST /admin/vms", accept(standin.setVMs))
+	mux.HandleFunc("GET /healthz", healthy)
+	return mux
+}
+
+// vmBody is the JSON form of a VM.
+type vmBody struct {
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Leaving bool   `json:"leaving"`
+}
+
+func (standin *Platform) setVMs(bodies []vmBody) error {
+	vms := make([]platform.VM, 0, len(bodies))
+	for _, body := range bodies {
+		vms = append(vms, platform.VM(body))
+	}
+	standin.vms.Set(vms)
+	return nil
+}
+
+type clientKey struct{}
+
+// withClient puts the name of the client into the context.
+func withClient(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		ctx := context.WithValue(request.Context(), clientKey{}, request.Header.Get(platform.ClientHeader))
+		next.ServeHTTP(writer, request.WithContext(ctx))
+	})
+}
+
+// platformServer implements the services of platformpb.
+type platformServer struct {
+	standin *Platform
+}
+
+func (server *platformServer) view(ctx context.Context) platform.Platform {
+	client, _ := ctx.Value(clientKey{}).(string)
+	return server.standin.For(client)
+}
+
+// Transact applies all writes or none.
+func (server *platformServer) Transact(ctx context.Context, request *platformpb.TransactRequest) (*platformpb.TransactResponse, error) {
+	err := server.view(ctx).Table().Transact(ctx, platform.DecodeTransaction(request))
+	return &platformpb.TransactResponse{}, twirpError(err)
+}
+
+// Get reads items.
+func (server *platformServer) Get(ctx context.Context, request *platformpb.GetRequest) (*platformpb.GetResponse, error) {
+	items, err := server.view(ctx).Table().Get(ctx, platform.DecodeKeys(request.GetKeys())...)
+	return &platformpb.GetResponse{Items: platform.EncodeItems(items)}, twirpError(err)
+}
+
+// Query reads items of one partition.
+func (server *platformServer) Query(ctx context.Context, request *platformpb.QueryRequest) (*platformpb.QueryResponse, error) {
+	items, err := server.view(ctx).Table().Query(ctx, platform.DecodeQuery(request))
+	return &platformpb.QueryResponse{Items: platform.EncodeItems(items)}, twirpError(err)
+}
+
+// PutObject stores an object.
+func (server *platformServer) PutObject(ctx context.Context, request *platformpb.PutObjectRequest) (*platformpb.PutObjectResponse, error) {
+	err := server.view(ctx).Objects().Put(ctx, request.GetName(), request.GetValue())
+	return &platformpb.PutObjectResponse{}, twirpError(err)
+}
+
+// GetObject reads an object.
+func (server *platformServer) GetObject(ctx context.Context, request *platformpb.GetObjectRequest) (*platformpb.GetObjectResponse, error) {
+	value, err := server.view(ctx).Objects().Get(ctx, request.GetName())
+	return &platformpb.GetObjectResponse{Value: value}, twirpError(err)
+}
+
+// ListObjects lists names of objects.
+func (server *platformServer) ListObjects(ctx context.Context, request *platformpb.ListObjectsRequest) (*platformpb.ListObjectsResponse, error) {
+	names, err := server.view(ctx).Objects().List(ctx, request.GetPrefix(), request.GetAfter(), int(request.GetLimit()))
+	return &platformpb.ListObjectsResponse{Names: names}, twirpError(err)
+}
+
+// DeleteObject removes an object.
+func (server *platformServer) DeleteObject(ctx context.Context, request *platformpb.DeleteObjectRequest) (*platformpb.DeleteObjectResponse, error) {
+	err := server.view(ctx).Objects().Delete(ctx, request.GetName())
+	return &platformpb.DeleteObjectResponse{}, twirpError(err)
+}
+
+// ListVMs lists the VMs.
+func (server *platformServer) ListVMs(ctx context.Context, _ *platformpb.ListVMsRequest) (*platformpb.ListVMsResponse, error) {
+	vms, err := server.view(ctx).VMs().List(ctx)
+	response := &platformpb.ListVMsResponse{}
+	for _, vm := range vms {
+		response.Vms = append(response.Vms, &platformpb.VM{Address: vm.Address, Zone: vm.Zone, Leaving: vm.Leaving})
+	}
+	return response, twirpError(err)
+}
+
+// twirpCodes maps kinds of errors to twirp codes.
+var twirpCodes = map[fault.Kind]twirp.ErrorCode{
+	fault.Conflict:   twirp.FailedPrecondition,
+	fault.Overloaded: twirp.ResourceExhausted,
+	fault.Invalid:    twirp.InvalidArgument,
+	fault.NotFound:   twirp.NotFound,
+}
+
+func twirpError(err error) error {
+	if err == nil {
+		return nil
+	}
+	code, ok := twirpCodes[fault.KindOf(err)]
+	if !ok {
+		code = twirp.Unavailable
+	}
+	return twirp.NewError(code, fault.MessageOf(err))
+}
--- /dev/null
+++ b/pkg/standin/state.go
@@ -0,0 +1,142 @@
+package standin
+
+import (
+	"time"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+)
+
+// Order tells an engine what to have loaded and which role to take.
+type Order struct {
+	// Fence is the orderer's fencing number, which grows with each lease.
+	Fence   uint64 `json:"fence"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter"`
+	Version string `json:"version"`
+	Role    string `json:"role"`
+}
+
+// sameWeights reports whether two orders need the same weights.
+func (order Order) sameWeights(other Order) bool {
+	return order.Model == other.Model && order.Adapter == other.Adapter && order.Version == other.Version
+}
+
+// EngineState is what an engine has loaded.
+type EngineState struct {
+	Model   string `json:"model"`
+	Adapter string `json:"adapter"`
+	Version string `json:"version"`
+	Role    string `json:"role"`
+	// Fence is the greatest fencing number of an order that was obeyed.
+	Fence uint64 `json:"fence"`
+	// Loading is set while the weights of the last order are being loaded.
+	Loading bool `json:"loading"`
+}
+
+// OrderRecord is the engine's own record of an order, for checks.
+type OrderRecord struct {
+	Order Order `json:"order"`
+	// Obeyed is false when the order was refused for its fence.
+	Obeyed bool      `json:"obeyed"`
+	At     time.Time `json:"at"`
+}
+
+// engineState is guarded by the engine's mutex.
+type engineState struct {
+	ignoresFencing bool
+	loadTime       time.Duration
+	order          Order
+	fence          uint64
+	loadedAt       time.Time
+	records        []OrderRecord
+}
+
+func newEngineState(config EngineConfig) engineState {
+	return engineState{
+		ignoresFencing: config.IgnoresFencing,
+		loadTime:       config.LoadTime,
+		order:          Order{Model: config.Model},
+	}
+}
+
+// obey applies an order, or refuses it for its fence. It reports whether the
+// weights change.
+func (state *engineState) obey(order Order, now time.Time) (bool, error) {
+	obeyed := state.ignoresFencing || order.Fence >= state.fence
+	state.records = append(state.records, OrderRecord{Order: order, Obeyed: obeyed, At: now})
+	if !obeyed {
+		return false, fault.New(fault.Config{
+			Kind:    fault.Conflict,
+			Message: "order carries an old fencing number",
+			Remedy:  "take the lease anew before ordering",
+		})
+	}
+	reload := !order.sameWeights(state.order)
+	if reload {
+		state.loadedAt = now.Add(state.loadTime)
+	}
+	state.order = order
+	state.fence = max(state.fence, order.Fence)
+	return reload, nil
+}
+
+// view returns the state at a time.
+func (state *engineState) view(now time.Time) EngineState {
+	return EngineState{
+		Model:   state.order.Model,
+		Adapter: state.order.Adapter,
+		Version: state.order.Version,
+		Role:    state.order.Role,
+		Fence:   state.fence,
+		Loading: now.Before(state.loadedAt),
+	}
+}
+
+// refusal returns why a request for the model cannot be served, or nil.
+func (state *engineState) refusal(model string, now time.Time) error {
+	if now.Before(state.loadedAt) {
+		return fault.New(fault.Config{
+			Kind:       fault.Unavailable,
+			Message:    "engine is loading a model",
+			Remedy:     "retry elsewhere or after the load",
+			RetryAfter: state.loadedAt.Sub(now),
+		})
+	}
+	if state.order.Model == "" || state.order.Model == model {
+		return nil
+	}
+	return fault.New(fault.Config{
+		Kind:    fault.NotFound,
+		Message: "model is not loaded: " + model,
+		Remedy:  "ask an engine that has loaded it",
+	})
+}
+
+// Order obeys or refuses an order.
+func (engine *Engine) Order(order Order) (EngineState, error) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	now := time.Now()
+	reload, err := engine.state.obey(order, now)
+	if err != nil {
+		return engine.state.view(now), err
+	}
+	if reload {
+		engine.cache.clear()
+	}
+	return engine.state.view(now), nil
+}
+
+// State returns what the engine has loaded.
+func (engine *Engine) State() EngineState {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.state.view(time.Now())
+}
+
+// Orders returns the engine's own record of all orders.
+func (engine *Engine) Orders() []OrderRecord {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return append([]OrderRecord{}, engine.state.records...)
+}
--- a/pkg/standin/table.go
+++ b/pkg/standin/table.go
@@ -1,22 +1,28 @@
-// Package standin holds small stand-ins for what surrounds the router fleet:
-// the platform's table service, object store and VM list, model engines and
-// plain services. They are for demonstrations, tests and measurements.
 package standin
 
+// The flow of the table: Transact checks every write's condition under one mutex
+// and applies the writes when all hold. Items are kept in a tree ordered by
+// partition and sort key, so that Query reads only what it returns.
+
 import (
+	"cmp"
 	"context"
-	"sort"
 	"strings"
 	"sync"
 
+	"github.com/google/btree"
+
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
-// Table is a table service in memory.
+const treeDegree = 32
+
+// Table is a table service in memory. It never fails by itself; Platform adds
+// rates and faults.
 type Table struct {
 	mutex sync.Mutex
-	items map[platform.Key]platform.Item
+	items *btree.BTreeG[platform.Item]
 	// version counts writes of the whole table.
 	version uint64
 }
@@ -25,19 +31,31 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{items: make(map[platform.Key]platform.Item)}
+	return &Table{items: btree.NewG(treeDegree, itemLess)}
+}
+
+func itemLess(a, b platform.Item) bool {
+	order := cmp.Compare(a.Key.Partition, b.Key.Partition)
+	if order == 0 {
+		order = cmp.Compare(a.Key.Sort, b.Key.Sort)
+	}
+	return order < 0
 }
 
 // Transact applies all writes or none.
 func (table *Table) Transact(_ context.Context, transaction platform.Transaction) error {
-	if len(transaction.Writes) > platform.MaxTransactionWrites {
-		return fault.New(fault.Config{Kind: fault.Invalid, Message: "transaction has too many writes", Remedy: "split it"})
+	if err := validateTransaction(transaction); err != nil {
+		return err
 	}
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	for _, write := range transaction.Writes {
 		if !table.holds(write) {
-			return fault.New(fault.Config{Kind: fault.Conflict, Message: "condition failed on " + write.Key.Partition + "/" + write.Key.Sort, Remedy: "read the item again"})
+			return fault.New(fault.Config{
+				Kind:    fault.Conflict,
+				Message: "condition failed on " + write.Key.Partition + "/" + write.Key.Sort,
+				Remedy:  "read the item again",
+			})
 		}
 	}
 	for _, write := range transaction.Writes {
@@ -46,8 +64,32 @@
 	return nil
 }
 
+func validateTransaction(transaction platform.Transaction) error {
+	if len(transaction.Writes) > platform.MaxTransactionWrites {
+		return invalidTransaction("transaction has too many writes", "split it")
+	}
+	seen := make(map[platform.Key]struct{}, len(transaction.Writes))
+	for _, write := range transaction.Writes {
+		if _, ok := seen[write.Key]; ok {
+			return invalidTransaction("key occurs twice: "+write.Key.Partition+"/"+write.Key.Sort, "join the two writes")
+		}
+		seen[write.Key] = struct{}{}
+		if write.Action < platform.Put || write.Action > platform.Check {
+			return invalidTransaction("unknown action", "use put, delete or check")
+		}
+		if write.Condition.Kind < platform.Always || write.Condition.Kind > platform.IfVersion {
+			return invalidTransaction("unknown condition", "use always, if_absent or if_version")
+		}
+	}
+	return nil
+}
+
+func invalidTransaction(message, remedy string) error {
+	return fault.New(fault.Config{Kind: fault.Invalid, Message: message, Remedy: remedy})
+}
+
 func (table *Table) holds(write platform.Write) bool {
-	item := table.items[write.Key]
+	item, _ := table.items.Get(platform.Item{Key: write.Key})
 	switch write.Condition.Kind {
 	case platform.IfAbsent:
 		return item.Version == 0
@@ -62,13 +104,13 @@
 	switch write.Action {
 	case platform.Put:
 		table.version++
-		table.items[write.Key] = platform.Item{
+		table.items.ReplaceOrInsert(platform.Item{
 			Key:     write.Key,
 			Value:   append([]byte(nil), write.Value...),
 			Version: table.version,
-		}
+		})
 	case platform.Delete:
-		delete(table.items, write.Key)
+		table.items.Delete(platform.Item{Key: write.Key})
 	case platform.Check:
 	}
 }
@@ -79,7 +121,7 @@
 	defer table.mutex.Unlock()
 	items := make([]platform.Item, len(keys))
 	for i, key := range keys {
-		items[i] = table.items[key]
+		items[i], _ = table.items.Get(platform.Item{Key: key})
 		items[i].Key = key
 	}
 	return items, nil
@@ -88,20 +130,28 @@
 // Query reads items of one partition in the order of their sort keys.
 func (table *Table) Query(_ context.Context, query platform.Query) ([]platform.Item, error) {
 	limit := query.Limit
-	if limit <= 0 {
+	if limit <= 0 || limit > platform.DefaultQueryLimit {
 		limit = platform.DefaultQueryLimit
 	}
+	first := platform.Key{Partition: query.Partition, Sort: max(query.After, query.Prefix)}
+	var items []platform.Item
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	var items []platform.Item
-	for key, item := range table.items {
-		if key.Partition == query.Partition && key.Sort > query.After && strings.HasPrefix(key.Sort, query.Prefix) {
+	table.items.AscendGreaterOrEqual(platform.Item{Key: first}, func(item platform.Item) bool {
+		if item.Key.Partition != query.Partition || !strings.HasPrefix(item.Key.Sort, query.Prefix) {
+			return false
+		}
+		if query.After == "" || item.Key.Sort > query.After {
 			items = append(items, item)
 		}
-	}
-	sort.Slice(items, func(i, j int) bool { return items[i].Key.Sort < items[j].Key.Sort })
-	if len(items) > limit {
-		items = items[:limit]
-	}
+		return len(items) < limit
+	})
 	return items, nil
 }
+
+// Len returns the number of items.
+func (table *Table) Len() int {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	return table.items.Len()
+}
