Add the escrow, the ledger and the claim registry

Cause: the router needs the contract of budget and claim to build on. Change: grants, reservations, batched settlement by sequence, lending with transfer rows, statements, limit changes; claims with group commit, fencing of undecided inserts, retention by sealed hours; platform.Retrier bounds the retries of table calls for both packages.

--- /dev/null
+++ b/pkg/budget/account_grant.go
@@ -0,0 +1,100 @@
+package budget
+
+import (
+	"time"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+)
+
+// needWithin is what must be added to the balance for the waiting reservations
+// that fit into the balance and the free tokens. The caller holds the lock.
+func (account *account) needWithin(freeTokens int64) int64 {
+	balance := account.balanceTokens()
+	var tokens int64
+	for _, waiter := range account.waiters {
+		if tokens+waiter.tokens <= balance+freeTokens {
+			tokens += waiter.tokens
+		}
+	}
+	return max(0, tokens-balance)
+}
+
+// smallestWait is the least that a waiting reservation needs, or zero.
+func (account *account) smallestWait() int64 {
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	var smallest int64
+	for i, waiter := range account.waiters {
+		if i == 0 || waiter.tokens < smallest {
+			smallest = waiter.tokens
+		}
+	}
+	return smallest
+}
+
+// lackingTokens is what the balance lacks for a reservation.
+func (account *account) lackingTokens(tokens int64) int64 {
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	return max(0, tokens-account.balanceTokens())
+}
+
+// isEmpty reports whether there is nothing to return or refill.
+func (account *account) isEmpty() bool {
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	return account.spareTokens() == 0 && account.forecast.tokensPerSecond < 1
+}
+
+// wantsRefill reports whether the spare tokens run out well within the horizon.
+func (account *account) wantsRefill(horizon time.Duration) bool {
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	return account.spareTokens() < account.forecast.tokens(time.Now(), horizon)/refillDivisor
+}
+
+// beginReturn sets tokens aside for a return on top of a revision of the row
+// and returns the amount. A return whose outcome is unknown is sent again as it
+// was: of the two writes on one version the table applies at most one.
+func (account *account) beginReturn(tokens int64, baseRevision uint64) int64 {
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	if account.row.Revision != baseRevision {
+		return 0
+	}
+	if account.returning.tokens == 0 {
+		account.returning = pendingReturn{tokens: min(tokens, account.spareTokens()), baseRevision: baseRevision}
+	}
+	return account.returning.tokens
+}
+
+// failReturn frees the tokens that were set aside when the table stated that it
+// applied nothing.
+func (account *account) failReturn(err error) {
+	if !fault.Is(err, fault.Conflict) && !fault.Is(err, fault.Overloaded) {
+		return
+	}
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	account.returning = pendingReturn{}
+	account.admit()
+}
+
+// unrecordedLoans are received loans that the table's books do not have yet.
+func (account *account) unrecordedLoans() []Loan {
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	var loans []Loan
+	for loan, recorded := range account.loans {
+		if !recorded {
+			loans = append(loans, loan)
+		}
+	}
+	return loans
+}
+
+func (account *account) markRecorded(loan Loan) {
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	account.loans[loan] = true
+}
--- /dev/null
+++ b/pkg/budget/errors.go
@@ -0,0 +1,91 @@
+package budget
+
+import (
+	"fmt"
+	"time"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+)
+
+// exhaustedRetryAfter is when a caller of an exhausted budget may ask again.
+const exhaustedRetryAfter = 30 * time.Second
+
+// standing is what a router knows of a budget after it asked the table.
+type standing struct {
+	// known is set when the table answered.
+	known       bool
+	limitTokens int64
+	freeTokens  int64
+	// recoverableTokens are free or held by any router and not settled.
+	recoverableTokens int64
+}
+
+func invalidDemand(demand Demand) error {
+	return fault.New(fault.Config{
+		Kind:    fault.Invalid,
+		Message: fmt.Sprintf("cannot reserve %d tokens of profile %q", demand.Tokens, demand.Profile),
+		Remedy:  "name a profile and a worst case of at least 0 tokens",
+	})
+}
+
+func drainingError() error {
+	return fault.New(fault.Config{
+		Kind:    fault.Draining,
+		Message: "this router is shutting down",
+		Remedy:  "send the request to another router",
+	})
+}
+
+func deadlineError() error {
+	return fault.New(fault.Config{
+		Kind:    fault.Deadline,
+		Message: "the deadline passed before tokens were reserved",
+		Remedy:  "retry with a later deadline",
+	})
+}
+
+func retiredError(profile string) error {
+	return fault.New(fault.Config{
+		Kind:    fault.Forbidden,
+		Message: fmt.Sprintf("profile %q is retired", profile),
+		Remedy:  "use another profile, or publish this one again",
+	})
+}
+
+func unknownBudget(profile string) error {
+	return fault.New(fault.Config{
+		Kind:    fault.NotFound,
+		Message: fmt.Sprintf("profile %q has no budget", profile),
+		Remedy:  "publish the profile first",
+	})
+}
+
+func exhaustedError(demand Demand, standing standing, retryAfter time.Duration) error {
+	return fault.New(fault.Config{
+		Kind: fault.BudgetExhausted,
+		Message: fmt.Sprintf("profile %q needs %d tokens; %d of its limit of %d are free and at most %d more can come back",
+			demand.Profile, demand.Tokens, standing.freeTokens, standing.limitTokens,
+			max(0, standing.recoverableTokens-standing.freeTokens)),
+		Remedy:     "top up the profile, ask for fewer tokens, or retry later",
+		RetryAfter: retryAfter,
+	})
+}
+
+func tableSilent(demand Demand, cause error) error {
+	return fault.New(fault.Config{
+		Kind: fault.Unavailable,
+		Message: fmt.Sprintf("profile %q needs %d tokens, and neither the table nor another router granted them",
+			demand.Profile, demand.Tokens),
+		Remedy:     "retry later or at another router",
+		RetryAfter: DefaultMaxWait,
+		Cause:      cause,
+	})
+}
+
+func nothingToLend(request LoanRequest) error {
+	return fault.New(fault.Config{
+		Kind:    fault.BudgetExhausted,
+		Message: fmt.Sprintf("no tokens of profile %q can be spared", request.Profile),
+		Remedy:  "ask another router",
+	})
+}
--- /dev/null
+++ b/pkg/budget/escrow.go
@@ -0,0 +1,253 @@
+package budget
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/singleflight"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
+)
+
+// The defaults of EscrowConfig.
+const (
+	// DefaultHorizon is the demand that a grant covers.
+	DefaultHorizon = 10 * time.Second
+	// DefaultSettleInterval is the time between two settlement batches.
+	DefaultSettleInterval = time.Second
+	// DefaultMaxWait bounds the wait of a reservation for returned grants.
+	DefaultMaxWait = 3 * time.Second
+	// DefaultDrainTimeout bounds the table calls of Close without a deadline.
+	DefaultDrainTimeout = 10 * time.Second
+)
+
+// EscrowConfig configures an Escrow.
+type EscrowConfig struct {
+	Table platform.Table
+	// Incarnation names this run of the router; it is never used again.
+	Incarnation string
+	Logger      log.Logger
+	// Registerer receives the metrics; nil registers none.
+	Registerer prometheus.Registerer
+	// Horizon is the demand that a grant covers.
+	Horizon time.Duration
+	// SettleInterval is the time between two settlement batches.
+	SettleInterval time.Duration
+	// MaxWait bounds the wait of a reservation for returned grants.
+	MaxWait time.Duration
+	// Lender asks other routers for loans; nil asks none.
+	Lender Lender
+	// Keeper holds settlements while the table does not answer; nil keeps none.
+	Keeper Keeper
+	// Policy is the name of the sizing policy; empty means PolicyHorizon.
+	Policy string
+	// Shares is the number of routers, for PolicyEqualShares.
+	Shares int
+	// Retry bounds the retries of table calls.
+	Retry platform.RetryConfig
+}
+
+func (config EscrowConfig) withDefaults() EscrowConfig {
+	if config.Logger == nil {
+		config.Logger = log.NewNopLogger()
+	}
+	if config.Horizon <= 0 {
+		config.Horizon = DefaultHorizon
+	}
+	if config.SettleInterval <= 0 {
+		config.SettleInterval = DefaultSettleInterval
+	}
+	if config.MaxWait <= 0 {
+		config.MaxWait = DefaultMaxWait
+	}
+	if _, ok := policies[config.Policy]; !ok {
+		config.Policy = PolicyHorizon
+	}
+	return config
+}
+
+// Escrow is the router's side of all budgets: it reserves, settles, lends and
+// borrows. Its methods are safe for concurrent use.
+type Escrow struct {
+	config  EscrowConfig
+	table   platform.Table
+	retrier *platform.Retrier
+	sizing  sizing
+	metrics metrics
+	grants  singleflight.Group
+
+	mutex    sync.Mutex
+	accounts map[string]*account
+	draining bool
+	// pending are settlements in the order of their numbers.
+	pending    []*pendingSettlement
+	settlement uint64
+	kept       map[string][]Settlement
+
+	// settling admits one settlement at a time; it guards the fields below.
+	settling sync.Mutex
+	sequence uint64
+	batch    *batch
+
+	wake    chan struct{}
+	stop    chan struct{}
+	stopped chan struct{}
+}
+
+// NewEscrow returns an Escrow and starts its control goroutine, which settles,
+// refills and returns grants until Close.
+func NewEscrow(config EscrowConfig) *Escrow {
+	escrow := newEscrow(config)
+	go func() {
+		defer close(escrow.stopped)
+		ticker := time.NewTicker(escrow.config.SettleInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-escrow.stop:
+				return
+			case <-escrow.wake:
+			case <-ticker.C:
+			}
+			escrow.tick(context.Background())
+		}
+	}()
+	return escrow
+}
+
+func newEscrow(config EscrowConfig) *Escrow {
+	config = config.withDefaults()
+	return &Escrow{
+		config:   config,
+		table:    config.Table,
+		retrier:  platform.NewRetrier(config.Retry),
+		sizing:   policies[config.Policy].construct(config),
+		metrics:  newMetrics(config.Registerer),
+		accounts: make(map[string]*account),
+		kept:     make(map[string][]Settlement),
+		wake:     make(chan struct{}, 1),
+		stop:     make(chan struct{}),
+		stopped:  make(chan struct{}),
+	}
+}
+
+// tick is one round of the control goroutine.
+func (escrow *Escrow) tick(ctx context.Context) {
+	escrow.settle(ctx)
+	escrow.settleKept(ctx)
+	escrow.resize(ctx)
+}
+
+// account returns the account of a profile, made when needed.
+func (escrow *Escrow) account(profile string) *account {
+	escrow.mutex.Lock()
+	defer escrow.mutex.Unlock()
+	held, ok := escrow.accounts[profile]
+	if !ok {
+		held = newAccount(profile)
+		escrow.accounts[profile] = held
+	}
+	return held
+}
+
+// allAccounts returns the accounts at this moment.
+func (escrow *Escrow) allAccounts() []*account {
+	escrow.mutex.Lock()
+	defer escrow.mutex.Unlock()
+	accounts := make([]*account, 0, len(escrow.accounts))
+	for _, account := range escrow.accounts {
+		accounts = append(accounts, account)
+	}
+	return accounts
+}
+
+// Reserve sets the worst case of a request aside. Before it refuses it asks the
+// table, then other routers, then waits for returned grants until the deadline
+// or MaxWait. The errors are fault.BudgetExhausted, which states what was
+// needed and what is left, fault.Unavailable when the table does not answer,
+// fault.Draining and fault.Invalid. All of them mean that nothing ran.
+func (escrow *Escrow) Reserve(ctx context.Context, demand Demand) (Reservation, error) {
+	if demand.Tokens < 0 || demand.Profile == "" {
+		return Reservation{}, invalidDemand(demand)
+	}
+	if escrow.isDraining() {
+		return Reservation{}, drainingError()
+	}
+	account := escrow.account(demand.Profile)
+	reservation := Reservation{Profile: demand.Profile, RequestID: demand.RequestID, Tokens: demand.Tokens}
+	if account.reserve(demand.Tokens, time.Now()) {
+		escrow.metrics.reserved("held")
+		return reservation, nil
+	}
+	if err := escrow.obtain(ctx, account, demand); err != nil {
+		escrow.metrics.refused(fault.KindOf(err))
+		return Reservation{}, err
+	}
+	return reservation, nil
+}
+
+func (escrow *Escrow) isDraining() bool {
+	escrow.mutex.Lock()
+	defer escrow.mutex.Unlock()
+	return escrow.draining
+}
+
+// Lend debits a loan from this router's grant. A repeated request with the same
+// transfer id returns the same loan. The errors are fault.BudgetExhausted when
+// nothing can be spared and fault.Draining.
+func (escrow *Escrow) Lend(_ context.Context, request LoanRequest) (Loan, error) {
+	if escrow.isDraining() {
+		return Loan{}, drainingError()
+	}
+	loan, ok := escrow.account(request.Profile).lend(Loan{
+		TransferID: request.TransferID,
+		Profile:    request.Profile,
+		Lender:     escrow.config.Incarnation,
+		Tokens:     request.Tokens,
+	})
+	if !ok {
+		return Loan{}, nothingToLend(request)
+	}
+	escrow.metrics.lent(loan.Tokens)
+	return loan, nil
+}
+
+// Keep holds settlements of another router until that router has settled them
+// or is closed.
+func (escrow *Escrow) Keep(_ context.Context, owner string, settlements []Settlement) error {
+	escrow.mutex.Lock()
+	defer escrow.mutex.Unlock()
+	if escrow.draining {
+		return drainingError()
+	}
+	escrow.kept[owner] = append(escrow.kept[owner], settlements...)
+	return nil
+}
+
+// Close refuses new reservations, settles what has ended and returns all
+// grants. What other reservations hold, and loans that no borrower has
+// recorded, become unattributed. The error is fault.Unavailable when the table
+// does not answer until the end of ctx; all that is held then stays charged.
+func (escrow *Escrow) Close(ctx context.Context) error {
+	if !escrow.drain() {
+		return nil
+	}
+	close(escrow.stop)
+	<-escrow.stopped
+	return escrow.finish(ctx)
+}
+
+// drain stops new reservations. It returns false when that was done before.
+func (escrow *Escrow) drain() bool {
+	escrow.mutex.Lock()
+	defer escrow.mutex.Unlock()
+	if escrow.draining {
+		return false
+	}
+	escrow.draining = true
+	return true
+}
--- /dev/null
+++ b/pkg/budget/escrow_test.go
@@ -0,0 +1,56 @@
+package budget_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/budget"
+	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
+	"gitlab.com/wisterialb/wisterialb/pkg/standin"
+)
+
+// publish applies the writes of a change.
+func publish(t *testing.T, table platform.Table, change configuration.Change, body any) error {
+	t.Helper()
+	change.Body, _ = json.Marshal(body)
+	writes, err := budget.NewLedger(budget.LedgerConfig{Table: table}).ChangeWrites(t.Context(), change)
+	if err != nil {
+		return err
+	}
+	return table.Transact(t.Context(), platform.Transaction{Writes: writes})
+}
+
+func openBudget(t *testing.T, table platform.Table, profile string, limitTokens int64) {
+	t.Helper()
+	change := configuration.Change{Kind: configuration.KindProfile, Name: profile}
+	require.NoError(t, publish(t, table, change, configuration.Profile{Name: profile, LimitTokens: limitTokens}))
+}
+
+func bill(reservation budget.Reservation, tokens int64) budget.Settlement {
+	return budget.Settlement{Reservation: reservation, Lines: []budget.Line{{Kind: budget.LineBill, Tokens: tokens}}}
+}
+
+func TestReserveSettleStatement(t *testing.T) {
+	table := standin.NewTable()
+	openBudget(t, table, "advice", 1000)
+	escrow := budget.NewEscrow(budget.EscrowConfig{Table: table, Incarnation: "a", SettleInterval: 10 * time.Millisecond})
+
+	reservation, err := escrow.Reserve(t.Context(), budget.Demand{Profile: "advice", RequestID: "r1", Tokens: 400})
+	require.NoError(t, err)
+	<-escrow.Settle(bill(reservation, 150)).Durable()
+	_, err = escrow.Reserve(t.Context(), budget.Demand{Profile: "advice", RequestID: "r2", Tokens: 900})
+	require.True(t, fault.Is(err, fault.BudgetExhausted), "%v", err)
+	require.Equal(t, fault.NotRun, fault.OutcomeOf(err))
+	require.Positive(t, fault.RetryAfterOf(err))
+	require.NoError(t, escrow.Close(context.Background()))
+
+	statement, err := budget.NewLedger(budget.LedgerConfig{Table: table}).Statement(t.Context(), "advice")
+	require.NoError(t, err)
+	require.Equal(t, budget.Statement{Profile: "advice", LimitTokens: 1000, FreeTokens: 850, SettledTokens: 150, BillTokens: 150}, statement)
+}
--- /dev/null
+++ b/pkg/budget/finish.go
@@ -0,0 +1,81 @@
+package budget
+
+import (
+	"context"
+	"time"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
+)
+
+// finish settles what is pending, returns what is spare and closes all holder
+// rows of this incarnation.
+func (escrow *Escrow) finish(ctx context.Context) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, DefaultDrainTimeout)
+		defer cancel()
+	}
+	err := escrow.untilDone(ctx, func(ctx context.Context) error {
+		escrow.settling.Lock()
+		defer escrow.settling.Unlock()
+		return escrow.settleAll(ctx)
+	})
+	if err != nil {
+		escrow.handOver(context.WithoutCancel(ctx))
+		return err
+	}
+	for _, account := range escrow.allAccounts() {
+		err = escrow.untilDone(ctx, func(ctx context.Context) error { return escrow.finishAccount(ctx, account) })
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// untilDone repeats a step that the retrier gave up, until ctx ends.
+func (escrow *Escrow) untilDone(ctx context.Context, step func(ctx context.Context) error) error {
+	for {
+		err := step(ctx)
+		if err == nil || !platform.IsRetryable(err) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(escrow.config.SettleInterval):
+		}
+	}
+}
+
+// finishAccount returns the spare tokens. A holder row that holds nothing more
+// is removed and its sums are added to the budget row; another one is closed.
+func (escrow *Escrow) finishAccount(ctx context.Context, account *account) error {
+	return escrow.retrier.Run(ctx, func(ctx context.Context) error {
+		holding, err := escrow.readHolding(ctx, account)
+		if err != nil || holding.holder.item.Version == 0 {
+			return err
+		}
+		account.mutex.Lock()
+		spare := account.spareTokens() + account.returning.tokens
+		account.mutex.Unlock()
+		return escrow.table.Transact(ctx, platform.Transaction{Writes: holding.finalWrites(spare)})
+	})
+}
+
+func (holding holding) finalWrites(spareTokens int64) []platform.Write {
+	budget := holding.budget
+	budget.TakenTokens -= spareTokens
+	changed := holding.holder.row.WithReturn(spareTokens)
+	if changed.outstandingTokens() != 0 || changed.Settled.UnattributedTokens != 0 {
+		writes := holding.holder.writes(changed.WithClosed())
+		return append(writes, replace(holding.budgetItem, budget))
+	}
+	budget.Folded = budget.Folded.plus(changed.Settled)
+	budget.Holders--
+	return []platform.Write{
+		replace(holding.budgetItem, budget),
+		{Key: holding.holder.item.Key, Action: platform.Delete, Condition: unchanged(holding.holder.item)},
+		{Key: profileKey(holding.holder.incarnation, holding.holder.profile), Action: platform.Delete},
+	}
+}
--- /dev/null
+++ b/pkg/budget/grant.go
@@ -0,0 +1,198 @@
+package budget
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
+)
+
+// The flow of a grant: read the budget row and the own holder row, adopt the
+// latter, let the policy size the grant, and write both rows on the condition
+// that neither has changed. After a lost answer the next read shows what was
+// applied. Returns go the same way.
+
+// holding is a consistent read of a budget and of the own part of it.
+type holding struct {
+	budgetItem platform.Item
+	budget     budgetRow
+	holder     holderRecord
+}
+
+func (escrow *Escrow) readHolding(ctx context.Context, account *account) (holding, error) {
+	items, err := escrow.table.Get(ctx, budgetKey(account.profile), holderKey(account.profile, escrow.config.Incarnation))
+	if err != nil {
+		return holding{}, err
+	}
+	return escrow.holdingOf(account, items[0], items[1])
+}
+
+func (escrow *Escrow) holdingOf(account *account, budgetItem, holderItem platform.Item) (holding, error) {
+	budget, err := decode[budgetRow](budgetItem)
+	if err != nil {
+		return holding{}, err
+	}
+	holder, err := newHolderRecord(account.profile, escrow.config.Incarnation, holderItem)
+	if err != nil {
+		return holding{}, err
+	}
+	account.adopt(holder.row)
+	return holding{budgetItem: budgetItem, budget: budget, holder: holder}, nil
+}
+
+// take takes one grant, sized by the policy.
+func (escrow *Escrow) take(ctx context.Context, account *account) (standing, error) {
+	var found standing
+	err := escrow.retrier.Run(ctx, func(ctx context.Context) error {
+		holding, err := escrow.readHolding(ctx, account)
+		if err != nil {
+			return err
+		}
+		if err := holding.checkGrants(account.profile); err != nil {
+			return err
+		}
+		found, err = escrow.takeFrom(ctx, account, holding)
+		return err
+	})
+	return found, err
+}
+
+// checkGrants returns why no grant can be taken from the budget.
+func (holding holding) checkGrants(profile string) error {
+	if holding.budgetItem.Version == 0 {
+		return unknownBudget(profile)
+	}
+	if holding.budget.Retired {
+		return retiredError(profile)
+	}
+	return nil
+}
+
+func (escrow *Escrow) takeFrom(ctx context.Context, account *account, holding holding) (standing, error) {
+	free := holding.budget.freeTokens()
+	state := account.sizingState(holding.budget, escrow.config.Horizon)
+	tokens := escrow.grantTokens(state, free)
+	if tokens <= 0 {
+		return escrow.shortage(ctx, account, holding)
+	}
+	if err := escrow.writeGrant(ctx, account, holding, tokens); err != nil {
+		return standing{}, err
+	}
+	left := free - tokens
+	return standing{known: true, limitTokens: holding.budget.LimitTokens, freeTokens: left, recoverableTokens: holding.budget.LimitTokens}, nil
+}
+
+// grantTokens never exceeds what is free.
+func (escrow *Escrow) grantTokens(state sizingState, free int64) int64 {
+	return min(escrow.sizing.take(state), free)
+}
+
+func (escrow *Escrow) writeGrant(ctx context.Context, account *account, holding holding, tokens int64) error {
+	budget := holding.budget
+	budget.TakenTokens += tokens
+	budget.WantedTokens = 0
+	if holding.holder.item.Version == 0 {
+		budget.Holders++
+	}
+	changed := holding.holder.row.WithGrant(tokens)
+	writes := append(holding.holder.writes(changed), replace(holding.budgetItem, budget))
+	if err := escrow.table.Transact(ctx, platform.Transaction{Writes: writes}); err != nil {
+		return err
+	}
+	escrow.metrics.granted.Add(float64(tokens))
+	account.adopt(changed)
+	return nil
+}
+
+// shortage tells what could still come back, and marks the budget so that
+// holders return idle tokens.
+func (escrow *Escrow) shortage(ctx context.Context, account *account, holding holding) (standing, error) {
+	statement, err := readStatement(ctx, escrow.table, account.profile)
+	if err != nil {
+		return standing{}, err
+	}
+	found := statement.standing()
+	wanted := account.smallestWait()
+	if wanted > holding.budget.WantedTokens && wanted <= found.recoverableTokens {
+		budget := holding.budget
+		budget.WantedTokens = wanted
+		err = escrow.table.Transact(ctx, platform.Transaction{Writes: []platform.Write{replace(holding.budgetItem, budget)}})
+	}
+	return found, err
+}
+
+// resizeParallelism bounds the grants that are resized at once.
+const resizeParallelism = 8
+
+// resize returns idle tokens and refills running grants of all accounts.
+func (escrow *Escrow) resize(ctx context.Context) {
+	group := errgroup.Group{}
+	group.SetLimit(resizeParallelism)
+	for _, account := range escrow.allAccounts() {
+		if account.isEmpty() {
+			continue
+		}
+		group.Go(func() error {
+			escrow.resizeAccount(ctx, account)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+func (escrow *Escrow) resizeAccount(ctx context.Context, account *account) {
+	err := escrow.retrier.Run(ctx, func(ctx context.Context) error {
+		holding, err := escrow.readHolding(ctx, account)
+		if err != nil {
+			return err
+		}
+		state := account.sizingState(holding.budget, escrow.config.Horizon)
+		if surplus := state.spareTokens - escrow.sizing.keep(state); surplus > 0 {
+			return escrow.giveBack(ctx, account, holding, surplus)
+		}
+		return nil
+	})
+	if err != nil {
+		_ = escrow.config.Logger.Log("level", "warn", "message", "grant not resized", "profile", account.profile, "error", err)
+		return
+	}
+	if account.wantsRefill(escrow.config.Horizon) {
+		_, _ = escrow.replenish(ctx, account)
+	}
+}
+
+// giveBack returns tokens to the budget. They are set aside before the write
+// and stay so until the holder row shows whether it was applied.
+func (escrow *Escrow) giveBack(ctx context.Context, account *account, holding holding, tokens int64) error {
+	tokens = account.beginReturn(tokens, holding.holder.row.Revision)
+	if tokens <= 0 {
+		return nil
+	}
+	budget := holding.budget
+	budget.TakenTokens -= tokens
+	budget.WantedTokens = max(0, budget.WantedTokens-tokens)
+	changed := holding.holder.row.WithReturn(tokens)
+	writes := append(holding.holder.writes(changed), replace(holding.budgetItem, budget))
+	if err := escrow.table.Transact(ctx, platform.Transaction{Writes: writes}); err != nil {
+		account.failReturn(err)
+		return err
+	}
+	escrow.metrics.returned.Add(float64(tokens))
+	account.adopt(changed)
+	return nil
+}
+
+// sizingState is what the policy decides on.
+func (account *account) sizingState(budget budgetRow, horizon time.Duration) sizingState {
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	return sizingState{
+		needTokens:     account.needWithin(budget.freeTokens()),
+		forecastTokens: account.forecast.tokens(time.Now(), horizon),
+		spareTokens:    account.spareTokens(),
+		takenTokens:    account.row.GrantedTokens - account.row.ReturnedTokens,
+		budget:         budget,
+	}
+}
--- a/pkg/budget/reservation.go
+++ b/pkg/budget/reservation.go
@@ -63,6 +63,9 @@
 type Settlement struct {
 	Reservation Reservation
 	Lines       []Line
+	// Number counts the settlements of one incarnation from 1. The escrow sets
+	// it; together with the incarnation it identifies the settlement.
+	Number uint64
 }
 
 // Statement is the state of a budget. It adds up:
--- /dev/null
+++ b/pkg/claim/rows.go
@@ -0,0 +1,120 @@
+package claim
+
+import (
+	"encoding/json"
+	"net/url"
+	"time"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
+)
+
+// The layout of the table. Claims of one hour, by the time that the request id
+// carries, share a partition, so that old ones are removed an hour at a time. A
+// sealed hour accepts no claim any more.
+//
+//	claims/<hour>     <scope>/<request id>   claimRow
+//	claim_seals       <hour>                 sealRow
+//	claim_retention   next                   retentionRow
+const (
+	sealPartition      = "claim_seals"
+	retentionPartition = "claim_retention"
+	retentionSort      = "next"
+	hourLayout         = "2006010215"
+)
+
+// hour names an hour of request ids.
+type hour string
+
+func hourOf(at time.Time) hour {
+	return hour(at.UTC().Format(hourLayout))
+}
+
+func (hour hour) start() (time.Time, error) {
+	return time.Parse(hourLayout, string(hour))
+}
+
+func (hour hour) sealKey() platform.Key {
+	return platform.Key{Partition: sealPartition, Sort: string(hour)}
+}
+
+func (hour hour) partition() string {
+	return "claims/" + string(hour)
+}
+
+func retentionKey() platform.Key {
+	return platform.Key{Partition: retentionPartition, Sort: retentionSort}
+}
+
+func (hour hour) claimKey(request Request) platform.Key {
+	return platform.Key{Partition: hour.partition(), Sort: url.PathEscape(request.Scope) + "/" + request.RequestID}
+}
+
+// claimRow is a stored claim.
+type claimRow struct {
+	State State  `json:"state"`
+	Owner string `json:"owner"`
+	// Run identifies the run that wrote the claim, so that it knows its own
+	// claim after a lost answer.
+	Run    string    `json:"run"`
+	Result Result    `json:"result"`
+	Reason string    `json:"reason"`
+	At     time.Time `json:"at"`
+}
+
+func (row claimRow) decision() Decision {
+	return Decision{State: row.State, Owner: row.Owner, Result: row.Result, Reason: row.Reason}
+}
+
+// WithEnd returns the row in its last state.
+func (row claimRow) WithEnd(state State, result Result, reason string) claimRow {
+	row.State = state
+	row.Result = result
+	row.Reason = reason
+	return row
+}
+
+// sealRow marks an hour whose claims are being or have been removed.
+type sealRow struct {
+	By string `json:"by"`
+}
+
+// retentionRow names the next hour to be removed.
+type retentionRow struct {
+	Next hour `json:"next"`
+}
+
+func encode[T any](row T) []byte {
+	value, err := json.Marshal(row)
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+// decode reads the row of an item; an item that does not exist is a zero row.
+func decode[T any](item platform.Item) (T, error) {
+	var row T
+	if item.Version == 0 {
+		return row, nil
+	}
+	if err := json.Unmarshal(item.Value, &row); err != nil {
+		return row, fault.New(fault.Config{
+			Kind:    fault.Internal,
+			Message: "row " + item.Key.Partition + "/" + item.Key.Sort + " cannot be read",
+			Remedy:  "check which program wrote it and restore the row",
+			Outcome: fault.OutcomeUnknown,
+			Cause:   err,
+		})
+	}
+	return row, nil
+}
+
+// replace puts a row on the condition that the item has not changed.
+func replace[T any](item platform.Item, row T) platform.Write {
+	condition := platform.Condition{Kind: platform.IfVersion, Version: item.Version}
+	if item.Version == 0 {
+		condition = platform.Condition{Kind: platform.IfAbsent}
+	}
+	return platform.Write{Key: item.Key, Value: encode(row), Condition: condition}
+}
--- a/pkg/claim/state.go
+++ b/pkg/claim/state.go
@@ -49,4 +49,6 @@
 	Owner string
 	// Result is set when State is Finished.
 	Result Result
+	// Reason says why when State is Unknown.
+	Reason string
 }
