Add configuration, fleet, entry and peer with their public interfaces

Cause: the router and the other packages need the interfaces of the control packages to build on. Change: publishing as one table transaction, followers with lazily held profiles, membership with leases and probes, rendezvous ranking, and the signed twirp protocol between routers, with a first test each.

--- /dev/null
+++ b/pkg/configuration/lazy.go
@@ -0,0 +1,97 @@
+package configuration
+
+import (
+	"context"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+)
+
+// maxProfileReads bounds how often a profile is read again because the view
+// moved on by more records than are kept while the table answered.
+const maxProfileReads = 3
+
+// Profile returns a profile. One that the router does not hold is read from
+// the table and held from then on.
+//
+// Errors: fault.NotFound if no such profile exists; fault.Unavailable if the
+// router does not hold it and the table is out of reach.
+func (follower *Follower) Profile(ctx context.Context, name string) (Profile, error) {
+	if entry, ok := follower.profiles.lookup(name); ok {
+		return entry.result(name)
+	}
+	read, err, _ := follower.reads.Do(name, func() (any, error) {
+		return follower.readProfile(ctx, name)
+	})
+	if err != nil {
+		return Profile{}, err
+	}
+	return read.(profileEntry).result(name)
+}
+
+// result turns an entry into the answer of a lookup.
+func (entry profileEntry) result(name string) (Profile, error) {
+	if !entry.found {
+		return Profile{}, missing("profile/" + name)
+	}
+	return entry.profile, nil
+}
+
+func (follower *Follower) readProfile(ctx context.Context, name string) (profileEntry, error) {
+	for range maxProfileReads {
+		entry, err := follower.fetchProfile(ctx, name)
+		if err != nil {
+			return profileEntry{}, err
+		}
+		held, ok, err := follower.hold(name, entry)
+		if err != nil {
+			return profileEntry{}, err
+		}
+		if ok {
+			return held, nil
+		}
+	}
+	return profileEntry{}, fault.New(fault.Config{
+		Kind:    fault.Unavailable,
+		Message: "profile/" + name + " could not be read while the configuration was changing",
+		Remedy:  "retry",
+	})
+}
+
+// fetchProfile reads head and document in one snapshot.
+func (follower *Follower) fetchProfile(ctx context.Context, name string) (profileEntry, error) {
+	items, err := follower.table.Get(ctx, headKey(), documentKey(KindProfile, name))
+	if err != nil {
+		return profileEntry{}, err
+	}
+	head, err := decodeItem[headRow](items[0])
+	if err != nil {
+		return profileEntry{}, err
+	}
+	row, err := decodeItem[documentRow](items[1])
+	if err != nil {
+		return profileEntry{}, err
+	}
+	return newProfileEntry(name, row.Body, row.Revision, head.Revision)
+}
+
+// hold keeps an entry after bringing it up to the view with the records that
+// were adopted since it was read. It is false if those are no longer kept.
+func (follower *Follower) hold(name string, entry profileEntry) (profileEntry, bool, error) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	revision := follower.Revision()
+	if entry.asOf < revision && (len(follower.recent) == 0 || follower.recent[0].Revision > entry.asOf+1) {
+		return profileEntry{}, false, nil
+	}
+	held := follower.profiles.add(name, entry)
+	for _, record := range follower.recent {
+		if record.Change.Kind != KindProfile || record.Change.Name != name {
+			continue
+		}
+		if err := follower.profiles.apply(name, record.Change.Body, record.Revision); err != nil {
+			return profileEntry{}, false, err
+		}
+		held, _ = follower.profiles.lookup(name)
+	}
+	return held, true, nil
+}
--- /dev/null
+++ b/pkg/configuration/profiles.go
@@ -0,0 +1,94 @@
+package configuration
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+// profileEntry is what the router knows of one profile at asOf.
+type profileEntry struct {
+	profile Profile
+	// found is false for a profile known not to exist.
+	found bool
+	// revision wrote the document.
+	revision uint64
+	// asOf is the revision of the whole configuration for which the entry is
+	// known to hold. A record up to it changes nothing.
+	asOf uint64
+}
+
+// profileCache holds the profiles that the router serves. A profile that it
+// does not hold is read from the table when it is asked for.
+type profileCache struct {
+	mutex   sync.Mutex
+	entries *lru.Cache[string, profileEntry]
+}
+
+func newProfileCache(size int) *profileCache {
+	entries, err := lru.New[string, profileEntry](size)
+	if err != nil {
+		panic(err)
+	}
+	return &profileCache{entries: entries}
+}
+
+func (cache *profileCache) lookup(name string) (profileEntry, bool) {
+	return cache.entries.Get(name)
+}
+
+// list returns the held profiles by name.
+func (cache *profileCache) list() []Profile {
+	var profiles []Profile
+	for _, entry := range cache.entries.Values() {
+		if entry.found {
+			profiles = append(profiles, entry.profile)
+		}
+	}
+	slices.SortFunc(profiles, func(a, b Profile) int { return strings.Compare(a.Name, b.Name) })
+	return profiles
+}
+
+// apply brings a held profile up to a record. One that is not held stays so.
+func (cache *profileCache) apply(name string, body []byte, revision uint64) error {
+	cache.mutex.Lock()
+	defer cache.mutex.Unlock()
+	entry, ok := cache.entries.Peek(name)
+	if !ok || entry.asOf >= revision {
+		return nil
+	}
+	next, err := newProfileEntry(name, body, revision, revision)
+	if err != nil {
+		cache.entries.Remove(name)
+		return err
+	}
+	cache.entries.Add(name, next)
+	return nil
+}
+
+// add holds an entry that was read from the table, unless a newer one is held.
+func (cache *profileCache) add(name string, entry profileEntry) profileEntry {
+	cache.mutex.Lock()
+	defer cache.mutex.Unlock()
+	if current, ok := cache.entries.Peek(name); ok && current.asOf >= entry.asOf {
+		return current
+	}
+	cache.entries.Add(name, entry)
+	return entry
+}
+
+// newProfileEntry decodes a document; an empty body is a deleted profile.
+func newProfileEntry(name string, body []byte, revision, asOf uint64) (profileEntry, error) {
+	entry := profileEntry{revision: revision, asOf: asOf}
+	if len(body) == 0 {
+		return entry, nil
+	}
+	if err := json.Unmarshal(body, &entry.profile); err != nil {
+		return profileEntry{}, unreadableDocument(name, err)
+	}
+	entry.found = true
+	return entry, nil
+}
--- /dev/null
+++ b/pkg/configuration/validate.go
@@ -0,0 +1,224 @@
+package configuration
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+)
+
+// Bounds of a change, so that it fits a table transaction and a message.
+const (
+	maxNameBytes     = 128
+	maxOperationID   = 128
+	maxReasonBytes   = 1024
+	maxBodyBytes     = 32 << 10
+	maxProfileLinks  = 32
+	maxReportedFault = 20
+)
+
+// document is what all stored documents have in common.
+type document interface {
+	// documentName is the name inside the body, which must equal the change's.
+	documentName() string
+	// references are the documents that must exist as long as this one names
+	// them.
+	references() []reference
+	// uniques are the values that no other document of the kind may hold.
+	uniques() []string
+}
+
+// reference names another document.
+type reference struct {
+	kind Kind
+	name string
+}
+
+func (reference reference) String() string { return string(reference.kind) + "/" + reference.name }
+
+func (profile Profile) documentName() string { return profile.Name }
+
+// references of a retired profile are none: nothing runs under it.
+func (profile Profile) references() []reference {
+	if profile.Retired {
+		return nil
+	}
+	var references []reference
+	for _, caller := range profile.Callers {
+		references = append(references, reference{KindCaller, caller})
+	}
+	for _, service := range profile.Services {
+		references = append(references, reference{KindService, service})
+	}
+	return references
+}
+
+func (profile Profile) uniques() []string { return nil }
+
+func (service Service) documentName() string    { return service.Name }
+func (service Service) references() []reference { return nil }
+
+func (service Service) uniques() []string {
+	if service.Model == "" {
+		return nil
+	}
+	return []string{"model/" + service.Model}
+}
+
+func (upstream Upstream) documentName() string { return upstream.Name }
+
+func (upstream Upstream) references() []reference {
+	return []reference{{KindService, upstream.Service}}
+}
+
+func (upstream Upstream) uniques() []string { return []string{"address/" + upstream.Address} }
+
+func (caller Caller) documentName() string    { return caller.Name }
+func (caller Caller) references() []reference { return nil }
+
+func (caller Caller) uniques() []string {
+	return []string{"token_hash/" + strings.ToLower(caller.TokenHash)}
+}
+
+// decoders is the one table of stored kinds; a new kind is one row.
+var decoders = map[Kind]func(body []byte) (document, error){
+	KindProfile:  decodeDocument[Profile],
+	KindService:  decodeDocument[Service],
+	KindUpstream: decodeDocument[Upstream],
+	KindCaller:   decodeDocument[Caller],
+}
+
+var validate = newValidator()
+
+func newValidator() *validator.Validate {
+	validate := validator.New(validator.WithRequiredStructEnabled())
+	validate.RegisterTagNameFunc(func(field reflect.StructField) string {
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		return name
+	})
+	return validate
+}
+
+// decodeDocument reads a body and checks each field by itself.
+func decodeDocument[T document](body []byte) (document, error) {
+	var decoded T
+	decoder := json.NewDecoder(strings.NewReader(string(body)))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&decoded); err != nil {
+		return nil, invalid("body is not readable: " + err.Error())
+	}
+	if decoder.More() {
+		return nil, invalid("body has data behind the document")
+	}
+	if err := validate.Struct(decoded); err != nil {
+		return nil, invalid(fieldFaults(err)...)
+	}
+	return decoded, nil
+}
+
+// fieldFaults names every field that failed and the rule it failed.
+func fieldFaults(err error) []string {
+	var fields validator.ValidationErrors
+	if !errors.As(err, &fields) {
+		return []string{err.Error()}
+	}
+	faults := make([]string, 0, len(fields))
+	for _, field := range fields {
+		rule := field.Tag()
+		if field.Param() != "" {
+			rule += "=" + field.Param()
+		}
+		_, path, _ := strings.Cut(field.Namespace(), ".")
+		faults = append(faults, fmt.Sprintf("%s fails %s", path, rule))
+	}
+	return faults
+}
+
+// invalid makes one error of all faults.
+func invalid(faults ...string) error {
+	if len(faults) > maxReportedFault {
+		more := len(faults) - maxReportedFault
+		faults = append(faults[:maxReportedFault:maxReportedFault], fmt.Sprintf("and %d more", more))
+	}
+	return fault.New(fault.Config{
+		Kind:    fault.Invalid,
+		Message: strings.Join(faults, "; "),
+		Remedy:  "mend every fault named and publish again",
+	})
+}
+
+// validateChange checks what can be checked without the table and returns the
+// decoded document, which is nil for a deletion and for a limit.
+func validateChange(change Change) (document, error) {
+	faults := changeFaults(change)
+	if len(faults) > 0 {
+		return nil, invalid(faults...)
+	}
+	if change.Kind == KindLimit {
+		return nil, validateLimit(change)
+	}
+	if len(change.Body) == 0 {
+		return nil, validateDeletion(change)
+	}
+	decoded, err := decoders[change.Kind](change.Body)
+	if err != nil {
+		return nil, err
+	}
+	if decoded.documentName() != change.Name {
+		return nil, invalid(fmt.Sprintf("name %q in the body differs from name %q of the change", decoded.documentName(), change.Name))
+	}
+	if len(decoded.references()) > maxProfileLinks {
+		return nil, invalid(fmt.Sprintf("callers and services together exceed %d", maxProfileLinks))
+	}
+	return decoded, nil
+}
+
+// changeFaults returns all faults of the envelope.
+func changeFaults(change Change) []string {
+	var faults []string
+	check := func(ok bool, message string) {
+		if !ok {
+			faults = append(faults, message)
+		}
+	}
+	check(change.OperationID != "", "operation_id is empty")
+	check(len(change.OperationID) <= maxOperationID, fmt.Sprintf("operation_id exceeds %d bytes", maxOperationID))
+	check(change.Operator != "", "operator is empty")
+	check(len(change.Operator) <= maxNameBytes, fmt.Sprintf("operator exceeds %d bytes", maxNameBytes))
+	check(change.Reason != "", "reason is empty")
+	check(len(change.Reason) <= maxReasonBytes, fmt.Sprintf("reason exceeds %d bytes", maxReasonBytes))
+	check(change.Name != "", "name is empty")
+	check(len(change.Name) <= maxNameBytes, fmt.Sprintf("name exceeds %d bytes", maxNameBytes))
+	check(len(change.Body) <= maxBodyBytes, fmt.Sprintf("body exceeds %d bytes", maxBodyBytes))
+	_, stored := decoders[change.Kind]
+	check(stored || change.Kind == KindLimit, fmt.Sprintf("kind %q is unknown", change.Kind))
+	return faults
+}
+
+func validateLimit(change Change) error {
+	var limit Limit
+	if err := json.Unmarshal(change.Body, &limit); err != nil {
+		return invalid("body is not a limit: " + err.Error())
+	}
+	if limit.AddTokens == 0 {
+		return invalid("add_tokens is zero")
+	}
+	return nil
+}
+
+// validateDeletion refuses to delete profiles, whose ledger must stay.
+func validateDeletion(change Change) error {
+	if change.Kind != KindProfile {
+		return nil
+	}
+	return fault.New(fault.Config{
+		Kind:    fault.Invalid,
+		Message: "a profile can't be deleted, because its budget and ledger stay",
+		Remedy:  "publish it with retired set",
+	})
+}
--- /dev/null
+++ b/pkg/peer/client.go
@@ -0,0 +1,222 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/budget"
+	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
+	"gitlab.com/wisterialb/wisterialb/pkg/entry"
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/fleet"
+	"gitlab.com/wisterialb/wisterialb/pkg/peer/peerpb"
+)
+
+// Bounds of the client.
+const (
+	// callTimeout bounds a call to one router.
+	callTimeout = time.Second
+	dialTimeout = 500 * time.Millisecond
+	// idleTimeout is short, so that a connection that went silent while idle
+	// is seldom used again.
+	idleTimeout = 30 * time.Second
+	// peersPerCall is how many routers are asked in turn.
+	peersPerCall = 3
+	// settlementsPerMessage keeps a message of settlements within its bound.
+	settlementsPerMessage = 500
+)
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	// Key is shared by all routers.
+	Key []byte
+	// Members returns the routers of the fleet.
+	Members func() []fleet.Member
+	// Self is the incarnation of this router, which is never asked.
+	Self string
+}
+
+// Client speaks to other routers.
+type Client struct {
+	config ClientConfig
+	http   *http.Client
+}
+
+var (
+	_ budget.Lender       = (*Client)(nil)
+	_ budget.Keeper       = (*Client)(nil)
+	_ configuration.Relay = (*Client)(nil)
+	_ fleet.Prober        = (*Client)(nil)
+)
+
+// NewClient returns a client.
+func NewClient(config ClientConfig) *Client {
+	if config.Members == nil {
+		config.Members = func() []fleet.Member { return nil }
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	base := &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     idleTimeout,
+	}
+	return &Client{
+		config: config,
+		http:   &http.Client{Transport: &signingTransport{key: config.Key, base: base}},
+	}
+}
+
+// Close closes idle connections.
+func (client *Client) Close() { client.http.CloseIdleConnections() }
+
+func (client *Client) stub(address string) peerpb.Peer {
+	return peerpb.NewPeerProtobufClient("http://"+address, client.http)
+}
+
+// Probe exchanges news with the router at an address.
+func (client *Client) Probe(ctx context.Context, address string, message fleet.Message) (fleet.Message, error) {
+	response, err := client.stub(address).Probe(ctx, &peerpb.ProbeRequest{Message: messageToWire(message)})
+	if err != nil {
+		return fleet.Message{}, errorFromWire(err)
+	}
+	return messageFromWire(response.GetMessage()), nil
+}
+
+// Records asks routers for records behind a revision: first those that are
+// known to have newer ones, then any.
+func (client *Client) Records(ctx context.Context, after uint64) ([]configuration.Record, error) {
+	peers := client.peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	slices.SortStableFunc(peers, func(a, b fleet.Member) int {
+		return boolOrder(b.Revision > after) - boolOrder(a.Revision > after)
+	})
+	var records []configuration.Record
+	err := client.ask(ctx, peers, func(ctx context.Context, peer fleet.Member) (bool, error) {
+		response, err := client.stub(peer.PeerAddress).Relay(ctx, &peerpb.RelayRequest{After: after})
+		if err != nil {
+			return false, errorFromWire(err)
+		}
+		records = convert(response.GetRecords(), recordFromWire)
+		return len(records) > 0, nil
+	})
+	return records, err
+}
+
+func boolOrder(value bool) int {
+	if value {
+		return 1
+	}
+	return 0
+}
+
+// Borrow asks the routers that are most likely to hold a grant of the profile,
+// in turn, until one lends. A loan whose answer is lost stays charged at the
+// lender; the next router is asked under the same transfer id.
+func (client *Client) Borrow(ctx context.Context, request budget.LoanRequest) (budget.Loan, error) {
+	peers := entry.Order(request.Profile, client.peers())
+	var loan budget.Loan
+	lent := false
+	err := client.ask(ctx, peers, func(ctx context.Context, peer fleet.Member) (bool, error) {
+		response, err := client.stub(peer.PeerAddress).Borrow(ctx, &peerpb.BorrowRequest{
+			TransferId: request.TransferID,
+			Profile:    request.Profile,
+			Tokens:     request.Tokens,
+			Borrower:   request.Borrower,
+		})
+		if err != nil {
+			return false, errorFromWire(err)
+		}
+		loan = budget.Loan{
+			TransferID: response.GetTransferId(),
+			Profile:    response.GetProfile(),
+			Tokens:     response.GetTokens(),
+			Lender:     response.GetLender(),
+		}
+		lent = loan.Tokens > 0
+		return lent, nil
+	})
+	if err != nil {
+		return budget.Loan{}, err
+	}
+	if !lent {
+		return budget.Loan{}, nobody("lent")
+	}
+	return loan, nil
+}
+
+// Keep hands settlements to another router, one in another zone if there is
+// one, and returns when it holds them all.
+func (client *Client) Keep(ctx context.Context, owner string, settlements []budget.Settlement) error {
+	peers := client.peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	kept := false
+	err := client.ask(ctx, peers, func(ctx context.Context, peer fleet.Member) (bool, error) {
+		for part := range slices.Chunk(settlements, settlementsPerMessage) {
+			request := &peerpb.KeepRequest{Owner: owner, Settlements: convert(part, settlementToWire)}
+			if _, err := client.stub(peer.PeerAddress).Keep(ctx, request); err != nil {
+				return false, errorFromWire(err)
+			}
+		}
+		kept = true
+		return true, nil
+	})
+	if err == nil && !kept {
+		return nobody("kept settlements")
+	}
+	return err
+}
+
+func nobody(did string) error {
+	return fault.New(fault.Config{
+		Kind:    fault.Unavailable,
+		Message: "no other router " + did,
+		Remedy:  "wait until another router is live and reachable",
+	})
+}
+
+// peers returns the other routers that can be expected to answer.
+func (client *Client) peers() []fleet.Member {
+	var peers []fleet.Member
+	for _, member := range client.config.Members() {
+		if member.Incarnation != client.config.Self && member.Answers() {
+			peers = append(peers, member)
+		}
+	}
+	return peers
+}
+
+// ask calls routers in turn until one is satisfied. The error is that of the
+// last router if none answered, else nil.
+func (client *Client) ask(ctx context.Context, peers []fleet.Member, call func(ctx context.Context, peer fleet.Member) (bool, error)) error {
+	var last error
+	answered := false
+	for _, peer := range peers[:min(peersPerCall, len(peers))] {
+		done, err := client.one(ctx, peer, call)
+		if done {
+			return nil
+		}
+		if err == nil {
+			answered = true
+		} else {
+			last = err
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if answered {
+		return nil
+	}
+	return last
+}
+
+func (client *Client) one(ctx context.Context, peer fleet.Member, call func(ctx context.Context, peer fleet.Member) (bool, error)) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return call(ctx, peer)
+}
