--- a/pkg/exchange/control.go
+++ b/pkg/exchange/control.go
@@ -16,6 +16,17 @@
 // ErrUnknownAttempt means that the engine never saw the attempt.
 var ErrUnknownAttempt = errors.New("the engine does not know the attempt")
 
+// StatusError means that an upstream refused a control request.
+type StatusError struct {
+	// Status is the HTTP status.
+	Status int
+}
+
+// Error returns the status.
+func (err *StatusError) Error() string {
+	return fmt.Sprintf("the upstream refused a control request with status %d", err.Status)
+}
+
 // State is what an engine says of an attempt.
 type State string
 
@@ -94,7 +105,7 @@
 		return ErrUnknownAttempt
 	}
 	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s %s answered %s", method, path, response.Status)
+		return &StatusError{Status: response.StatusCode}
 	}
 	body := io.LimitReader(response.Body, controlBytes)
 	if target != nil {
