--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -51,6 +51,11 @@
 	LoadLag time.Duration
 	// LoadTime is how long loading a model, adapter or version takes.
 	LoadTime time.Duration
+	// Weights is the store that weights are loaded from; nil means one without
+	// a limit.
+	Weights *WeightStore
+	// WeightBytes is the size of what one order loads from Weights.
+	WeightBytes int64
 	// IgnoresFencing makes the engine obey orders with an old fence too.
 	IgnoresFencing bool
 	// Model is what is loaded at the start; empty means that the engine
--- a/pkg/standin/state.go
+++ b/pkg/standin/state.go
@@ -45,6 +45,8 @@
 type engineState struct {
 	ignoresFencing bool
 	loadTime       time.Duration
+	weights        *WeightStore
+	weightBytes    int64
 	order          Order
 	fence          uint64
 	loadedAt       time.Time
@@ -55,6 +57,8 @@
 	return engineState{
 		ignoresFencing: config.IgnoresFencing,
 		loadTime:       config.LoadTime,
+		weights:        config.Weights,
+		weightBytes:    config.WeightBytes,
 		order:          Order{Model: config.Model},
 	}
 }
@@ -73,7 +77,7 @@
 	}
 	reload := !order.sameWeights(state.order)
 	if reload {
-		state.loadedAt = now.Add(state.loadTime)
+		state.loadedAt = state.weights.reserve(state.weightBytes, now).Add(state.loadTime)
 	}
 	state.order = order
 	state.fence = max(state.fence, order.Fence)
