Answer operators: publishing, budgets, bills, audit, status

Cause: operators need one protocol at any router, and an answer lost after the change took effect must not make them change twice.

--- /dev/null
+++ b/pkg/operator/operator.go
@@ -0,0 +1,136 @@
+// Package operator is the operators' protocol: the server that every router
+// runs on its operator address, and the client that the command line uses.
+//
+// The flow on the server: authenticate (token.go) bounds the body and finds the
+// operator by the token, twirp decodes the message, an interceptor (intercept.go)
+// counts the call and turns its error into a twirp error (transport.go), and the
+// method does the work: publish.go changes the configuration and waits until the
+// live routers are on it, read.go answers questions.
+//
+// The flow on the client: a method (client.go) calls the routers in turn, with
+// the same operation id, until one gives an answer that settles the matter
+// (retry.go); the twirp error becomes a fault again.
+package operator
+
+import (
+	"context"
+	"time"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/budget"
+	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
+)
+
+// Publisher makes changes of the configuration and keeps the audit trail.
+type Publisher interface {
+	// Publish makes the change once for each operation id.
+	Publish(ctx context.Context, change configuration.Change) (configuration.Record, error)
+	// Audit returns accepted changes behind the revision, in their order.
+	Audit(ctx context.Context, after uint64, limit int) ([]configuration.Record, error)
+}
+
+// Ledger answers questions about budgets.
+type Ledger interface {
+	Statement(ctx context.Context, profile string) (budget.Statement, error)
+	// Lines returns a page of ledger lines and the after of the next page, which
+	// is empty on the last one.
+	Lines(ctx context.Context, profile, after string, limit int) ([]budget.Line, string, error)
+}
+
+// Documents is the configuration that this router has adopted.
+type Documents interface {
+	// Ready is false until the router has a confirmed configuration.
+	Ready() bool
+	Revision() uint64
+	// List returns the documents of the kind in the order of their names.
+	List(kind configuration.Kind) []Document
+	Get(kind configuration.Kind, name string) (Document, bool)
+}
+
+// Document is one document of the configuration.
+type Document struct {
+	Kind configuration.Kind `json:"kind"`
+	Name string             `json:"name"`
+	// Revision is that of the document's last change.
+	Revision uint64 `json:"revision"`
+	// Body is the JSON of the document.
+	Body []byte `json:"-"`
+}
+
+// MemberState is how sure this router is of another one.
+type MemberState string
+
+// MemberLive is the state of a router that has a lease and answers probes.
+const MemberLive MemberState = "live"
+
+// Member is one router of the fleet.
+type Member struct {
+	Incarnation     string      `json:"incarnation"`
+	Zone            string      `json:"zone"`
+	State           MemberState `json:"state"`
+	Revision        uint64      `json:"revision"`
+	CallerAddress   string      `json:"caller_address"`
+	PeerAddress     string      `json:"peer_address"`
+	OperatorAddress string      `json:"operator_address"`
+	// Load is the share of the router's capacity that is in use.
+	Load float64 `json:"load"`
+	// Reason says why the router is not on the newest revision.
+	Reason string `json:"reason"`
+}
+
+// Status tells which revision each router is on.
+type Status struct {
+	// Router is the incarnation that answered.
+	Router string `json:"router"`
+	// Revision is the newest one that the answering router knows.
+	Revision uint64   `json:"revision"`
+	Members  []Member `json:"members"`
+}
+
+// Publication is how far an accepted change has come.
+type Publication struct {
+	Revision uint64 `json:"revision"`
+	// Routers is the number of routers that were waited for.
+	Routers int `json:"routers"`
+	// Lagging are the routers not known to be on the revision.
+	Lagging []Member `json:"lagging"`
+}
+
+// LoadedModel is what a model engine has loaded.
+type LoadedModel struct {
+	Model   string `json:"model"`
+	Adapter string `json:"adapter"`
+	Version string `json:"version"`
+	Role    string `json:"role"`
+}
+
+// UpstreamState sets what an upstream should have loaded beside what it has.
+type UpstreamState struct {
+	Name    string      `json:"name"`
+	Service string      `json:"service"`
+	Wanted  LoadedModel `json:"wanted"`
+	Actual  LoadedModel `json:"actual"`
+	// Reason says why the two differ; empty when they do not.
+	Reason string `json:"reason"`
+}
+
+// UpstreamStates knows what upstreams have loaded.
+type UpstreamStates interface {
+	States(ctx context.Context) ([]UpstreamState, error)
+}
+
+// Limits of pages, in entries.
+const (
+	defaultPageSize = 100
+	maxPageSize     = 1000
+)
+
+// pageSize returns the number of entries of a page.
+func pageSize(limit int32) int {
+	if limit <= 0 {
+		return defaultPageSize
+	}
+	return min(int(limit), maxPageSize)
+}
+
+// defaultPropagation bounds how long a publication waits for the live routers.
+const defaultPropagation = 5 * time.Second
--- a/pkg/settings/secret.go
+++ b/pkg/settings/secret.go
@@ -10,6 +10,9 @@
 // Secret is a value that is never printed.
 type Secret string
 
+// maxSecretBytes bounds a file that holds a secret.
+const maxSecretBytes = 4096
+
 // redacted is what a secret prints as.
 const redacted = "[redacted]"
 
@@ -53,7 +56,7 @@
 	return settings
 }
 
-// readSecret returns the value, or the first line of the file when one is named.
+// readSecret returns the value, or the content of the file when one is named.
 func (document document) readSecret(value, file, path string, report *report) string {
 	if file == "" {
 		return value
@@ -66,11 +69,23 @@
 	if !filepath.IsAbs(file) {
 		file = filepath.Join(document.directory, file)
 	}
-	content, err := os.ReadFile(file)
+	content, err := readSecretFile(file)
 	if err != nil {
-		report.add(document.faultAt(filePath, err.Error(), "name a file that the router can read"))
+		report.add(document.faultAt(filePath, err.Error(), "name a small file that the router can read"))
 		report.hide(path)
 		return ""
 	}
 	return strings.TrimSpace(string(content))
 }
+
+// readSecretFile reads a regular file of at most maxSecretBytes.
+func readSecretFile(file string) ([]byte, error) {
+	info, err := os.Stat(file)
+	if err != nil {
+		return nil, err
+	}
+	if !info.Mode().IsRegular() || info.Size() > maxSecretBytes {
+		return nil, fmt.Errorf("%s is no regular file of at most %d bytes", file, maxSecretBytes)
+	}
+	return os.ReadFile(file)
+}
