--- /dev/null
+++ b/pkg/demo/run.go
@@ -0,0 +1,255 @@
+package demo
+
+// What a caller and an operator see of a fleet, printed step by step.
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/completion"
+	"gitlab.com/wisterialb/wisterialb/pkg/entry"
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/operator"
+	"gitlab.com/wisterialb/wisterialb/pkg/standin"
+)
+
+const (
+	readyTimeout  = 20 * time.Second
+	readyInterval = 20 * time.Millisecond
+	closeTimeout  = 20 * time.Second
+	answerTokens  = 24
+	tokenInterval = 30 * time.Millisecond
+	tableWrites   = 400
+	tableReads    = 2000
+)
+
+// RunConfig describes a demonstration.
+type RunConfig struct {
+	// Keep leaves the fleet running until the context ends.
+	Keep bool
+	// Out receives what is shown.
+	Out io.Writer
+	// Fleet describes the fleet; the zero value is a fleet of three routers.
+	Fleet FleetConfig
+}
+
+// Run starts a fleet, sends requests through it and prints what happened.
+func Run(ctx context.Context, config RunConfig) error {
+	if len(config.Fleet.Zones) == 0 {
+		config.Fleet = smallFleet(config.Fleet)
+	}
+	fleet, err := StartFleet(config.Fleet) //nolint:contextcheck // the fleet outlives the context and is closed below
+	if err != nil {
+		return err
+	}
+	show := &presentation{fleet: fleet, out: config.Out}
+	err = show.run(ctx)
+	if err == nil && config.Keep {
+		show.keep(ctx)
+	}
+	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+	defer cancel()
+	if closeErr := fleet.Close(closing); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+func smallFleet(config FleetConfig) FleetConfig {
+	config.Zones = []string{"varnamo", "gislaved", "jonkoping"}
+	config.Services = 1
+	config.Platform = standin.PlatformConfig{WritesPerSecond: tableWrites, ReadsPerSecond: tableReads}
+	config.Engines = []standin.EngineConfig{
+		{Name: "engine-1", Slots: 8, TokenInterval: tokenInterval},
+		{Name: "engine-2", Slots: 8, TokenInterval: tokenInterval},
+	}
+	return config
+}
+
+// presentation prints the steps of a demonstration.
+type presentation struct {
+	fleet *Fleet
+	out   io.Writer
+	entry string
+}
+
+func (show *presentation) run(ctx context.Context) error {
+	steps := []func(context.Context) error{
+		show.start, show.publish, show.askEntry, show.stream, show.book, show.bills, show.audit,
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (show *presentation) printf(format string, values ...any) {
+	_, _ = fmt.Fprintf(show.out, format, values...)
+}
+
+func (show *presentation) start(ctx context.Context) error {
+	show.printf("platform  %s\n", show.fleet.Platform.Address())
+	for _, node := range show.fleet.Routers {
+		show.printf("router    %s in %s, operators at %s\n", node.CallerAddress(), node.Settings.Zone, node.Settings.OperatorAddress)
+	}
+	return show.fleet.WaitLive(ctx)
+}
+
+func (show *presentation) publish(ctx context.Context) error {
+	if err := show.fleet.Publish(ctx, ProfileLimit); err != nil {
+		return err
+	}
+	show.printf("\npublished profile %s with %d tokens\n", ProfileName, ProfileLimit)
+	return nil
+}
+
+func (show *presentation) askEntry(ctx context.Context) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+show.fleet.Routers[0].CallerAddress()+"/v1/entry?profile="+ProfileName, nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	var answer entry.Answer
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return err
+	}
+	if len(answer.Addresses) == 0 {
+		return fault.New(fault.Config{Kind: fault.Unavailable, Message: "no router takes requests", Remedy: "look at the routers' logs"})
+	}
+	show.entry = answer.Addresses[0]
+	show.printf("entry     %s for %d ms\n", strings.Join(answer.Addresses, ", "), answer.LifetimeMS)
+	return nil
+}
+
+func (show *presentation) stream(ctx context.Context) error {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"Which ring fits a six litre pot from 1974?"}]}`, ModelName, answerTokens)
+	response, err := show.call(ctx, "/v1/chat/completions", body)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	show.printf("\nstreamed answer: ")
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == completion.Done {
+			show.printf("\n")
+			return nil
+		}
+		chunk, err := completion.ParseChunk([]byte(data))
+		if err != nil {
+			return err
+		}
+		for _, choice := range chunk.Choices {
+			show.printf("%s", choice.Delta.Content)
+		}
+	}
+	return fault.New(fault.Config{Kind: fault.Upstream, Message: "the stream had no end", Remedy: "look at the routers' logs", Outcome: fault.OutcomeUnknown})
+}
+
+func (show *presentation) book(ctx context.Context) error {
+	response, err := show.call(ctx, "/v1/services/"+OrderService+"/bookings", `{"ring":"6l-1974","count":1}`)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	show.printf("booking: %s %s\n", response.Header.Get("Wisterialb-Outcome"), bytes.TrimSpace(body))
+	return nil
+}
+
+func (show *presentation) call(ctx context.Context, path, body string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+show.entry+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+CallerToken)
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Wisterialb-Profile", ProfileName)
+	request.Header.Set("Idempotency-Key", ulid.Make().String())
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode == http.StatusOK {
+		return response, nil
+	}
+	defer response.Body.Close()
+	text, _ := io.ReadAll(response.Body)
+	return nil, fault.New(fault.Config{Kind: fault.Upstream, Message: response.Status + ": " + string(text), Remedy: "look at the routers' logs"})
+}
+
+func (show *presentation) bills(ctx context.Context) error {
+	client, err := show.fleet.Operator()
+	if err != nil {
+		return err
+	}
+	lines, _, err := client.Bills(ctx, ProfileName, operator.Page{})
+	if err != nil {
+		return err
+	}
+	show.printf("\nbills of %s\n", ProfileName)
+	for _, line := range lines {
+		show.printf("  %-5s %s %s: %d prompt + %d generated, charged %d\n",
+			line.Kind, line.RequestID, line.Service, line.PromptTokens, line.CompletionTokens, line.Tokens)
+	}
+	statement, err := client.Budget(ctx, ProfileName)
+	if err != nil {
+		return err
+	}
+	granted := int64(0)
+	for _, holder := range statement.Holders {
+		granted += holder.GrantedTokens
+	}
+	show.printf("budget: limit %d = free %d + granted %d + settled %d (bills %d, waste %d, unattributed %d)\n",
+		statement.LimitTokens, statement.FreeTokens, granted, statement.SettledTokens,
+		statement.BillTokens, statement.WasteTokens, statement.UnattributedTokens)
+	return nil
+}
+
+func (show *presentation) audit(ctx context.Context) error {
+	client, err := show.fleet.Operator()
+	if err != nil {
+		return err
+	}
+	records, _, err := client.Audit(ctx, 0, 0)
+	if err != nil {
+		return err
+	}
+	show.printf("\naudit trail\n")
+	for _, record := range records {
+		show.printf("  %d %s %s put %s %s: %s\n", record.Revision, record.At.Format(time.RFC3339),
+			record.Change.Operator, record.Change.Kind, record.Change.Name, record.Change.Reason)
+	}
+	return nil
+}
+
+func (show *presentation) keep(ctx context.Context) {
+	show.printf("\nThe fleet keeps running until the process is interrupted. Call it with\n\n")
+	show.printf("  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Wisterialb-Profile: %s' \\\n"+
+		"    -d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Which ring?\"}]}'\n",
+		show.entry, CallerToken, ProfileName, ModelName)
+	show.printf("\nand as operator with --address %s and the token %s\n", show.fleet.Routers[0].Settings.OperatorAddress, OperatorToken)
+	<-ctx.Done()
+}
--- /dev/null
+++ b/pkg/router/metrics.go
@@ -0,0 +1,64 @@
+package router
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+)
+
+const metricsNamespace = "wisterialb"
+
+// metrics are what the router counts of its callers' requests.
+type metrics struct {
+	requests  *prometheus.CounterVec
+	durations *prometheus.HistogramVec
+	billsLate prometheus.Counter
+}
+
+func newMetrics(registerer prometheus.Registerer, running func() float64) *metrics {
+	factory := promauto.With(registerer)
+	factory.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: metricsNamespace,
+		Name:      "requests_running",
+		Help:      "Requests of callers that are running.",
+	}, running)
+	return &metrics{
+		requests: factory.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace,
+			Name:      "requests_total",
+			Help:      "Requests of callers by service, outcome and kind of error.",
+		}, []string{"service", "outcome", "kind"}),
+		durations: factory.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: metricsNamespace,
+			Name:      "request_duration_seconds",
+			Help:      "Time from a request's arrival to the end of its answer.",
+			Buckets:   prometheus.ExponentialBuckets(0.005, 2, 14),
+		}, []string{"service", "outcome"}),
+		billsLate: factory.NewCounter(prometheus.CounterOpts{
+			Namespace: metricsNamespace,
+			Name:      "bills_late_total",
+			Help:      "Answers whose end was released before their bill was safe with the table or a second router.",
+		}),
+	}
+}
+
+// request counts a request that ended with err, or whole when err is nil.
+func (metrics *metrics) request(service string, err error) {
+	outcome, kind := outcomeAndKind(err)
+	metrics.requests.WithLabelValues(service, outcome, kind).Inc()
+}
+
+func (metrics *metrics) duration(service string, err error, duration time.Duration) {
+	outcome, _ := outcomeAndKind(err)
+	metrics.durations.WithLabelValues(service, outcome).Observe(duration.Seconds())
+}
+
+func outcomeAndKind(err error) (outcome, kind string) {
+	if err == nil {
+		return string(fault.Answered), ""
+	}
+	return string(fault.OutcomeOf(err)), string(fault.KindOf(err))
+}
--- /dev/null
+++ b/pkg/router/pipeline.go
@@ -0,0 +1,211 @@
+package router
+
+// The path of an admitted request: reserve, claim, dispatch, settle, answer.
+//
+// The flow: the worst case is reserved out of the budget before anything runs.
+// A non-idempotent request then needs a claim. The dispatcher runs the request
+// and streams into the sink. What was used is settled, the claim is concluded,
+// and only then is the end of the answer released.
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/budget"
+	"gitlab.com/wisterialb/wisterialb/pkg/claim"
+	"gitlab.com/wisterialb/wisterialb/pkg/dispatch"
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+)
+
+// concludeTimeout bounds the calls that must follow a run even when the caller
+// has gone.
+const concludeTimeout = 10 * time.Second
+
+// run takes work through the pipeline. It returns the error that the caller
+// was told, or nil for a whole answer.
+func (router *Router) run(ctx context.Context, current ticket, work dispatch.Work, sink answerSink) error {
+	ctx, cancel := context.WithDeadline(ctx, current.deadline)
+	defer cancel()
+	reservation, err := router.escrow.Reserve(ctx, budget.Demand{
+		Profile:   current.profile.Name,
+		RequestID: current.id,
+		Tokens:    work.MaxTokens,
+		Deadline:  current.deadline,
+	})
+	if err != nil {
+		sink.Fail(err)
+		return err
+	}
+	if !current.idempotent {
+		return router.runClaimed(ctx, current, reservation, work, sink)
+	}
+	result, err := router.dispatcher.Dispatch(ctx, work, sink)
+	router.settle(ctx, current, reservation, result, err)
+	return router.conclude(sink, err)
+}
+
+// runClaimed runs a request that runs at most once.
+func (router *Router) runClaimed(ctx context.Context, current ticket, reservation budget.Reservation, work dispatch.Work, sink answerSink) error {
+	plain, ok := sink.(*plainSink)
+	if !ok {
+		router.release(reservation)
+		return router.conclude(sink, errNotReplayable)
+	}
+	request := claim.Request{Scope: current.caller.Name, RequestID: current.key, Deadline: current.deadline}
+	decision, err := router.claims.Claim(ctx, request)
+	if err != nil || decision.State != claim.Owned {
+		router.release(reservation)
+		return router.answerClaimed(ctx, request, decision, err, plain)
+	}
+	result, err := router.dispatcher.Dispatch(ctx, work, sink)
+	err = router.concludeClaim(ctx, request, plain, err)
+	router.settle(ctx, current, reservation, result, err)
+	return router.conclude(sink, err)
+}
+
+// answerClaimed answers a request whose claim is not this run's.
+func (router *Router) answerClaimed(ctx context.Context, request claim.Request, decision claim.Decision, err error, sink *plainSink) error {
+	if err == nil && decision.State == claim.Running {
+		decision, err = router.claims.Wait(ctx, request)
+	}
+	if err != nil {
+		return router.conclude(sink, err)
+	}
+	switch decision.State {
+	case claim.Finished:
+		sink.result = decision.Result
+		return router.conclude(sink, nil)
+	case claim.Withdrawn:
+		return router.conclude(sink, errWithdrawn)
+	default:
+		return router.conclude(sink, errOutcomeUnknown)
+	}
+}
+
+// concludeClaim records how a claimed run ended and returns the error that the
+// caller has to be told.
+func (router *Router) concludeClaim(ctx context.Context, request claim.Request, sink *plainSink, runErr error) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), concludeTimeout)
+	defer cancel()
+	switch {
+	case runErr == nil:
+		if err := router.claims.Finish(ctx, request, sink.result); err != nil {
+			router.logClaim("finish", request, err)
+		}
+		return nil
+	case fault.OutcomeOf(runErr) == fault.NotRun:
+		if err := router.claims.Withdraw(ctx, request); err != nil {
+			router.logClaim("withdraw", request, err)
+			return fault.WithOutcome(runErr, fault.OutcomeUnknown)
+		}
+		return runErr
+	default:
+		if err := router.claims.Abandon(ctx, request); err != nil {
+			router.logClaim("abandon", request, err)
+		}
+		return runErr
+	}
+}
+
+// settle charges what a run used and waits until the bill is safe, or until
+// the bound on holding an answer's end.
+func (router *Router) settle(ctx context.Context, current ticket, reservation budget.Reservation, result dispatch.Result, runErr error) {
+	lines := router.linesOf(current, reservation, result, runErr)
+	receipt := router.escrow.Settle(budget.Settlement{Reservation: reservation, Lines: lines})
+	if runErr != nil {
+		return
+	}
+	timer := time.NewTimer(router.config.BillWait)
+	defer timer.Stop()
+	select {
+	case <-receipt.Durable():
+	case <-timer.C:
+		router.metrics.billsLate.Inc()
+	case <-ctx.Done():
+	}
+}
+
+func (router *Router) release(reservation budget.Reservation) {
+	router.escrow.Settle(budget.Settlement{Reservation: reservation})
+}
+
+// linesOf returns what has to be charged. A delivered answer is billed, and so
+// is a run that its own caller gave up; all else that was used is waste. What
+// is not known is charged up to the whole reservation.
+func (router *Router) linesOf(current ticket, reservation budget.Reservation, result dispatch.Result, runErr error) []budget.Line {
+	billed := runErr == nil || errors.Is(runErr, context.Canceled) || fault.Is(runErr, fault.KindOf(errCallerGone))
+	started := false
+	for _, attempt := range result.Attempts {
+		started = started || attempt.Started
+	}
+	if !started && runErr != nil {
+		return nil
+	}
+	line := budget.Line{
+		Kind:             budget.LineWaste,
+		Profile:          current.profile.Name,
+		RequestID:        current.id,
+		Caller:           current.caller.Name,
+		Team:             current.caller.Team,
+		Service:          current.service.Name,
+		PromptTokens:     result.Usage.PromptTokens,
+		CompletionTokens: result.Usage.CompletionTokens,
+		Tokens:           result.Usage.Tokens(),
+		Router:           router.incarnation,
+		At:               time.Now().UTC(),
+	}
+	if billed {
+		line.Kind = budget.LineBill
+	}
+	waste := min(result.WasteTokens, reservation.Tokens)
+	left := reservation.Tokens - waste
+	if !result.Usage.Known || result.WasteUnknown {
+		line.Estimated = true
+		line.Tokens = left
+	}
+	line.Tokens = min(line.Tokens, left)
+	lines := []budget.Line{line}
+	if waste > 0 {
+		wasted := line
+		wasted.Kind = budget.LineWaste
+		wasted.PromptTokens, wasted.CompletionTokens = 0, 0
+		wasted.Tokens = waste
+		wasted.Estimated = false
+		lines = append(lines, wasted)
+	}
+	return lines
+}
+
+// conclude releases the end of the answer or tells the error.
+func (router *Router) conclude(sink answerSink, err error) error {
+	if err != nil {
+		sink.Fail(err)
+		return err
+	}
+	sink.End()
+	return nil
+}
+
+func (router *Router) logClaim(step string, request claim.Request, err error) {
+	router.warn("event", "claim_"+step+"_failed", "request_id", request.RequestID, "scope", request.Scope, "err", err)
+}
+
+var (
+	errNotReplayable = fault.New(fault.Config{
+		Kind:    fault.Invalid,
+		Message: "a streamed model request cannot be marked non-idempotent",
+		Remedy:  "leave " + headerIdempotent + " out, or call a plain service",
+	})
+	errWithdrawn = fault.New(fault.Config{
+		Kind:    fault.Conflict,
+		Message: "this request was refused before and will not run",
+		Remedy:  "send it again under a new Idempotency-Key",
+	})
+	errOutcomeUnknown = fault.New(fault.Config{
+		Kind:    fault.Lost,
+		Message: "an earlier run of this request ended in a way that is not known",
+		Remedy:  "ask the service whether the request took effect before sending it under a new Idempotency-Key",
+		Outcome: fault.OutcomeUnknown,
+	})
+)
--- /dev/null
+++ b/pkg/router/server.go
@@ -0,0 +1,258 @@
+package router
+
+// The callers' HTTP server on nbhttp.
+//
+// The flow: a poller of nbio reads and parses a request; a goroutine of the
+// handler pool runs Server.ServeHTTP, which registers the exchange so that the
+// sweeper notices a caller that has gone, and so that a shutdown can wait for
+// running exchanges. The write buffer of a connection is bounded: nbio closes
+// a connection whose caller reads too slowly, and the next write tells so.
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+)
+
+const (
+	// sweepInterval is how often closed connections are looked for.
+	sweepInterval = 50 * time.Millisecond
+	// flushWait is how long a shutdown waits for written answers to leave.
+	flushWait = 200 * time.Millisecond
+	// bodySlack is how many times the body bound is read before the
+	// connection is closed, so that a body over the bound gets an answer.
+	bodySlack = 8
+	// keepaliveMargin is added to the longest deadline of a request, so that
+	// an idle connection outlives a running request.
+	keepaliveMargin = time.Minute
+)
+
+// ServerConfig describes a Server.
+type ServerConfig struct {
+	// Address is the IP number and port to listen on.
+	Address string
+	Handler http.Handler
+	// MaxConnections bounds open connections.
+	MaxConnections int
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64
+	// MaxHeaderBytes bounds a request's header.
+	MaxHeaderBytes int
+	// MaxWriteBytes bounds the unsent answer of one connection.
+	MaxWriteBytes int
+	// MaxRequests bounds requests that run at once.
+	MaxRequests int
+	// LongestDeadline is the longest that a request may take.
+	LongestDeadline time.Duration
+}
+
+// Server is an HTTP server for callers.
+type Server struct {
+	config    ServerConfig
+	engine    *nbhttp.Engine
+	mutex     sync.Mutex
+	exchanges map[*inFlight]struct{}
+	idle      chan struct{}
+	stop      chan struct{}
+	stopOnce  sync.Once
+	swept     sync.WaitGroup
+}
+
+// inFlight is one running request and the connection it came on.
+type inFlight struct {
+	connection *nbio.Conn
+	cancel     context.CancelCauseFunc
+}
+
+// errCallerGone is the cause of the context of a request whose caller closed
+// the connection.
+var errCallerGone = fault.New(fault.Config{
+	Kind:    fault.Deadline,
+	Message: "the caller closed the connection",
+	Remedy:  "retry with the same Idempotency-Key",
+	Outcome: fault.OutcomeUnknown,
+})
+
+// NewServer starts a server.
+func NewServer(config ServerConfig) (*Server, error) {
+	server := &Server{
+		config:    config,
+		exchanges: make(map[*inFlight]struct{}),
+		stop:      make(chan struct{}),
+	}
+	server.engine = nbhttp.NewEngine(nbhttp.Config{
+		Name:                    "callers",
+		Network:                 "tcp",
+		Addrs:                   []string{config.Address},
+		Handler:                 server,
+		MaxLoad:                 config.MaxConnections,
+		MaxHTTPBodySize:         int(config.MaxBodyBytes) * bodySlack,
+		ReadLimit:               config.MaxHeaderBytes + int(config.MaxBodyBytes)*bodySlack,
+		MaxWriteBufferSize:      config.MaxWriteBytes,
+		MessageHandlerPoolSize:  config.MaxRequests,
+		KeepaliveTime:           config.LongestDeadline + keepaliveMargin,
+		ReleaseWebsocketPayload: true,
+	})
+	if err := server.engine.Start(); err != nil {
+		return nil, fault.New(fault.Config{
+			Kind:    fault.Unavailable,
+			Message: "cannot listen on " + config.Address + ": " + err.Error(),
+			Remedy:  "free the address or change caller_address in the settings",
+			Cause:   err,
+		})
+	}
+	server.swept.Go(func() {
+		ticker := time.NewTicker(sweepInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-server.stop:
+				return
+			case <-ticker.C:
+				server.sweep()
+			}
+		}
+	})
+	return server, nil
+}
+
+// Address returns the address that the server listens on.
+func (server *Server) Address() string {
+	return server.engine.Addrs[0]
+}
+
+// ServeHTTP runs the handler under a context that ends when the caller goes.
+func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	ctx, cancel := context.WithCancelCause(request.Context())
+	defer cancel(nil)
+	current := &inFlight{connection: connectionOf(writer), cancel: cancel}
+	server.add(current)
+	defer server.remove(current)
+	if headerBytes(request.Header) > server.config.MaxHeaderBytes {
+		respondError(writer, headerTooLarge(server.config.MaxHeaderBytes))
+		return
+	}
+	server.config.Handler.ServeHTTP(writer, request.WithContext(ctx))
+}
+
+// Running returns how many requests are running.
+func (server *Server) Running() int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return len(server.exchanges)
+}
+
+// Shutdown waits until no request is running, or until ctx ends, and closes
+// all connections. It returns how many requests were cut off.
+func (server *Server) Shutdown(ctx context.Context) int {
+	left := server.drain(ctx)
+	server.stopOnce.Do(func() { close(server.stop) })
+	server.swept.Wait()
+	server.engine.Stop()
+	return left
+}
+
+func (server *Server) drain(ctx context.Context) int {
+	for {
+		idle := server.whenIdle()
+		if idle == nil {
+			pause(ctx, flushWait)
+			return server.Running()
+		}
+		select {
+		case <-ctx.Done():
+			return server.Running()
+		case <-idle:
+			pause(ctx, flushWait)
+			if server.Running() == 0 {
+				return 0
+			}
+		}
+	}
+}
+
+// whenIdle returns a channel that closes when the last exchange ends, or nil
+// when none runs.
+func (server *Server) whenIdle() <-chan struct{} {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if len(server.exchanges) == 0 {
+		return nil
+	}
+	if server.idle == nil {
+		server.idle = make(chan struct{})
+	}
+	return server.idle
+}
+
+func (server *Server) add(current *inFlight) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.exchanges[current] = struct{}{}
+}
+
+func (server *Server) remove(current *inFlight) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	delete(server.exchanges, current)
+	if len(server.exchanges) == 0 && server.idle != nil {
+		close(server.idle)
+		server.idle = nil
+	}
+}
+
+// sweep cancels the exchanges whose connection is closed. nbio runs its own
+// close callback behind the handler of the same connection, too late for this.
+func (server *Server) sweep() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for current := range server.exchanges {
+		if current.connection == nil {
+			continue
+		}
+		if closed, _ := current.connection.IsClosed(); closed {
+			current.cancel(errCallerGone)
+		}
+	}
+}
+
+func connectionOf(writer http.ResponseWriter) *nbio.Conn {
+	response, ok := writer.(*nbhttp.Response)
+	if !ok || response.Parser == nil {
+		return nil
+	}
+	switch connection := response.Parser.Conn.(type) {
+	case *nbio.Conn:
+		return connection
+	case *nbhttp.Conn:
+		inner, _ := connection.Conn.(*nbio.Conn)
+		return inner
+	default:
+		return nil
+	}
+}
+
+func headerBytes(header http.Header) int {
+	total := 0
+	for name, values := range header {
+		for _, value := range values {
+			total += len(name) + len(value)
+		}
+	}
+	return total
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
