Test the joined routers under failure

Cause: the parts are tested one by one; the promises hold only if the joined routers keep them. Change: tests that shut down, kill and cut off routers of a loopback fleet and compare what callers were told with the stand-ins' record; a demo fleet can be cut and killed; Shutdown and Abort are idempotent.

--- a/pkg/demo/fleet.go
+++ b/pkg/demo/fleet.go
@@ -14,12 +14,14 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/peer"
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 	"gitlab.com/wisterialb/wisterialb/pkg/router"
 	"gitlab.com/wisterialb/wisterialb/pkg/settings"
@@ -34,7 +36,8 @@
 	// OperatorName is written to the demonstration's audit trail.
 	OperatorName = "demo"
 
-	platformTimeout = 2 * time.Second
+	platformTimeout     = 2 * time.Second
+	platformConnections = 32
 )
 
 // FleetConfig describes a Fleet.
@@ -68,6 +71,19 @@
 	*router.Router
 	Settings settings.Settings
 	Registry *prometheus.Registry
+	link     *link
+}
+
+// Cut separates the router from the platform and from its peers, or joins it
+// to them again. Its callers and upstreams stay reachable.
+func (node *Node) Cut(cut bool) {
+	node.link.cut.Store(cut)
+}
+
+// Kill ends the router as if its VM had died: nothing is settled or returned.
+func (node *Node) Kill() {
+	node.Cut(true)
+	node.Abort()
 }
 
 // StartFleet starts the stand-ins and the routers. Nothing is published yet.
@@ -118,20 +134,26 @@
 		return err
 	}
 	registry := prometheus.NewRegistry()
+	link := &link{}
 	running, err := router.New(router.Config{
 		Settings: config,
 		Platform: platform.Dial(platform.ClientConfig{
 			Address: config.Platform.Address,
 			Timeout: config.Platform.Timeout,
 			Name:    config.CallerAddress,
+			HTTPClient: &http.Client{
+				Transport: link.wrap(&http.Transport{MaxIdleConnsPerHost: platformConnections}),
+			},
 		}),
 		Logger:   log.With(fleet.config.Logger, "router", index+1),
 		Registry: registry,
+
+		PeerTransport: link.wrap(peer.NewTransport()),
 	})
 	if err != nil {
 		return err
 	}
-	node := &Node{Router: running, Settings: config, Registry: registry}
+	node := &Node{Router: running, Settings: config, Registry: registry, link: link}
 	if index < len(fleet.Routers) {
 		fleet.Routers[index] = node
 		return nil
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -38,6 +38,8 @@
 	Members func() []fleet.Member
 	// Self is the incarnation of this router, which is never asked.
 	Self string
+	// Transport carries the calls; nil means one of the client's own.
+	Transport http.RoundTripper
 }
 
 // Client speaks to other routers.
@@ -58,17 +60,24 @@
 	if config.Members == nil {
 		config.Members = func() []fleet.Member { return nil }
 	}
+	if config.Transport == nil {
+		config.Transport = NewTransport()
+	}
+	return &Client{
+		config: config,
+		http:   &http.Client{Transport: &signingTransport{key: config.Key, base: config.Transport}},
+	}
+}
+
+// NewTransport returns a transport with the client's bounds.
+func NewTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	base := &http.Transport{
+	return &http.Transport{
 		DialContext:         dialer.DialContext,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     idleTimeout,
 	}
-	return &Client{
-		config: config,
-		http:   &http.Client{Transport: &signingTransport{key: config.Key, base: base}},
-	}
 }
 
 // Close closes idle connections.
--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -56,6 +56,8 @@
 	Logger   log.Logger
 	// Registry receives the metrics and is served at /metrics.
 	Registry *prometheus.Registry
+	// PeerTransport carries calls to other routers; nil means the default.
+	PeerTransport http.RoundTripper
 }
 
 // assembly is a router being built.
@@ -121,6 +123,8 @@
 		Key:     []byte(build.settings.PeerKey),
 		Members: func() []fleet.Member { return build.membership.Members() },
 		Self:    build.incarnation,
+
+		Transport: build.given.PeerTransport,
 	})
 	build.ledger = budget.NewLedger(budget.LedgerConfig{Table: build.table})
 	build.publisher = configuration.NewPublisher(configuration.PublisherConfig{
--- a/pkg/router/pipeline.go
+++ b/pkg/router/pipeline.go
@@ -111,7 +111,7 @@
 // settle charges what a run used and waits until the bill is safe, or until
 // the bound on holding an answer's end.
 func (router *Router) settle(ctx context.Context, current ticket, reservation budget.Reservation, result dispatch.Result, runErr error) {
-	lines := router.linesOf(current, reservation, result, runErr)
+	lines := router.linesOf(current, reservation, result, runErr, callerLeft(ctx))
 	receipt := router.escrow.Settle(budget.Settlement{Reservation: reservation, Lines: lines})
 	if runErr != nil {
 		return
@@ -126,6 +126,11 @@
 	}
 }
 
+// callerLeft reports whether the caller closed the connection.
+func callerLeft(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errCallerGone)
+}
+
 func (router *Router) release(reservation budget.Reservation) {
 	router.escrow.Settle(budget.Settlement{Reservation: reservation})
 }
@@ -133,8 +138,8 @@
 // linesOf returns what has to be charged. A delivered answer is billed, and so
 // is a run that its own caller gave up; all else that was used is waste. What
 // is not known is charged up to the whole reservation.
-func (router *Router) linesOf(current ticket, reservation budget.Reservation, result dispatch.Result, runErr error) []budget.Line {
-	billed := runErr == nil || errors.Is(runErr, context.Canceled) || fault.Is(runErr, fault.KindOf(errCallerGone))
+func (router *Router) linesOf(current ticket, reservation budget.Reservation, result dispatch.Result, runErr error, left bool) []budget.Line {
+	billed := runErr == nil || left
 	started := false
 	for _, attempt := range result.Attempts {
 		started = started || attempt.Started
@@ -159,12 +164,12 @@
 		line.Kind = budget.LineBill
 	}
 	waste := min(result.WasteTokens, reservation.Tokens)
-	left := reservation.Tokens - waste
+	rest := reservation.Tokens - waste
 	if !result.Usage.Known || result.WasteUnknown {
 		line.Estimated = true
-		line.Tokens = left
+		line.Tokens = rest
 	}
-	line.Tokens = min(line.Tokens, left)
+	line.Tokens = min(line.Tokens, rest)
 	lines := []budget.Line{line}
 	if waste > 0 {
 		wasted := line
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -54,6 +54,7 @@
 	control     []*controlServer
 	background  *background
 	draining    atomic.Bool
+	ended       atomic.Bool
 }
 
 // Incarnation returns the name of this run of the router.
@@ -92,8 +93,12 @@
 
 // Shutdown leaves the entry list, refuses new requests, waits for the running
 // ones up to the drain timeout, settles and returns all grants, and ends the
-// incarnation. It returns how many requests it had to cut off.
+// incarnation. It returns how many requests it had to cut off. A second call
+// does nothing.
 func (router *Router) Shutdown(ctx context.Context) (int, error) {
+	if !router.ended.CompareAndSwap(false, true) {
+		return 0, nil
+	}
 	router.draining.Store(true)
 	router.info("event", "shutdown_started", "running", router.running())
 	if err := router.membership.Leave(ctx); err != nil {
@@ -107,6 +112,22 @@
 	return cut, err
 }
 
+// Abort stops serving at once and settles nothing, as if the process had died.
+// It is for tests; the caller cuts the router off from platform and peers first.
+func (router *Router) Abort() {
+	if !router.ended.CompareAndSwap(false, true) {
+		return
+	}
+	router.draining.Store(true)
+	router.server.Load().Abort()
+	for _, control := range router.control {
+		control.close(context.Background())
+	}
+	router.background.stop()
+	router.follower.Close()
+	router.membership.Close()
+}
+
 func (router *Router) closeParts(ctx context.Context) error {
 	if err := router.dispatcher.Close(ctx); err != nil {
 		router.warn("event", "dispatcher_close_failed", "err", err)
--- /dev/null
+++ b/pkg/router/router_test.go
@@ -0,0 +1,206 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/budget"
+	"gitlab.com/wisterialb/wisterialb/pkg/claim"
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/standin"
+)
+
+const (
+	plenty    = 1_000_000
+	prompt    = "Which ring fits a six litre pot?"
+	maxTokens = 40
+)
+
+func slowEngine() standin.EngineConfig {
+	return standin.EngineConfig{Slots: 16, TokenInterval: 20 * time.Millisecond}
+}
+
+func wholeAnswer() string {
+	return standin.Answer(standin.PromptOf([]standin.Message{{Role: "user", Content: prompt}}), maxTokens)
+}
+
+func TestShutdownEndsARunningStreamWhole(t *testing.T) {
+	fleet := startFleet(t, plenty, slowEngine())
+	stream := fleet.stream(call{key: "k1"}, prompt, maxTokens)
+	text := stream.take(3)
+	done := make(chan int, 1)
+	go func() {
+		cut, err := fleet.Routers[0].Shutdown(context.Background())
+		assert.NoError(t, err)
+		done <- cut
+	}()
+	rest, end := stream.rest()
+	require.Equal(t, wholeAnswer(), text+rest)
+	require.Equal(t, "[DONE]", end)
+	require.Zero(t, <-done)
+	statement := fleet.statement()
+	require.Equal(t, fleet.usedTokens(), statement.BillTokens)
+	require.NoError(t, fleet.StartRouter(0))
+}
+
+func TestAStreamOfAKilledRouterIsResumedElsewhere(t *testing.T) {
+	fleet := startFleet(t, plenty, slowEngine())
+	first := fleet.stream(call{key: "k1"}, prompt, maxTokens)
+	resume := first.response.Header.Get("Wisterialb-Resume")
+	require.NotEmpty(t, resume)
+	text := first.take(5)
+	fleet.Routers[0].Kill()
+	more, end := first.rest()
+	require.NotEqual(t, "[DONE]", end)
+	second := fleet.stream(call{router: 1, key: "k1", header: map[string]string{
+		"Wisterialb-Resume": resume,
+		"Last-Event-ID":     first.last,
+	}}, prompt, maxTokens)
+	rest, end := second.rest()
+	require.Equal(t, "[DONE]", end)
+	require.Equal(t, wholeAnswer(), text+more+rest)
+	require.Len(t, fleet.Engines[0].Runs(), 1)
+}
+
+func TestATokenOfAnotherRequestDoesNotResume(t *testing.T) {
+	fleet := startFleet(t, plenty, slowEngine())
+	first := fleet.stream(call{key: "k1"}, prompt, maxTokens)
+	resume := first.response.Header.Get("Wisterialb-Resume")
+	second := fleet.stream(call{router: 1, key: "k2", header: map[string]string{"Wisterialb-Resume": resume}}, prompt, maxTokens)
+	require.Equal(t, http.StatusBadRequest, second.response.StatusCode)
+	require.Equal(t, string(fault.NotRun), second.response.Header.Get("Wisterialb-Outcome"))
+	text, _ := first.rest()
+	require.Equal(t, wholeAnswer(), text)
+}
+
+func TestABookingRunsOnceThroughRetriesAndLostAnswers(t *testing.T) {
+	fleet := startFleet(t, plenty, slowEngine())
+	require.NoError(t, fleet.Platform.SetFaults(standin.PlatformFaults{LoseRate: 0.3}))
+	const bookings, tries = 8, 3
+	answers := make([]map[string]bool, bookings)
+	keys := make([]string, bookings)
+	var mutex sync.Mutex
+	var group sync.WaitGroup
+	for number := range bookings {
+		answers[number] = make(map[string]bool)
+		keys[number] = claim.NewRequestID()
+		for try := range tries {
+			group.Go(func() {
+				outcome, body := fleet.book(call{router: try, key: keys[number], body: "ring"})
+				mutex.Lock()
+				defer mutex.Unlock()
+				answers[number][string(outcome)+body] = outcome == fault.Answered
+			})
+		}
+	}
+	group.Wait()
+	counts := fleet.Services[0].Runs().Counts
+	for key, runs := range counts {
+		require.Equal(t, 1, runs, key)
+	}
+	for number, told := range answers {
+		t.Logf("booking %d: %v", number, told)
+		answered := 0
+		for _, isAnswer := range told {
+			if isAnswer {
+				answered++
+			}
+		}
+		require.LessOrEqual(t, answered, 1, "booking %d was answered in different ways: %v", number, told)
+		require.Equal(t, counts[keys[number]] == 1, answered == 1 || told[string(fault.OutcomeUnknown)], "booking %d: %v", number, told)
+	}
+	require.NotEmpty(t, counts)
+	require.NoError(t, fleet.Platform.SetFaults(standin.PlatformFaults{}))
+	bills := make(map[string]int)
+	for _, line := range fleet.lines() {
+		if line.Kind == budget.LineBill {
+			bills[line.RequestID]++
+		}
+	}
+	for request, count := range bills {
+		require.Equal(t, 1, count, request)
+	}
+}
+
+func TestABookingIsRefusedAsNotRunWhileTheTableIsDown(t *testing.T) {
+	fleet := startFleet(t, plenty, slowEngine())
+	outcome, body := fleet.book(call{key: claim.NewRequestID(), body: "ring"})
+	require.Equal(t, fault.Answered, outcome, body)
+	require.NoError(t, fleet.Platform.SetFaults(standin.PlatformFaults{Outage: true}))
+	key := claim.NewRequestID()
+	outcome, body = fleet.book(call{key: key, body: "ring", header: map[string]string{"Wisterialb-Deadline": "4000"}})
+	require.NotEqual(t, fault.Answered, outcome, body)
+	require.Zero(t, fleet.Services[0].Runs().Counts[key])
+	require.NoError(t, fleet.Platform.SetFaults(standin.PlatformFaults{}))
+	if outcome == fault.NotRun {
+		outcome, body = fleet.book(call{router: 1, key: key, body: "ring"})
+		t.Logf("the retry: %s %s", outcome, body)
+	}
+	require.LessOrEqual(t, fleet.Services[0].Runs().Counts[key], 1)
+}
+
+func TestAStreamIsAnsweredWhileTheTableIsDown(t *testing.T) {
+	fleet := startFleet(t, plenty, slowEngine())
+	var group sync.WaitGroup
+	for number := range 30 {
+		group.Go(func() {
+			fleet.stream(call{key: fmt.Sprintf("warm%d", number)}, prompt, maxTokens).rest()
+		})
+	}
+	group.Wait()
+	require.NoError(t, fleet.Platform.SetFaults(standin.PlatformFaults{Outage: true}))
+	stream := fleet.stream(call{key: "down"}, prompt, maxTokens)
+	text, end := stream.rest()
+	require.Equal(t, "[DONE]", end, stream.response.Header)
+	require.Equal(t, wholeAnswer(), text)
+	require.NoError(t, fleet.Platform.SetFaults(standin.PlatformFaults{}))
+	require.Eventually(t, func() bool { return fleet.statement().BillTokens == fleet.usedTokens() }, testTimeout, 50*time.Millisecond)
+}
+
+func TestSpendStaysInsideTheLimitAndRefusalsAreTrue(t *testing.T) {
+	const limit, requests = 2_000, 60
+	fleet := startFleet(t, limit, standin.EngineConfig{Slots: 16, TokenInterval: time.Millisecond})
+	var group sync.WaitGroup
+	var mutex sync.Mutex
+	told := make(map[string]int)
+	for number := range requests {
+		group.Go(func() {
+			stream := fleet.stream(call{router: number % 3, key: fmt.Sprintf("k%d", number), header: map[string]string{"Wisterialb-Deadline": "8000"}}, prompt, maxTokens)
+			text, end := stream.rest()
+			mutex.Lock()
+			defer mutex.Unlock()
+			if end == "[DONE]" {
+				assert.Equal(t, wholeAnswer(), text)
+			} else {
+				end = stream.response.Header.Get("Wisterialb-Outcome")
+			}
+			told[end]++
+		})
+	}
+	group.Wait()
+	require.Len(t, fleet.Engines[0].Runs(), told["[DONE]"])
+	require.Equal(t, requests, told["[DONE]"]+told[string(fault.NotRun)], told)
+	require.LessOrEqual(t, fleet.usedTokens(), int64(limit))
+	perRequest := fleet.usedTokens() / int64(told["[DONE]"])
+	t.Logf("limit %d, used %d, %d a request, told %v", limit, fleet.usedTokens(), perRequest, told)
+	fleet.statement()
+}
+
+func TestACallerThatLeavesStopsTheEngineAndIsBilled(t *testing.T) {
+	fleet := startFleet(t, plenty, slowEngine())
+	stream := fleet.stream(call{key: "k1"}, prompt, maxTokens)
+	stream.take(3)
+	require.NoError(t, stream.response.Body.Close())
+	require.Eventually(t, func() bool {
+		lines := fleet.lines()
+		return len(lines) == 1 && lines[0].Kind == budget.LineBill && lines[0].Tokens == fleet.usedTokens()
+	}, testTimeout, 20*time.Millisecond)
+	require.Less(t, fleet.lines()[0].CompletionTokens, int64(maxTokens))
+}
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -152,12 +152,19 @@
 // all connections. It returns how many requests were cut off.
 func (server *Server) Shutdown(ctx context.Context) int {
 	left := server.drain(ctx)
-	server.stopOnce.Do(func() { close(server.stop) })
-	server.swept.Wait()
-	server.engine.Stop()
+	server.Abort()
 	return left
 }
 
+// Abort closes all connections at once.
+func (server *Server) Abort() {
+	server.stopOnce.Do(func() {
+		close(server.stop)
+		server.swept.Wait()
+		server.engine.Stop()
+	})
+}
+
 func (server *Server) drain(ctx context.Context) int {
 	for {
 		idle := server.whenIdle()
