--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -23,8 +23,10 @@
 	// returning is a return whose outcome is not known yet.
 	returning pendingReturn
 	waiters   []*waiter
-	// loans are received loans by their key; a recorded one is set true.
-	loans map[Loan]bool
+	// received are all loans that this router got; unrecorded are those that
+	// the table's books do not have yet.
+	received   map[Loan]bool
+	unrecorded []Loan
 	// debits are loans given, by transfer id.
 	debits   map[string]Loan
 	forecast forecast
@@ -44,9 +46,9 @@
 
 func newAccount(profile string) *account {
 	return &account{
-		profile: profile,
-		loans:   make(map[Loan]bool),
-		debits:  make(map[string]Loan),
+		profile:  profile,
+		received: make(map[Loan]bool),
+		debits:   make(map[string]Loan),
 	}
 }
 
@@ -165,10 +167,11 @@
 func (account *account) receive(loan Loan) {
 	account.mutex.Lock()
 	defer account.mutex.Unlock()
-	if _, ok := account.loans[loan]; ok {
+	if account.received[loan] {
 		return
 	}
-	account.loans[loan] = false
+	account.received[loan] = true
+	account.unrecorded = append(account.unrecorded, loan)
 	account.borrowedTokens += loan.Tokens
 	account.admit()
 }
--- a/pkg/budget/account_grant.go
+++ b/pkg/budget/account_grant.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"slices"
 	"time"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
@@ -84,17 +85,11 @@
 func (account *account) unrecordedLoans() []Loan {
 	account.mutex.Lock()
 	defer account.mutex.Unlock()
-	var loans []Loan
-	for loan, recorded := range account.loans {
-		if !recorded {
-			loans = append(loans, loan)
-		}
-	}
-	return loans
+	return slices.Clone(account.unrecorded)
 }
 
 func (account *account) markRecorded(loan Loan) {
 	account.mutex.Lock()
 	defer account.mutex.Unlock()
-	account.loans[loan] = true
+	account.unrecorded = slices.DeleteFunc(account.unrecorded, func(other Loan) bool { return other == loan })
 }
--- a/pkg/budget/escrow.go
+++ b/pkg/budget/escrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -82,6 +83,8 @@
 
 	mutex    sync.Mutex
 	accounts map[string]*account
+	// ordered are the accounts in the order in which they were made.
+	ordered  []*account
 	draining bool
 	// pending are settlements in the order of their numbers.
 	pending    []*pendingSettlement
@@ -93,6 +96,9 @@
 	sequence uint64
 	batch    *batch
 
+	// resizeParallelism bounds the grants that are resized at once.
+	resizeParallelism int
+
 	wake    chan struct{}
 	stop    chan struct{}
 	stopped chan struct{}
@@ -129,9 +135,12 @@
 		metrics:  newMetrics(config.Registerer),
 		accounts: make(map[string]*account),
 		kept:     make(map[string][]Settlement),
-		wake:     make(chan struct{}, 1),
-		stop:     make(chan struct{}),
-		stopped:  make(chan struct{}),
+
+		resizeParallelism: defaultResizeParallelism,
+
+		wake:    make(chan struct{}, 1),
+		stop:    make(chan struct{}),
+		stopped: make(chan struct{}),
 	}
 }
 
@@ -150,6 +159,7 @@
 	if !ok {
 		held = newAccount(profile)
 		escrow.accounts[profile] = held
+		escrow.ordered = append(escrow.ordered, held)
 	}
 	return held
 }
@@ -158,11 +168,7 @@
 func (escrow *Escrow) allAccounts() []*account {
 	escrow.mutex.Lock()
 	defer escrow.mutex.Unlock()
-	accounts := make([]*account, 0, len(escrow.accounts))
-	for _, account := range escrow.accounts {
-		accounts = append(accounts, account)
-	}
-	return accounts
+	return slices.Clone(escrow.ordered)
 }
 
 // Reserve sets the worst case of a request aside. Before it refuses it asks the
--- a/pkg/budget/finish.go
+++ b/pkg/budget/finish.go
@@ -75,6 +75,7 @@
 	budget.Holders--
 	return []platform.Write{
 		replace(holding.budgetItem, budget),
+		holding.holder.unattributedWrite(0),
 		{Key: holding.holder.item.Key, Action: platform.Delete, Condition: unchanged(holding.holder.item)},
 		{Key: profileKey(holding.holder.incarnation, holding.holder.profile), Action: platform.Delete},
 	}
--- a/pkg/budget/grant.go
+++ b/pkg/budget/grant.go
@@ -123,13 +123,13 @@
 	return found, err
 }
 
-// resizeParallelism bounds the grants that are resized at once.
-const resizeParallelism = 8
+// defaultResizeParallelism bounds the grants that are resized at once.
+const defaultResizeParallelism = 8
 
 // resize returns idle tokens and refills running grants of all accounts.
 func (escrow *Escrow) resize(ctx context.Context) {
 	group := errgroup.Group{}
-	group.SetLimit(resizeParallelism)
+	group.SetLimit(escrow.resizeParallelism)
 	for _, account := range escrow.allAccounts() {
 		if account.isEmpty() {
 			continue
--- /dev/null
+++ b/pkg/budget/main_test.go
@@ -0,0 +1,28 @@
+package budget
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// The default size of the stateful fuzzing: 400 runs of 100 draws, over 10,000 steps. A longer run
+// is: go test ./pkg/budget -run TestEscrowStateMachine -rapid.seed 0 -rapid.checks 5000.
+var rapidDefaults = map[string]string{
+	"rapid.seed":       "20260101",
+	"rapid.checks":     "400",
+	"rapid.steps":      "100",
+	"rapid.nofailfile": "true",
+}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := make(map[string]bool)
+	flag.Visit(func(set *flag.Flag) { given[set.Name] = true })
+	for name, value := range rapidDefaults {
+		if !given[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/pkg/claim/entry.go
+++ b/pkg/claim/entry.go
@@ -115,13 +115,23 @@
 	return owned && entry.left
 }
 
+// hasLeft reports whether the caller of an entry no longer waits.
+func (registry *Registry) hasLeft(entry *entry) bool {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return entry.left
+}
+
 // again returns a copy of an entry that is not decided.
 func (entry *entry) again() *entry {
-	copied := *entry
-	copied.answered = false
-	copied.err = nil
-	copied.done = make(chan struct{})
-	return &copied
+	copied := newQueued(entry)
+	copied.kind = entry.kind
+	copied.end = entry.end
+	return copied
+}
+
+func newQueued(from *entry) *entry {
+	return &entry{request: from.request, hour: from.hour, key: from.key, run: from.run, done: make(chan struct{})}
 }
 
 // fence returns the entry that withdraws an insert.
--- a/pkg/claim/group.go
+++ b/pkg/claim/group.go
@@ -155,6 +155,10 @@
 // place answers an entry that its row decides, or plans its write.
 func (registry *Registry) place(plan *groupPlan, entry *entry, item platform.Item, row claimRow) {
 	entry.absent = item.Version == 0
+	if entry.kind != insertClaim && plan.seals[entry.hour].Version != 0 {
+		registry.answer(entry, row.decision(), nil)
+		return
+	}
 	switch entry.kind {
 	case insertClaim:
 		registry.placeInsert(plan, entry, item, row)
@@ -174,7 +178,7 @@
 		registry.answer(entry, row.decision(), nil)
 	case sealed || registry.isOld(entry):
 		registry.answer(entry, Decision{State: Unknown, Reason: "the request is older than claims are kept"}, nil)
-	case entry.left:
+	case registry.hasLeft(entry):
 		registry.answer(entry, Decision{}, undecided(entry, nil))
 	default:
 		plan.add(entry, item, claimRow{State: Running, Owner: plan.owner, Run: entry.run, At: time.Now()})
