Sharpen the escrow's oracle

Cause: breaking the return of grants on a scratch copy made no test fail. Change: the oracle counts what is free and spendable together; routers with one try; a delayed write followed by an outage.

--- a/pkg/budget/faulty_test.go
+++ b/pkg/budget/faulty_test.go
@@ -18,6 +18,8 @@
 	loseAnswers int
 	// delays counts transactions that are reported as lost and kept in transit.
 	delays int
+	// downAfterDelay takes the table down with the next delayed transaction.
+	downAfterDelay bool
 	// inTransit are transactions that arrive late or a second time.
 	inTransit []platform.Transaction
 	writes    int
@@ -36,6 +38,8 @@
 		return lost()
 	case table.delays > 0:
 		table.delays--
+		table.down = table.downAfterDelay
+		table.downAfterDelay = false
 		table.inTransit = append(table.inTransit, transaction)
 		return lost()
 	case table.loseAnswers > 0:
@@ -84,4 +88,5 @@
 	table.down = false
 	table.loseAnswers = 0
 	table.delays = 0
+	table.downAfterDelay = false
 }
--- a/pkg/budget/machine_test.go
+++ b/pkg/budget/machine_test.go
@@ -82,7 +82,7 @@
 	node.escrow = newEscrow(EscrowConfig{
 		Table: node.table, Incarnation: name, Lender: peers{machine, node}, Keeper: peers{machine, node},
 		MaxWait: 100 * time.Millisecond,
-		Retry:   platform.RetryConfig{MaxTries: 3, RetriesPerSecond: 1e6, RetryBurst: 1e6},
+		Retry:   platform.RetryConfig{MaxTries: uint(1 + len(machine.nodes)%2*2), RetriesPerSecond: 1e6, RetryBurst: 1e6},
 	})
 	node.escrow.resizeParallelism = 1
 	machine.nodes = append(machine.nodes, node)
@@ -227,8 +227,11 @@
 	table := pick(t, machine.nodes).table
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	switch rapid.IntRange(0, 3).Draw(t, "fault") {
+	switch rapid.IntRange(0, 4).Draw(t, "fault") {
 	case 0:
+		table.delays = 1
+		table.downAfterDelay = true
+	case 4:
 		table.down = true
 	case 1:
 		table.loseAnswers = rapid.IntRange(1, 4).Draw(t, "answers")
@@ -313,7 +316,8 @@
 		require.NoError(t, err)
 		machine.checkStatement(t, statement, budget)
 		machine.checkLines(t, statement, budget)
-		require.LessOrEqual(t, budget.spent+machine.spendable(profile), budget.limit, "%s can be overspent", profile)
+		possible := budget.spent + machine.spendable(profile) + statement.FreeTokens
+		require.LessOrEqual(t, possible, budget.limit, "%s can be overspent", profile)
 	}
 }
 
