Check publishing by history and followers by a stateful test

Cause: the promises of the configuration had no test under failures. The history test found that a publication whose operation id was already accepted said not_run when the record could not be read back. Change: that case now says that the outcome is unknown; a lost transaction counts as open only while the head is as it requires. Conclusion: mutations of the checks themselves are tried next.

--- a/pkg/configuration/follower.go
+++ b/pkg/configuration/follower.go
@@ -42,6 +42,9 @@
 	// Records returns records behind a revision, in order, from any router
 	// that has them. No records is no error.
 	Records(ctx context.Context, after uint64) ([]Record, error)
+	// Profile returns a profile as some router holds it. Nil is no error: no
+	// router that was asked holds it.
+	Profile(ctx context.Context, name string) (*ProfileCopy, error)
 }
 
 // FollowerConfig configures a Follower.
--- /dev/null
+++ b/pkg/configuration/follower_test.go
@@ -0,0 +1,235 @@
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
+)
+
+// followerRelay asks one other follower, through the forms that peers pass on.
+type followerRelay struct {
+	of   func() *Follower
+	lost bool
+}
+
+func (relay *followerRelay) Records(_ context.Context, after uint64) ([]Record, error) {
+	if relay.lost {
+		return nil, errOutOfReach()
+	}
+	return relay.of().Recent(after, pageRecords), nil
+}
+
+func (relay *followerRelay) Profile(_ context.Context, name string) (*ProfileCopy, error) {
+	if relay.lost {
+		return nil, errOutOfReach()
+	}
+	return relay.of().Copy(name)
+}
+
+// followerMachine runs two followers against a table, with a list of all
+// accepted records as the oracle.
+type followerMachine struct {
+	table     *faultyTable
+	publisher *Publisher
+	followers [2]*Follower
+	relays    [2]*followerRelay
+	// seen is the highest revision of each follower's life.
+	seen    [2]uint64
+	records []Record
+	// profileSeen is the lowest revision that a follower may still answer from,
+	// for each profile.
+	profileSeen [2]map[string]uint64
+}
+
+func newFollowerMachine() *followerMachine {
+	machine := &followerMachine{table: newFaultyTable(1, 0)}
+	machine.publisher = NewPublisher(PublisherConfig{Table: machine.table.Table})
+	for i := range machine.followers {
+		machine.relays[i] = &followerRelay{of: func() *Follower { return machine.followers[1-i] }}
+		machine.restart(i)
+	}
+	return machine
+}
+
+// restart replaces a router by a fresh one, which knows nothing.
+func (machine *followerMachine) restart(i int) {
+	machine.followers[i] = newFollower(FollowerConfig{Table: machine.table, Relay: machine.relays[i], HeldProfiles: 2})
+	machine.seen[i] = 0
+	machine.profileSeen[i] = make(map[string]uint64)
+}
+
+// publish puts or deletes a document with its revision as its content.
+func (machine *followerMachine) publish(t *rapid.T) {
+	next := uint64(len(machine.records) + 1)
+	change := Change{OperationID: fmt.Sprint("op-", next), Operator: "astrid", Reason: "test"}
+	change.Kind = rapid.SampledFrom([]Kind{KindService, KindProfile, KindLimit}).Draw(t, "kind")
+	change.Name = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+	at := uint64(len(machine.records))
+	_, found := machine.bodyAt(change.Kind, change.Name, at)
+	change.Expected = machine.revisionAt(change.Kind, change.Name, at)
+	switch change.Kind {
+	case KindService:
+		if !found || rapid.Bool().Draw(t, "put") {
+			change.Body = encodeRow(Service{Name: change.Name, Protocol: ProtocolPlain, CallTokens: int64(next)})
+		}
+	case KindProfile:
+		change.Body = encodeRow(Profile{Name: change.Name, Callers: []string{"x"}, Services: []string{"y"}, Retired: true, Priority: int(next % 10)})
+	default:
+		if _, found = machine.bodyAt(KindProfile, change.Name, at); !found {
+			return
+		}
+		change.Body = encodeRow(Limit{AddTokens: 1})
+	}
+	record, err := machine.publisher.Publish(context.Background(), change)
+	require.NoError(t, err)
+	machine.records = append(machine.records, record)
+}
+
+func (machine *followerMachine) revisionAt(kind Kind, name string, revision uint64) uint64 {
+	for i := int(revision) - 1; i >= 0; i-- {
+		if change := machine.records[i].Change; change.Kind == kind && change.Name == name {
+			return machine.records[i].Revision
+		}
+	}
+	return 0
+}
+
+// bodyAt is the oracle: the document as of a revision.
+func (machine *followerMachine) bodyAt(kind Kind, name string, revision uint64) ([]byte, bool) {
+	at := machine.revisionAt(kind, name, revision)
+	if at == 0 {
+		return nil, false
+	}
+	body := machine.records[at-1].Change.Body
+	return body, len(body) > 0
+}
+
+// offer passes records on, with repeats, gaps and in any order.
+func (machine *followerMachine) offer(t *rapid.T) {
+	i := rapid.IntRange(0, 1).Draw(t, "follower")
+	if len(machine.records) == 0 {
+		return
+	}
+	records := rapid.SliceOfN(rapid.SampledFrom(machine.records), 1, 6).Draw(t, "records")
+	if rapid.Bool().Draw(t, "next") {
+		start := min(int(machine.followers[i].Revision()), len(machine.records)-1)
+		records = machine.records[start:min(start+3, len(machine.records))]
+	}
+	machine.followers[i].Offer(context.Background(), records)
+}
+
+// profile reads a profile and checks that it is one the router may serve.
+func (machine *followerMachine) profile(t *rapid.T) {
+	i := rapid.IntRange(0, 1).Draw(t, "follower")
+	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+	follower := machine.followers[i]
+	if !follower.loaded.Load() {
+		return
+	}
+	lowest := max(follower.Revision(), machine.profileSeen[i][name])
+	profile, err := follower.Profile(context.Background(), name)
+	if fault.Is(err, fault.Unavailable) {
+		return
+	}
+	for at := lowest; at <= uint64(len(machine.records)); at++ {
+		body, found := machine.bodyAt(KindProfile, name, at)
+		var expected Profile
+		if found {
+			require.NoError(t, json.Unmarshal(body, &expected))
+		}
+		if found == (err == nil) && fmt.Sprint(expected) == fmt.Sprint(profile) {
+			machine.profileSeen[i][name] = at
+			return
+		}
+	}
+	require.Fail(t, "profile is older than the router has seen", "%s: %v, %v", name, profile, err)
+}
+
+// check compares each view with the oracle at the view's revision.
+func (machine *followerMachine) check(t *rapid.T) {
+	for i, follower := range machine.followers {
+		view := follower.View()
+		require.GreaterOrEqual(t, view.Revision(), machine.seen[i], "revision went back")
+		machine.seen[i] = view.Revision()
+		if !follower.loaded.Load() {
+			require.False(t, follower.Ready())
+			require.Zero(t, view.Revision())
+			continue
+		}
+		for _, name := range []string{"a", "b", "c"} {
+			body, found := machine.bodyAt(KindService, name, view.Revision())
+			service, ok := view.Service(name)
+			require.Equal(t, found, ok, "service %s at %d", name, view.Revision())
+			if found {
+				require.JSONEq(t, string(body), string(encodeRow(service)))
+			}
+		}
+		for j, record := range follower.recent {
+			require.Equal(t, follower.Revision()-uint64(len(follower.recent)-1-j), record.Revision)
+		}
+	}
+}
+
+func TestFollowerNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		machine := newFollowerMachine()
+		follower := func(t *rapid.T) int { return rapid.IntRange(0, 1).Draw(t, "follower") }
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": machine.publish,
+			"offer":   machine.offer,
+			"profile": machine.profile,
+			"poll":    func(t *rapid.T) { machine.followers[follower(t)].poll(context.Background()) },
+			"hint": func(t *rapid.T) {
+				machine.followers[follower(t)].Hint(uint64(rapid.IntRange(0, len(machine.records)).Draw(t, "revision")))
+			},
+			"restart":   func(t *rapid.T) { machine.restart(follower(t)) },
+			"outage":    func(*rapid.T) { machine.table.down = !machine.table.down },
+			"partition": func(t *rapid.T) { relay := machine.relays[follower(t)]; relay.lost = !relay.lost },
+			"":          machine.check,
+		})
+	})
+}
+
+// midwayTable publishes during a profile's read, after the table answered.
+type midwayTable struct {
+	platform.Table
+	after func()
+}
+
+func (table *midwayTable) Get(ctx context.Context, keys ...platform.Key) ([]platform.Item, error) {
+	items, err := table.Table.Get(ctx, keys...)
+	if after := table.after; after != nil && len(keys) > 1 {
+		table.after = nil
+		after()
+	}
+	return items, err
+}
+
+func TestProfileReadWhileItChangesIsNotOlderThanTheView(t *testing.T) {
+	ctx := context.Background()
+	inner := newFaultyTable(1, 0)
+	table := &midwayTable{Table: inner}
+	publisher := NewPublisher(PublisherConfig{Table: inner.Table})
+	profile := Profile{Name: "p", Callers: []string{"x"}, Services: []string{"y"}, Retired: true}
+	_, err := publisher.Publish(ctx, changeOf(t, "op-1", KindProfile, 0, profile))
+	require.NoError(t, err)
+	follower := newFollower(FollowerConfig{Table: table})
+	follower.poll(ctx)
+	table.after = func() {
+		profile.Priority = 5
+		_, err := publisher.Publish(ctx, changeOf(t, "op-2", KindProfile, 1, profile))
+		require.NoError(t, err)
+		follower.poll(ctx)
+	}
+	read, err := follower.Profile(ctx, "p")
+	require.NoError(t, err)
+	require.Equal(t, uint64(2), follower.Revision())
+	require.Equal(t, 5, read.Priority)
+}
--- a/pkg/configuration/lazy.go
+++ b/pkg/configuration/lazy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 )
@@ -57,8 +58,22 @@
 	})
 }
 
-// fetchProfile reads head and document in one snapshot.
+// fetchProfile reads the profile from the table, or from a peer while the
+// table is out of reach.
 func (follower *Follower) fetchProfile(ctx context.Context, name string) (profileEntry, error) {
+	entry, err := follower.profileFromTable(ctx, name)
+	if err == nil || follower.relay == nil || !retryable(err) {
+		return entry, err
+	}
+	copied, relayErr := follower.relay.Profile(ctx, name)
+	if relayErr != nil || copied == nil {
+		return profileEntry{}, err
+	}
+	return newProfileEntry(name, copied.Body, copied.Revision, copied.AsOf)
+}
+
+// profileFromTable reads head and document in one snapshot.
+func (follower *Follower) profileFromTable(ctx context.Context, name string) (profileEntry, error) {
 	items, err := follower.table.Get(ctx, headKey(), documentKey(KindProfile, name))
 	if err != nil {
 		return profileEntry{}, err
@@ -74,6 +89,36 @@
 	return newProfileEntry(name, row.Body, row.Revision, head.Revision)
 }
 
+// ProfileCopy is a profile as one router holds it, for another.
+type ProfileCopy struct {
+	// Body is the JSON of the profile; empty means that it does not exist.
+	Body []byte
+	// Revision wrote the document.
+	Revision uint64
+	// AsOf is the revision of the configuration for which the copy holds.
+	AsOf uint64
+}
+
+// Copy returns a held profile for a peer; nil if the router does not hold it.
+func (follower *Follower) Copy(name string) (*ProfileCopy, error) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	entry, ok := follower.profiles.lookup(name)
+	if !ok || !follower.loaded.Load() {
+		return nil, nil
+	}
+	copied := &ProfileCopy{Revision: entry.revision, AsOf: max(entry.asOf, follower.Revision())}
+	if !entry.found {
+		return copied, nil
+	}
+	body, err := json.Marshal(entry.profile)
+	if err != nil {
+		return nil, unreadableDocument(name, err)
+	}
+	copied.Body = body
+	return copied, nil
+}
+
 // hold keeps an entry after bringing it up to the view with the records that
 // were adopted since it was read. It is false if those are no longer kept.
 func (follower *Follower) hold(name string, entry profileEntry) (profileEntry, bool, error) {
--- a/pkg/configuration/links.go
+++ b/pkg/configuration/links.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -58,7 +57,7 @@
 func (publication *publication) linkWrites(ctx context.Context) ([]platform.Write, error) {
 	var stored document
 	if len(publication.storedRow.Body) > 0 {
-		decoded, err := decodeStored(publication.change.Kind, publication.storedRow.Body)
+		decoded, err := kinds[publication.change.Kind].read(publication.storedRow.Body)
 		if err != nil {
 			return nil, err
 		}
@@ -82,10 +81,6 @@
 	return append(uses, uniques...), nil
 }
 
-func decodeStored(kind Kind, body json.RawMessage) (document, error) {
-	return decoders[kind](body)
-}
-
 // checkUnused refuses to delete a document that others name.
 func (publication *publication) checkUnused(ctx context.Context) error {
 	self := reference{publication.change.Kind, publication.change.Name}
--- a/pkg/configuration/publication.go
+++ b/pkg/configuration/publication.go
@@ -23,9 +23,12 @@
 	headRow   headRow
 	storedRow documentRow
 
+	// wasRead is set once head and operation id were read.
+	wasRead bool
 	// retry is set when another try can succeed.
 	retry bool
-	// lost is set when the transaction was sent and its answer was lost.
+	// lost is set when the change may have been accepted, or was: the
+	// transaction was sent and its answer was lost, or the operation id exists.
 	lost bool
 }
 
@@ -35,6 +38,7 @@
 		return Record{}, err
 	}
 	if publication.operation.Version != 0 {
+		publication.lost = true
 		return publication.accepted(ctx)
 	}
 	if err := publication.checkExpected(ctx); err != nil {
@@ -77,8 +81,11 @@
 	if publication.headRow, err = decodeItem[headRow](publication.head); err != nil {
 		return err
 	}
-	publication.storedRow, err = decodeItem[documentRow](publication.stored)
-	return err
+	if publication.storedRow, err = decodeItem[documentRow](publication.stored); err != nil {
+		return err
+	}
+	publication.wasRead = true
+	return nil
 }
 
 // accepted returns the record that the operation id has made before.
--- a/pkg/configuration/publisher.go
+++ b/pkg/configuration/publisher.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -69,15 +68,17 @@
 	if err != nil {
 		return Record{}, err
 	}
-	// uncertain is set once a transaction was sent whose answer was lost.
-	uncertain := false
+	// sent is the last transaction whose answer was lost.
+	var sent lostTransaction
+	var last error
 	try := func() (Record, error) {
 		publication := publication{publisher: publisher, change: change, decoded: decoded}
 		record, err := publication.run(ctx)
 		if err == nil {
 			return record, nil
 		}
-		uncertain = uncertain || publication.lost
+		last = err
+		sent = sent.after(publication)
 		if publication.retry || retryable(err) {
 			return Record{}, err
 		}
@@ -87,7 +88,28 @@
 	if err == nil {
 		return record, nil
 	}
-	return Record{}, publishError(err, uncertain)
+	return Record{}, publishError(last, sent.lost)
+}
+
+// lostTransaction is a transaction that may still be applied: its answer was
+// lost, and the head is as the transaction requires it.
+type lostTransaction struct {
+	lost        bool
+	headVersion uint64
+}
+
+// after returns what may still be applied after a later try. Once the head has
+// moved and the operation id is absent, the earlier transaction never will be.
+func (lostTransaction lostTransaction) after(publication publication) lostTransaction {
+	if publication.lost {
+		lostTransaction.lost = true
+		lostTransaction.headVersion = publication.head.Version
+		return lostTransaction
+	}
+	if publication.wasRead && publication.head.Version != lostTransaction.headVersion {
+		lostTransaction.lost = false
+	}
+	return lostTransaction
 }
 
 func publishPauses() backoff.BackOff {
@@ -104,10 +126,6 @@
 
 // publishError states the outcome of a publication that was given up.
 func publishError(err error, uncertain bool) error {
-	var permanent *backoff.PermanentError
-	if errors.As(err, &permanent) {
-		err = permanent.Unwrap()
-	}
 	if !uncertain {
 		return fault.WithOutcome(err, fault.NotRun)
 	}
--- a/pkg/configuration/validate.go
+++ b/pkg/configuration/validate.go
@@ -85,12 +85,20 @@
 	return []string{"token_hash/" + strings.ToLower(caller.TokenHash)}
 }
 
-// decoders is the one table of stored kinds; a new kind is one row.
-var decoders = map[Kind]func(body []byte) (document, error){
-	KindProfile:  decodeDocument[Profile],
-	KindService:  decodeDocument[Service],
-	KindUpstream: decodeDocument[Upstream],
-	KindCaller:   decodeDocument[Caller],
+// kindRow says how the documents of one kind are decoded.
+type kindRow struct {
+	// check decodes an operator's body and names every fault.
+	check func(body []byte) (document, error)
+	// read decodes a body that was accepted earlier, by older rules perhaps.
+	read func(body []byte) (document, error)
+}
+
+// kinds is the one table of stored kinds; a new kind is one row.
+var kinds = map[Kind]kindRow{
+	KindProfile:  {check: checkDocument[Profile], read: readDocument[Profile]},
+	KindService:  {check: checkDocument[Service], read: readDocument[Service]},
+	KindUpstream: {check: checkDocument[Upstream], read: readDocument[Upstream]},
+	KindCaller:   {check: checkDocument[Caller], read: readDocument[Caller]},
 }
 
 var validate = newValidator()
@@ -104,8 +112,17 @@
 	return validate
 }
 
-// decodeDocument reads a body and checks each field by itself.
-func decodeDocument[T document](body []byte) (document, error) {
+// readDocument reads a stored body.
+func readDocument[T document](body []byte) (document, error) {
+	var decoded T
+	if err := json.Unmarshal(body, &decoded); err != nil {
+		return nil, unreadableDocument(decoded.documentName(), err)
+	}
+	return decoded, nil
+}
+
+// checkDocument reads a body and checks each field by itself.
+func checkDocument[T document](body []byte) (document, error) {
 	var decoded T
 	decoder := json.NewDecoder(strings.NewReader(string(body)))
 	decoder.DisallowUnknownFields()
@@ -165,7 +182,7 @@
 	if len(change.Body) == 0 {
 		return nil, validateDeletion(change)
 	}
-	decoded, err := decoders[change.Kind](change.Body)
+	decoded, err := kinds[change.Kind].check(change.Body)
 	if err != nil {
 		return nil, err
 	}
@@ -195,7 +212,7 @@
 	check(change.Name != "", "name is empty")
 	check(len(change.Name) <= maxNameBytes, fmt.Sprintf("name exceeds %d bytes", maxNameBytes))
 	check(len(change.Body) <= maxBodyBytes, fmt.Sprintf("body exceeds %d bytes", maxBodyBytes))
-	_, stored := decoders[change.Kind]
+	_, stored := kinds[change.Kind]
 	check(stored || change.Kind == KindLimit, fmt.Sprintf("kind %q is unknown", change.Kind))
 	return faults
 }
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -47,10 +47,11 @@
 }
 
 var (
-	_ budget.Lender       = (*Client)(nil)
-	_ budget.Keeper       = (*Client)(nil)
-	_ configuration.Relay = (*Client)(nil)
-	_ fleet.Prober        = (*Client)(nil)
+	_ budget.Lender         = (*Client)(nil)
+	_ budget.Keeper         = (*Client)(nil)
+	_ configuration.Relay   = (*Client)(nil)
+	_ configuration.Adopter = (*Client)(nil)
+	_ fleet.Prober          = (*Client)(nil)
 )
 
 // NewClient returns a client.
@@ -107,6 +108,50 @@
 	return records, err
 }
 
+// Profile asks the routers that are most likely to hold a profile.
+func (client *Client) Profile(ctx context.Context, name string) (*configuration.ProfileCopy, error) {
+	var copied *configuration.ProfileCopy
+	err := client.ask(ctx, entry.Order(name, client.peers()), func(ctx context.Context, peer fleet.Member) (bool, error) {
+		response, err := client.stub(peer.PeerAddress).Profile(ctx, &peerpb.ProfileRequest{Name: name})
+		if err != nil {
+			return false, errorFromWire(err)
+		}
+		if !response.GetHeld() {
+			return false, nil
+		}
+		copied = &configuration.ProfileCopy{
+			Body:     response.GetBody(),
+			Revision: response.GetRevision(),
+			AsOf:     response.GetAsOf(),
+		}
+		return true, nil
+	})
+	return copied, err
+}
+
+// Adopt passes records to the router at an address and waits, until shortly
+// before the context ends, for it to have the revision.
+func (client *Client) Adopt(ctx context.Context, address string, records []configuration.Record, revision uint64) (configuration.Adopted, error) {
+	response, err := client.stub(address).Adopt(ctx, &peerpb.AdoptRequest{
+		Records:  convert(records, recordToWire),
+		Revision: revision,
+		WaitMs:   adoptWait(ctx).Milliseconds(),
+	})
+	if err != nil {
+		return configuration.Adopted{}, errorFromWire(err)
+	}
+	return configuration.Adopted{Revision: response.GetRevision(), Ready: response.GetReady()}, nil
+}
+
+// adoptWait leaves a fifth of the remaining time for the answer.
+func adoptWait(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return maxAdoptWait
+	}
+	return max(time.Until(deadline)*4/5, 0)
+}
+
 func boolOrder(value bool) int {
 	if value {
 		return 1
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -94,6 +94,21 @@
 	return records
 }
 
+// Profile returns a profile as this router holds it.
+func (server *server) Profile(_ context.Context, request *peerpb.ProfileRequest) (*peerpb.ProfileResponse, error) {
+	if server.config.Follower == nil {
+		return nil, notServed("configuration")
+	}
+	copied, err := server.config.Follower.Copy(request.GetName())
+	if err != nil {
+		return nil, errorToWire(err)
+	}
+	if copied == nil {
+		return &peerpb.ProfileResponse{}, nil
+	}
+	return &peerpb.ProfileResponse{Held: true, Body: copied.Body, Revision: copied.Revision, AsOf: copied.AsOf}, nil
+}
+
 // Adopt offers records and waits until the view has reached the revision.
 func (server *server) Adopt(ctx context.Context, request *peerpb.AdoptRequest) (*peerpb.AdoptResponse, error) {
 	follower := server.config.Follower
