Make tests fail for each guard of a publication and of a profile read

Cause: dropping the comparison of the head, the insert of the record, or the check that no adopted record is missing behind a profile read failed no test, as another guard or a later record covered each. Change: a test that every put of a publication is conditional, and one that publishes more records than are kept while a profile is read.

--- a/pkg/configuration/follower.go
+++ b/pkg/configuration/follower.go
@@ -74,8 +74,9 @@
 	reads    singleflight.Group
 
 	// mutex guards adoption: one record set is adopted at a time.
-	mutex  sync.Mutex
-	recent []Record
+	mutex       sync.Mutex
+	recent      []Record
+	recentLimit int
 	// adopted is closed and replaced at each adoption.
 	adopted chan struct{}
 	loaded  atomic.Bool
@@ -126,9 +127,11 @@
 		config:   config,
 		profiles: newProfileCache(config.HeldProfiles),
 		adopted:  make(chan struct{}),
-		wake:     make(chan struct{}, 1),
-		cancel:   func() {},
-		done:     make(chan struct{}),
+
+		recentLimit: recentRecords,
+		wake:        make(chan struct{}, 1),
+		cancel:      func() {},
+		done:        make(chan struct{}),
 	}
 	follower.view.Store(newView(follower.profiles))
 	return follower
@@ -216,7 +219,7 @@
 		return err
 	}
 	follower.recent = append(follower.recent, records...)
-	if extra := len(follower.recent) - recentRecords; extra > 0 {
+	if extra := len(follower.recent) - follower.recentLimit; extra > 0 {
 		follower.recent = slices.Delete(follower.recent, 0, extra)
 	}
 	follower.install(next)
--- a/pkg/configuration/follower_test.go
+++ b/pkg/configuration/follower_test.go
@@ -213,23 +213,32 @@
 }
 
 func TestProfileReadWhileItChangesIsNotOlderThanTheView(t *testing.T) {
-	ctx := context.Background()
-	inner := newFaultyTable(1, 0)
-	table := &midwayTable{Table: inner}
-	publisher := NewPublisher(PublisherConfig{Table: inner.Table})
-	profile := Profile{Name: "p", Callers: []string{"x"}, Services: []string{"y"}, Retired: true}
-	_, err := publisher.Publish(ctx, changeOf(t, "op-1", KindProfile, 0, profile))
-	require.NoError(t, err)
-	follower := newFollower(FollowerConfig{Table: table})
-	follower.poll(ctx)
-	table.after = func() {
-		profile.Priority = 5
-		_, err := publisher.Publish(ctx, changeOf(t, "op-2", KindProfile, 1, profile))
-		require.NoError(t, err)
+	for changes := 1; changes <= 4; changes++ {
+		ctx := context.Background()
+		inner := newFaultyTable(1, 0)
+		table := &midwayTable{Table: inner}
+		publisher := NewPublisher(PublisherConfig{Table: inner.Table})
+		publish := func(change Change) {
+			_, err := publisher.Publish(ctx, change)
+			require.NoError(t, err)
+		}
+		profile := Profile{Name: "p", Callers: []string{"x"}, Services: []string{"y"}, Retired: true}
+		publish(changeOf(t, "op-1", KindProfile, 0, profile))
+		follower := newFollower(FollowerConfig{Table: table})
+		follower.recentLimit = 2
 		follower.poll(ctx)
+		table.after = func() {
+			profile.Priority = 5
+			publish(changeOf(t, "op-2", KindProfile, 1, profile))
+			for other := 1; other < changes; other++ {
+				name := fmt.Sprint("s-", other)
+				publish(changeOf(t, name, KindService, 0, Service{Name: name, Protocol: ProtocolPlain}))
+			}
+			follower.poll(ctx)
+		}
+		read, err := follower.Profile(ctx, "p")
+		require.NoError(t, err)
+		require.Equal(t, uint64(changes+1), follower.Revision())
+		require.Equal(t, 5, read.Priority)
 	}
-	read, err := follower.Profile(ctx, "p")
-	require.NoError(t, err)
-	require.Equal(t, uint64(2), follower.Revision())
-	require.Equal(t, 5, read.Priority)
 }
--- a/pkg/configuration/publisher_test.go
+++ b/pkg/configuration/publisher_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 	"gitlab.com/wisterialb/wisterialb/pkg/standin"
 )
 
@@ -88,3 +90,38 @@
 	require.Equal(t, int64(10), profile.LimitTokens)
 	require.Equal(t, uint64(4), view.DocumentRevision(KindProfile, "p"))
 }
+
+// recordingTable keeps the transactions that were sent.
+type recordingTable struct {
+	platform.Table
+	transactions []platform.Transaction
+}
+
+func (table *recordingTable) Transact(ctx context.Context, transaction platform.Transaction) error {
+	table.transactions = append(table.transactions, transaction)
+	return table.Table.Transact(ctx, transaction)
+}
+
+// Head, record, operation id and document each guard against a second writer,
+// so that a history alone does not show when one of them is left unguarded.
+func TestEveryPutOfAPublicationIsConditional(t *testing.T) {
+	table := &recordingTable{Table: standin.NewTable()}
+	publisher := NewPublisher(PublisherConfig{Table: table})
+	for revision := range uint64(2) {
+		service := Service{Name: "s", Protocol: ProtocolModel, Model: fmt.Sprint("m", revision)}
+		_, err := publisher.Publish(context.Background(), changeOf(t, fmt.Sprint("op-", revision), KindService, revision, service))
+		require.NoError(t, err)
+	}
+	guarded := make(map[string]int)
+	for _, transaction := range table.transactions {
+		for _, write := range transaction.Writes {
+			if write.Action == platform.Put {
+				require.NotEqual(t, platform.Always, write.Condition.Kind, "%v", write.Key)
+				guarded[write.Key.Partition]++
+			}
+		}
+	}
+	require.Equal(t, map[string]int{
+		partitionHead: 2, partitionRecord: 2, partitionOperation: 2, partitionUnique: 2, partitionDocument + "service": 2,
+	}, guarded)
+}
