--- a/pkg/configuration/links.go
+++ b/pkg/configuration/links.go
@@ -97,7 +97,7 @@
 	}
 	return fault.New(fault.Config{
 		Kind:    fault.Conflict,
-		Message: fmt.Sprintf("%s is named by %d documents", self, row.Count),
+		Message: fmt.Sprintf("%s is in use; documents that name it: %d", self, row.Count),
 		Remedy:  "change, retire or delete the profiles and upstreams that name it first",
 	})
 }
--- a/pkg/configuration/publication.go
+++ b/pkg/configuration/publication.go
@@ -38,7 +38,6 @@
 		return Record{}, err
 	}
 	if publication.operation.Version != 0 {
-		publication.lost = true
 		return publication.accepted(ctx)
 	}
 	if err := publication.checkExpected(ctx); err != nil {
@@ -96,6 +95,7 @@
 	}
 	record, err := publication.readRecord(ctx, row.Revision)
 	if err != nil {
+		publication.lost = true
 		return Record{}, err
 	}
 	if !sameChange(record.Change, publication.change) {
--- a/pkg/configuration/validate.go
+++ b/pkg/configuration/validate.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"reflect"
 	"strings"
+	"unicode"
 
 	"github.com/go-playground/validator/v10"
 
@@ -211,12 +212,18 @@
 	check(len(change.Reason) <= maxReasonBytes, fmt.Sprintf("reason exceeds %d bytes", maxReasonBytes))
 	check(change.Name != "", "name is empty")
 	check(len(change.Name) <= maxNameBytes, fmt.Sprintf("name exceeds %d bytes", maxNameBytes))
+	check(!strings.ContainsFunc(change.Name, unfitForName), "name has a space, a slash or a character that can't be seen")
 	check(len(change.Body) <= maxBodyBytes, fmt.Sprintf("body exceeds %d bytes", maxBodyBytes))
 	_, stored := kinds[change.Kind]
 	check(stored || change.Kind == KindLimit, fmt.Sprintf("kind %q is unknown", change.Kind))
 	return faults
 }
 
+// unfitForName keeps names readable in logs and usable in paths.
+func unfitForName(character rune) bool {
+	return character == '/' || unicode.IsSpace(character) || !unicode.IsGraphic(character)
+}
+
 func validateLimit(change Change) error {
 	var limit Limit
 	if err := json.Unmarshal(change.Body, &limit); err != nil {
