--- a/pkg/configuration/follower.go
+++ b/pkg/configuration/follower.go
@@ -42,6 +42,9 @@
 	// Records returns records behind a revision, in order, from any router
 	// that has them. No records is no error.
 	Records(ctx context.Context, after uint64) ([]Record, error)
+	// Profile returns a profile as some router holds it. Nil is no error: no
+	// router that was asked holds it.
+	Profile(ctx context.Context, name string) (*ProfileCopy, error)
 }
 
 // FollowerConfig configures a Follower.
@@ -71,8 +74,9 @@
 	reads    singleflight.Group
 
 	// mutex guards adoption: one record set is adopted at a time.
-	mutex  sync.Mutex
-	recent []Record
+	mutex       sync.Mutex
+	recent      []Record
+	recentLimit int
 	// adopted is closed and replaced at each adoption.
 	adopted chan struct{}
 	loaded  atomic.Bool
@@ -123,9 +127,11 @@
 		config:   config,
 		profiles: newProfileCache(config.HeldProfiles),
 		adopted:  make(chan struct{}),
-		wake:     make(chan struct{}, 1),
-		cancel:   func() {},
-		done:     make(chan struct{}),
+
+		recentLimit: recentRecords,
+		wake:        make(chan struct{}, 1),
+		cancel:      func() {},
+		done:        make(chan struct{}),
 	}
 	follower.view.Store(newView(follower.profiles))
 	return follower
@@ -213,7 +219,7 @@
 		return err
 	}
 	follower.recent = append(follower.recent, records...)
-	if extra := len(follower.recent) - recentRecords; extra > 0 {
+	if extra := len(follower.recent) - follower.recentLimit; extra > 0 {
 		follower.recent = slices.Delete(follower.recent, 0, extra)
 	}
 	follower.install(next)
