Resume, retry, queue and drain in the dispatcher

Cause: one attempt without recovery loses every answer whose connection breaks. Change: runs and attempts with recovery at the same upstream, decisions in two tables, an account that keeps all attempts within the reservation, a retry budget, resume tokens bound to their request, metrics and log lines. settings: the default policy gets the name that dispatch has for it, in the example file too.

--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -24,12 +24,17 @@
 	minRetryAfter = 100 * time.Millisecond
 )
 
+// errMaxWait means that a request has waited for Config.MaxWait.
+var errMaxWait = errors.New("the longest wait has passed")
+
 // Config configures a Gate for resources R that demands D ask for.
 type Config[D, R any] struct {
 	// Name is what the resources belong to, for messages.
 	Name string
 	// Capacity bounds the requests that wait.
 	Capacity int
+	// MaxWait is the longest time that a request waits; zero means no bound.
+	MaxWait time.Duration
 	// Take takes a resource. An error that is Full makes the request wait; any
 	// other ends it.
 	Take func(demand D) (R, error)
@@ -87,6 +92,11 @@
 	if err != nil || waiter == nil {
 		return resource, err
 	}
+	if gate.config.MaxWait > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeoutCause(ctx, gate.config.MaxWait, errMaxWait)
+		defer cancel()
+	}
 	select {
 	case grant := <-waiter.grant:
 		return grant.resource, grant.err
@@ -114,6 +124,9 @@
 	if late := gate.late(request.Deadline, wait); late > 0 {
 		return none, nil, nil, gate.overloaded("the wait would pass the deadline", late)
 	}
+	if gate.config.MaxWait > 0 && wait > gate.config.MaxWait {
+		return none, nil, nil, gate.overloaded("the wait would be too long", wait-gate.config.MaxWait)
+	}
 	ticket, evicted, err := gate.waiting.Push(entry)
 	if err != nil {
 		return none, nil, nil, gate.overloaded("too many requests wait", wait)
@@ -189,6 +202,9 @@
 		default:
 		}
 	}
+	if errors.Is(context.Cause(ctx), errMaxWait) {
+		return none, gate.overloaded("the longest wait has passed", gate.duration)
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return none, gate.expired()
 	}
@@ -200,6 +216,13 @@
 	})
 }
 
+// Adopt counts in a resource that is held without Acquire.
+func (gate *Gate[D, R]) Adopt() {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	gate.running++
+}
+
 // Release counts a resource out that was held for the duration and is free
 // again.
 func (gate *Gate[D, R]) Release(duration time.Duration) {
--- a/pkg/dispatch/delivery.go
+++ b/pkg/dispatch/delivery.go
@@ -3,10 +3,17 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
 )
 
+// framingEvents is how many events of a stream may carry no token.
+const framingEvents = 4
+
+// errReservation means that a stream has reached its reservation.
+var errReservation = errors.New("the stream has reached its reservation")
+
 // reportBytes bounds the body in which a usage report is looked for.
 const reportBytes = 1 << 20
 
@@ -27,8 +34,24 @@
 	document []byte
 }
 
+func newDelivery(work Work, sink Sink) *delivery {
+	return &delivery{work: work, sink: sink, position: work.Resume.Position}
+}
+
+// limit returns the greatest position of a stream that its reservation covers,
+// or zero when there is none. Each event stands for one token at least.
+func (delivery *delivery) limit() int64 {
+	if !delivery.work.Model || delivery.work.MaxTokens <= 0 {
+		return 0
+	}
+	return delivery.work.MaxTokens - delivery.work.PromptTokens + framingEvents
+}
+
 // write hands over one part. An error means that the caller is gone.
 func (delivery *delivery) write(head Head, answer *exchange.Answer, part exchange.Part) error {
+	if limit := delivery.limit(); limit > 0 && answer.Stream && part.Position > limit {
+		return errReservation
+	}
 	if err := delivery.begin(head); err != nil {
 		return err
 	}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -6,13 +6,16 @@
 	"time"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/upstream"
 )
 
 // UpstreamDispatcher dispatches work to the upstreams of the configuration.
 type UpstreamDispatcher struct {
-	config Config
-	mutex  sync.Mutex
-	pools  map[string]*pool
+	config   Config
+	metrics  *metrics
+	monitor  *upstream.Monitor
+	mutex    sync.RWMutex
+	services map[string]*service
 	// closing is set when no new work is taken.
 	closing bool
 	running sync.WaitGroup
@@ -22,7 +25,20 @@
 
 // NewDispatcher returns a running dispatcher.
 func NewDispatcher(config Config) *UpstreamDispatcher {
-	return &UpstreamDispatcher{config: config.withDefaults(), pools: make(map[string]*pool)}
+	config = config.withDefaults()
+	dispatcher := &UpstreamDispatcher{
+		config:   config,
+		metrics:  newMetrics(config.Registerer),
+		services: make(map[string]*service),
+	}
+	dispatcher.monitor = upstream.NewMonitor(upstream.MonitorConfig{
+		Pools:    dispatcher.pools,
+		Logger:   config.Logger,
+		Interval: config.PollInterval,
+		Rate:     config.PollRate,
+		Changed:  dispatcher.wake,
+	})
+	return dispatcher
 }
 
 // Dispatch runs the work and writes its answer to the sink. A nil error means
@@ -41,14 +57,16 @@
 		ctx, cancel = context.WithDeadline(ctx, work.Deadline)
 		defer cancel()
 	}
-	run := newRun(dispatcher, dispatcher.pool(work.Service), work, sink)
-	return run.do(ctx)
+	run := newRun(dispatcher, dispatcher.service(work.Service), work, sink)
+	result, err := run.do(ctx)
+	dispatcher.metrics.ended(work.Service, result.Outcome)
+	return result, err
 }
 
 // enter counts a request in unless the dispatcher is closing.
 func (dispatcher *UpstreamDispatcher) enter() bool {
-	dispatcher.mutex.Lock()
-	defer dispatcher.mutex.Unlock()
+	dispatcher.mutex.RLock()
+	defer dispatcher.mutex.RUnlock()
 	if dispatcher.closing {
 		return false
 	}
@@ -56,21 +74,43 @@
 	return true
 }
 
-func (dispatcher *UpstreamDispatcher) pool(service string) *pool {
+func (dispatcher *UpstreamDispatcher) service(name string) *service {
+	dispatcher.mutex.RLock()
+	found, ok := dispatcher.services[name]
+	dispatcher.mutex.RUnlock()
+	if ok {
+		return found
+	}
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
-	found, ok := dispatcher.pools[service]
-	if !ok {
-		found = newPool(dispatcher.config, service)
-		dispatcher.pools[service] = found
+	if found, ok := dispatcher.services[name]; ok {
+		return found
 	}
-	return found
+	created := newService(dispatcher.config, name)
+	dispatcher.services[name] = created
+	dispatcher.metrics.watch(created)
+	return created
+}
+
+func (dispatcher *UpstreamDispatcher) pools() []*upstream.Pool {
+	dispatcher.mutex.RLock()
+	defer dispatcher.mutex.RUnlock()
+	pools := make([]*upstream.Pool, 0, len(dispatcher.services))
+	for _, service := range dispatcher.services {
+		pools = append(pools, service.pool)
+	}
+	return pools
+}
+
+// wake lets waiting requests of the pool's service try again.
+func (dispatcher *UpstreamDispatcher) wake(pool *upstream.Pool) {
+	dispatcher.service(pool.Service()).gate.Wake()
 }
 
 // Pressure returns how full the service's pool is: 0 when idle, 1 when all its
-// slots are taken, and more when work waits.
+// room is taken, and more when work waits.
 func (dispatcher *UpstreamDispatcher) Pressure(service string) float64 {
-	return dispatcher.pool(service).pressure()
+	return dispatcher.service(service).pressure()
 }
 
 // Close refuses new work, waits for running work and releases connections. It
@@ -86,18 +126,17 @@
 	}()
 	select {
 	case <-done:
-		dispatcher.release()
+		dispatcher.monitor.Close()
+		dispatcher.closePools()
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
-func (dispatcher *UpstreamDispatcher) release() {
-	dispatcher.mutex.Lock()
-	defer dispatcher.mutex.Unlock()
-	for _, pool := range dispatcher.pools {
-		pool.close()
+func (dispatcher *UpstreamDispatcher) closePools() {
+	for _, pool := range dispatcher.pools() {
+		pool.Close()
 	}
 }
 
--- a/pkg/dispatch/dispatcher_test.go
+++ b/pkg/dispatch/dispatcher_test.go
@@ -2,18 +2,37 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/datadriven"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
+	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/standin"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	goleak.VerifyTestMain(m)
+}
+
+const (
+	prompt      = "Which ring fits a pot of 22 cm?"
+	promptBound = 64
+	maxTokens   = 12
 )
 
 // collected is a sink that keeps what it is given.
@@ -22,6 +41,8 @@
 	events []Event
 	// limit makes the caller go away behind that many events.
 	limit int
+	// pace is how long the caller takes for an event.
+	pace time.Duration
 }
 
 func (collected *collected) Head(head Head) error {
@@ -30,6 +51,7 @@
 }
 
 func (collected *collected) Event(event Event) error {
+	time.Sleep(collected.pace)
 	collected.events = append(collected.events, event)
 	if len(collected.events) == collected.limit {
 		return errors.New("caller is gone")
@@ -37,75 +59,338 @@
 	return nil
 }
 
-func writeEvents(writer http.ResponseWriter, from, to int) {
-	writer.Header().Set("Content-Type", "text/event-stream")
-	for id := from; id <= to; id++ {
-		fmt.Fprintf(writer, "id: %d\ndata: {\"n\":%d}\n\n", id, id)
+// text joins the chunks' contents.
+func (collected *collected) text() string {
+	var text strings.Builder
+	for _, event := range collected.events {
+		var chunk standin.Completion
+		if json.Unmarshal(event.Data, &chunk) == nil && len(chunk.Choices) > 0 && chunk.Choices[0].Delta != nil {
+			text.WriteString(string(chunk.Choices[0].Delta.Content))
+		}
 	}
-	_ = http.NewResponseController(writer).Flush()
+	return text.String()
 }
 
-func writeEnd(writer http.ResponseWriter, id int) {
-	fmt.Fprintf(writer, "id: %d\ndata: {\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", id, id-1)
+func startEngine(t *testing.T, config standin.EngineConfig) *standin.Engine {
+	t.Helper()
+	if config.TokenInterval == 0 {
+		config.TokenInterval = time.Millisecond
+	}
+	engine, err := standin.NewEngine(config)
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, engine.Close()) })
+	return engine
 }
 
-func startEngine(t *testing.T, handler http.Handler) configuration.Upstream {
-	t.Helper()
-	server := httptest.NewServer(handler)
-	t.Cleanup(server.Close)
-	return configuration.Upstream{Name: "one", Service: "advice", Address: strings.TrimPrefix(server.URL, "http://")}
+func upstreamAt(address string) configuration.Upstream {
+	return configuration.Upstream{Name: address, Service: "advice", Address: address}
+}
+
+// shortBounds keeps the tests short; no verdict depends on their exact length.
+var shortBounds = exchange.ClientConfig{
+	FirstTimeout: 300 * time.Millisecond, BetweenTimeout: 300 * time.Millisecond, ControlTimeout: 300 * time.Millisecond,
 }
 
 func startDispatcher(t *testing.T, config Config, upstreams ...configuration.Upstream) *UpstreamDispatcher {
 	t.Helper()
-	config.Upstreams = func(string) []configuration.Upstream { return upstreams }
+	if config.Upstreams == nil {
+		config.Upstreams = func(string) []configuration.Upstream { return upstreams }
+	}
+	config.Exchange = shortBounds
+	config.PlainTimeout = 300 * time.Millisecond
+	config.Policy = "round_robin"
 	dispatcher := NewDispatcher(config)
 	t.Cleanup(func() { require.NoError(t, dispatcher.Close(context.Background())) })
 	return dispatcher
 }
 
-func modelWork() Work {
+func modelWork(id string) Work {
+	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, maxTokens, prompt)
 	return Work{
-		RequestID: "request-1", Team: "team", Weight: 1, Service: "advice", Model: true, Idempotent: true,
+		RequestID: id, Profile: "homes", Team: "team", Weight: 1, Service: "advice", Model: true, Idempotent: true,
 		Deadline: time.Now().Add(time.Minute), Method: http.MethodPost, Path: "/v1/chat/completions",
-		Body: []byte(`{"stream":true}`), MaxTokens: 1000,
+		Body: []byte(body), PromptTokens: promptBound, MaxTokens: promptBound + maxTokens,
 	}
 }
 
-func TestStreamIsDeliveredWhole(t *testing.T) {
-	upstream := startEngine(t, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-		writeEvents(writer, 1, 4)
-		writeEnd(writer, 5)
+func expectedText() string {
+	return standin.Answer(standin.PromptOf([]standin.Message{{Role: "user", Content: prompt}}), maxTokens)
+}
+
+// tell writes the end of a request in one line.
+func tell(result Result, err error, sink *collected) string {
+	if err != nil {
+		return fmt.Sprintf("%s kind=%s attempts=%d waste_unknown=%t\n", result.Outcome, fault.KindOf(err), len(result.Attempts), result.WasteUnknown)
+	}
+	whole := sink.text() == expectedText() && int64(len(sink.events)) == sink.events[len(sink.events)-1].Position
+	return fmt.Sprintf("%s whole=%t attempts=%d usage=%d waste=%d waste_unknown=%t\n",
+		result.Outcome, whole, len(result.Attempts), result.Usage.Tokens(), result.WasteTokens, result.WasteUnknown)
+}
+
+// TestFaults brings about each failure of an upstream that is named in
+// testdata/faults and compares how the request ends and how often it ran.
+func TestFaults(t *testing.T) {
+	datadriven.RunTest(t, "testdata/faults", func(t *testing.T, data *datadriven.TestData) string {
+		t.Helper()
+		var output string
+		t.Run(strings.ReplaceAll(data.Pos, "/", "_"), func(t *testing.T) {
+			output = faultCommands[data.Cmd](t, data)
+		})
+		return output
+	})
+}
+
+var faultCommands = map[string]func(*testing.T, *datadriven.TestData) string{
+	"stream": streamUnderFault, "silence": silence, "die": die, "refuse": refuse, "plain": plainUnderFault,
+}
+
+func streamUnderFault(t *testing.T, data *datadriven.TestData) string {
+	t.Helper()
+	var kind string
+	data.ScanArgs(t, "fault", &kind)
+	engine := startEngine(t, standin.EngineConfig{})
+	dispatcher := startDispatcher(t, Config{}, upstreamAt(engine.Address()))
+	_, err := dispatcher.Dispatch(t.Context(), modelWork("other"), &collected{})
+	require.NoError(t, err)
+	require.NoError(t, engine.SetFaults(standin.EngineFaults{
+		Streams: map[standin.StreamFault]standin.Chance{standin.StreamFault(kind): {Next: 1}},
 	}))
-	dispatcher := startDispatcher(t, Config{}, upstream)
 	sink := &collected{}
-	result, err := dispatcher.Dispatch(context.Background(), modelWork(), sink)
+	result, err := dispatcher.Dispatch(t.Context(), modelWork("one"), sink)
+	return tell(result, err, sink) + fmt.Sprintf("runs=%d\n", len(engine.Runs())-1)
+}
+
+// silence makes the pooled connection silent before the request is sent.
+func silence(t *testing.T, _ *datadriven.TestData) string {
+	t.Helper()
+	engine := startEngine(t, standin.EngineConfig{})
+	dispatcher := startDispatcher(t, Config{}, upstreamAt(engine.Address()))
+	_, err := dispatcher.Dispatch(t.Context(), modelWork("other"), &collected{})
 	require.NoError(t, err)
-	require.Equal(t, fault.Answered, result.Outcome)
-	require.Equal(t, Usage{PromptTokens: 3, CompletionTokens: 4, Known: true}, result.Usage)
-	require.Len(t, sink.events, 5)
-	require.Equal(t, upstream.Address, sink.head.Resume.Upstream)
+	engine.Silence()
+	sink := &collected{}
+	result, err := dispatcher.Dispatch(t.Context(), modelWork("one"), sink)
+	return tell(result, err, sink) + fmt.Sprintf("runs=%d\n", len(engine.Runs())-1)
 }
 
-func TestCallerGoneCancelsAtTheEngine(t *testing.T) {
-	upstream := startEngine(t, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if strings.HasSuffix(request.URL.Path, "/cancel") {
-			fmt.Fprint(writer, `{"state":"cancelled","prompt_tokens":3,"completion_tokens":2}`)
-			return
+// die closes the engine behind some events, or before any.
+func die(t *testing.T, data *datadriven.TestData) string {
+	t.Helper()
+	var events int
+	data.ScanArgs(t, "events", &events)
+	engine := startEngine(t, standin.EngineConfig{TokenInterval: 20 * time.Millisecond, PrefillPerToken: 20 * time.Millisecond})
+	spare := startEngine(t, standin.EngineConfig{})
+	dispatcher := startDispatcher(t, Config{Upstreams: ordered(engine, spare)})
+	sink := &collected{}
+	work := modelWork("one")
+	if data.HasArg("extend") {
+		work.Extend = func(context.Context, int64) error { return nil }
+	}
+	killer := &killing{Sink: sink, engine: engine, after: events}
+	if events == 0 {
+		go func() {
+			for len(engine.Runs()) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			_ = engine.Close()
+		}()
+	}
+	result, err := dispatcher.Dispatch(t.Context(), work, killer)
+	return tell(result, err, sink) + fmt.Sprintf("spare_runs=%d\n", len(spare.Runs()))
+}
+
+// ordered makes round_robin begin with the first engine.
+func ordered(engines ...*standin.Engine) func(string) []configuration.Upstream {
+	upstreams := make([]configuration.Upstream, 0, len(engines))
+	for _, engine := range engines {
+		upstreams = append(upstreams, upstreamAt(engine.Address()))
+	}
+	first := upstreams[:1]
+	var calls atomic.Int64
+	return func(string) []configuration.Upstream {
+		if calls.Add(1) == 1 {
+			return first
 		}
-		writeEvents(writer, 1, 2)
-		<-request.Context().Done()
-	}))
-	dispatcher := startDispatcher(t, Config{}, upstream)
-	result, err := dispatcher.Dispatch(context.Background(), modelWork(), &collected{limit: 2})
+		return upstreams
+	}
+}
+
+// killing closes the engine behind a number of events.
+type killing struct {
+	Sink
+	engine *standin.Engine
+	after  int
+	seen   int
+}
+
+func (killing *killing) Event(event Event) error {
+	killing.seen++
+	if killing.seen == killing.after {
+		_ = killing.engine.Close()
+	}
+	return killing.Sink.Event(event)
+}
+
+func refuse(t *testing.T, data *datadriven.TestData) string {
+	t.Helper()
+	engines := []*standin.Engine{startEngine(t, standin.EngineConfig{}), startEngine(t, standin.EngineConfig{})}
+	refusing := 0
+	data.ScanArgs(t, "engines", &refusing)
+	for _, engine := range engines[:refusing] {
+		require.NoError(t, engine.SetFaults(standin.EngineFaults{Refuse: true}))
+	}
+	dispatcher := startDispatcher(t, Config{Upstreams: ordered(engines...)})
+	sink := &collected{}
+	result, err := dispatcher.Dispatch(t.Context(), modelWork("one"), sink)
+	return tell(result, err, sink)
+}
+
+func plainUnderFault(t *testing.T, data *datadriven.TestData) string {
+	t.Helper()
+	var faultName, method string
+	data.ScanArgs(t, "fault", &faultName)
+	data.ScanArgs(t, "method", &method)
+	service, err := standin.NewService(standin.ServiceConfig{})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, service.Close()) })
+	dispatcher := startDispatcher(t, Config{}, upstreamAt(service.Address()))
+	work := Work{RequestID: "one", Service: "desk", Method: method, Path: "/orders", Body: []byte("{}"), Idempotent: method == http.MethodGet}
+	_, err = dispatcher.Dispatch(t.Context(), work, &collected{})
+	require.NoError(t, err)
+	switch faultName {
+	case "drop":
+		require.NoError(t, service.SetFaults(standin.ServiceFaults{DropNext: 1}))
+	case "stall":
+		require.NoError(t, service.SetFaults(standin.ServiceFaults{StallNext: 1}))
+	case "silence":
+		service.Silence()
+	case "die":
+		require.NoError(t, service.Close())
+	}
+	before := len(service.Runs().Runs)
+	sink := &collected{}
+	result, err := dispatcher.Dispatch(t.Context(), work, sink)
+	return fmt.Sprintf("%s attempts=%d runs=%d status=%d kind=%s\n",
+		result.Outcome, len(result.Attempts), len(service.Runs().Runs)-before, sink.head.Status, kindOf(err))
+}
+
+func kindOf(err error) string {
+	if err == nil {
+		return "none"
+	}
+	return string(fault.KindOf(err))
+}
+
+func TestCallerGoneCancelsAtTheEngine(t *testing.T) {
+	engine := startEngine(t, standin.EngineConfig{TokenInterval: 20 * time.Millisecond})
+	dispatcher := startDispatcher(t, Config{}, upstreamAt(engine.Address()))
+	result, err := dispatcher.Dispatch(t.Context(), modelWork("one"), &collected{limit: 2})
 	require.Equal(t, fault.OutcomeUnknown, fault.OutcomeOf(err))
-	require.Equal(t, Usage{PromptTokens: 3, CompletionTokens: 2, Known: true}, result.Usage)
+	run := engine.Runs()[0]
+	require.Equal(t, standin.AttemptCancelled, run.State)
+	require.Less(t, run.CompletionTokens, maxTokens)
+	require.Equal(t, Usage{PromptTokens: int64(run.PromptTokens), CompletionTokens: int64(run.CompletionTokens), Known: true}, result.Usage)
+}
+
+func TestSlowCallerGetsTheWholeAnswer(t *testing.T) {
+	engine := startEngine(t, standin.EngineConfig{})
+	dispatcher := startDispatcher(t, Config{}, upstreamAt(engine.Address()))
+	sink := &collected{pace: 2 * shortBounds.BetweenTimeout / maxTokens}
+	_, err := dispatcher.Dispatch(t.Context(), modelWork("one"), sink)
+	require.NoError(t, err)
+	require.Equal(t, expectedText(), sink.text())
+}
+
+func TestStreamPastItsReservationIsCancelled(t *testing.T) {
+	engine := startEngine(t, standin.EngineConfig{TokenInterval: 5 * time.Millisecond})
+	dispatcher := startDispatcher(t, Config{}, upstreamAt(engine.Address()))
+	work := modelWork("one")
+	work.MaxTokens = work.PromptTokens + 2
+	_, err := dispatcher.Dispatch(t.Context(), work, &collected{})
+	require.Equal(t, fault.Upstream, fault.KindOf(err))
+	require.Equal(t, standin.AttemptCancelled, engine.Runs()[0].State)
+}
+
+func TestResumeOnAnotherRouter(t *testing.T) {
+	engine := startEngine(t, standin.EngineConfig{TokenInterval: 5 * time.Millisecond})
+	first := startDispatcher(t, Config{}, upstreamAt(engine.Address()))
+	second := startDispatcher(t, Config{}, upstreamAt(engine.Address()))
+	broken := &collected{}
+	member := first.service("advice").pool.Find(engine.Address())
+	answer, err := member.Client().Send(t.Context(), exchange.Request{
+		Attempt: newAttemptID(modelWork("one")), Method: http.MethodPost, Path: "/v1/chat/completions", Body: modelWork("one").Body, Model: true,
+	})
+	require.NoError(t, err)
+	for range 3 {
+		part, err := answer.Next()
+		require.NoError(t, err)
+		require.NoError(t, broken.Event(Event(part)))
+	}
+	answer.Close()
+	work := modelWork("one")
+	work.Resume = ResumeToken{Upstream: engine.Address(), Attempt: engine.Runs()[0].Attempt, Position: 3}
+	rest := &collected{}
+	_, err = second.Dispatch(t.Context(), work, rest)
+	require.NoError(t, err)
+	require.Equal(t, expectedText(), broken.text()+rest.text())
+	require.Len(t, engine.Runs(), 1)
+
+	work.RequestID = "another"
+	_, err = second.Dispatch(t.Context(), work, &collected{})
+	require.Equal(t, fault.Invalid, fault.KindOf(err), "a token served another request")
 }
 
-func TestRefusedConnectionIsNotRun(t *testing.T) {
-	upstream := configuration.Upstream{Name: "gone", Service: "advice", Address: "127.0.0.1:1"}
-	dispatcher := startDispatcher(t, Config{}, upstream)
-	result, err := dispatcher.Dispatch(context.Background(), modelWork(), &collected{})
+func TestDrainingUpstreamGetsNoNewWork(t *testing.T) {
+	engines := []*standin.Engine{startEngine(t, standin.EngineConfig{}), startEngine(t, standin.EngineConfig{})}
+	both := []configuration.Upstream{upstreamAt(engines[0].Address()), upstreamAt(engines[1].Address())}
+	drained := []configuration.Upstream{both[0], both[1]}
+	drained[0].Draining = true
+	var current atomic.Pointer[[]configuration.Upstream]
+	current.Store(&both)
+	var leaving atomic.Bool
+	dispatcher := startDispatcher(t, Config{
+		Upstreams: func(string) []configuration.Upstream { return *current.Load() },
+		Leaving:   func(address string) bool { return leaving.Load() && address == both[1].Address },
+	})
+	var group sync.WaitGroup
+	for index := range 8 {
+		group.Go(func() {
+			sink := &collected{}
+			_, err := dispatcher.Dispatch(t.Context(), modelWork(fmt.Sprint("load-", index)), sink)
+			if err != nil || sink.text() != expectedText() {
+				t.Errorf("work that ran while its upstream began to drain was cut off: %v", err)
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return len(engines[0].Runs()) == 4 }, time.Minute, time.Millisecond)
+	current.Store(&drained)
+	before := len(engines[0].Runs())
+	for index := range 4 {
+		_, err := dispatcher.Dispatch(t.Context(), modelWork(fmt.Sprint("later-", index)), &collected{})
+		require.NoError(t, err)
+	}
+	require.Len(t, engines[0].Runs(), before)
+	group.Wait()
+	leaving.Store(true)
+	_, err := dispatcher.Dispatch(t.Context(), modelWork("last"), &collected{})
+	require.Equal(t, fault.Unavailable, fault.KindOf(err))
 	require.Equal(t, fault.NotRun, fault.OutcomeOf(err))
+}
+
+func TestCloseWaitsForRunningWork(t *testing.T) {
+	engine := startEngine(t, standin.EngineConfig{TokenInterval: 5 * time.Millisecond})
+	upstreams := []configuration.Upstream{upstreamAt(engine.Address())}
+	dispatcher := NewDispatcher(Config{Upstreams: func(string) []configuration.Upstream { return upstreams }})
+	sink, done := &collected{}, make(chan error, 1)
+	go func() {
+		_, err := dispatcher.Dispatch(context.Background(), modelWork("one"), sink)
+		done <- err
+	}()
+	require.Eventually(t, func() bool { return len(engine.Runs()) == 1 }, time.Minute, time.Millisecond)
+	require.NoError(t, dispatcher.Close(context.Background()))
+	require.NoError(t, <-done)
+	require.Equal(t, expectedText(), sink.text())
+	result, err := dispatcher.Dispatch(context.Background(), modelWork("two"), &collected{})
+	require.Equal(t, fault.Draining, fault.KindOf(err))
 	require.Equal(t, fault.NotRun, result.Outcome)
 }
--- a/pkg/dispatch/work.go
+++ b/pkg/dispatch/work.go
@@ -1,6 +1,12 @@
 // Package dispatch takes an admitted request to an upstream: it waits in a
 // fair queue, chooses the upstream, runs attempts, and resumes or retries them
 // where the promises allow it.
+//
+// The flow: UpstreamDispatcher.Dispatch makes a run; the run takes a member of
+// the service's pool through the gate and makes an attempt; the attempt sends
+// the request, hands the answer to the delivery, and recovers a broken answer at
+// the same upstream; when that fails the run settles what the attempt has used
+// and decides by the table in retry.go whether another attempt is allowed.
 package dispatch
 
 import (
@@ -36,6 +42,12 @@
 	PrefixHash uint64
 	// MaxTokens is the reservation; a stream that reaches it is cancelled.
 	MaxTokens int64
+	// PromptTokens is an upper bound of the prompt's tokens, a part of
+	// MaxTokens. Zero means not known.
+	PromptTokens int64
+	// Extend adds tokens to the reservation for a further attempt, after one
+	// whose usage is not known. Nil or an error means that none are added.
+	Extend func(ctx context.Context, tokens int64) error
 	// Resume continues an earlier attempt when it is not empty.
 	Resume ResumeToken
 }
@@ -101,7 +113,9 @@
 	WasteTokens int64
 	// WasteUnknown is set when an abandoned attempt may have used more.
 	WasteUnknown bool
-	Attempts     []AttemptRecord
+	// ExtendedTokens were added to the reservation by Work.Extend.
+	ExtendedTokens int64
+	Attempts       []AttemptRecord
 }
 
 // Dispatcher runs work.
--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -55,9 +55,7 @@
 // start begins the bound on silence.
 func (answer *Answer) start(ctx context.Context) {
 	answer.ctx, answer.cancel = context.WithCancelCause(ctx)
-	if !answer.opening.patient {
-		answer.timer = time.AfterFunc(answer.config.FirstTimeout, func() { answer.cancel(errStalled) })
-	}
+	answer.timer = time.AfterFunc(answer.timeout(), func() { answer.cancel(errStalled) })
 }
 
 func (answer *Answer) gotConnection(info httptrace.GotConnInfo) {
@@ -83,10 +81,19 @@
 	}
 }
 
-// own reports whether the answer belongs to the attempt.
+// own reports whether the answer belongs to the attempt. A stream of a model
+// engine has to say so.
 func (answer *Answer) own() bool {
 	named := answer.Header.Get(HeaderAttempt)
-	return named == "" || named == answer.opening.attempt
+	if named == "" {
+		return !answer.Stream || !answer.opening.named
+	}
+	return named == answer.opening.attempt
+}
+
+// Resumed reports whether the answer is that of Client.Resume.
+func (answer *Answer) Resumed() bool {
+	return answer.opening.resumed
 }
 
 // Repeated returns how many duplicate events were dropped.
@@ -99,7 +106,7 @@
 	if answer.whole {
 		return Part{}, io.EOF
 	}
-	answer.watch(answer.betweenTimeout())
+	answer.timer.Reset(answer.timeout())
 	defer answer.unwatch()
 	if answer.Stream {
 		return answer.nextEvent()
@@ -107,24 +114,21 @@
 	return answer.nextPiece()
 }
 
-func (answer *Answer) betweenTimeout() time.Duration {
-	if answer.position == answer.opening.after {
+// timeout is the bound on silence before the next part.
+func (answer *Answer) timeout() time.Duration {
+	switch {
+	case answer.opening.timeout > 0:
+		return answer.opening.timeout
+	case answer.position == answer.opening.after:
 		return answer.config.FirstTimeout
-	}
-	return answer.config.BetweenTimeout
-}
-
-func (answer *Answer) watch(timeout time.Duration) {
-	if answer.timer != nil {
-		answer.timer.Reset(timeout)
+	default:
+		return answer.config.BetweenTimeout
 	}
 }
 
 // unwatch stops the bound while the caller is busy with a part.
 func (answer *Answer) unwatch() {
-	if answer.timer != nil {
-		answer.timer.Stop()
-	}
+	answer.timer.Stop()
 }
 
 func (answer *Answer) nextEvent() (Part, error) {
--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -125,10 +125,12 @@
 	Path   string
 	Header http.Header
 	Body   []byte
-	// Patient requests have no bound on silence but the context's.
-	Patient bool
-	// Model is set when the answer has to name the attempt.
+	// Timeout takes the place of the client's bounds on silence unless it is zero.
+	Timeout time.Duration
+	// Model is set when a stream has to name the attempt.
 	Model bool
+	// Fresh requests get a new connection, which is closed behind the answer.
+	Fresh bool
 }
 
 // onceBody is a body that the transport can't rewind. Without it net/http
@@ -154,8 +156,9 @@
 	message.ContentLength = int64(len(request.Body))
 	message.Header = forwarded(request.Header)
 	message.Header.Set(HeaderAttempt, request.Attempt)
+	message.Close = request.Fresh
 	message.Header.Set(HeaderPriority, strconv.Itoa(request.Priority))
-	return client.open(ctx, message, opening{attempt: request.Attempt, patient: request.Patient, named: request.Model})
+	return client.open(ctx, message, opening{attempt: request.Attempt, timeout: request.Timeout, named: request.Model})
 }
 
 // Resume reopens the stream of an attempt behind a position.
@@ -165,15 +168,19 @@
 	if err != nil {
 		return nil, &Error{Reason: ReasonConnect, Err: err}
 	}
-	return client.open(ctx, message, opening{attempt: attempt, after: after, named: true})
+	return client.open(ctx, message, opening{attempt: attempt, after: after, named: true, resumed: true})
 }
 
 // opening says what is known of an answer before it arrives.
 type opening struct {
 	attempt string
 	after   int64
-	patient bool
-	named   bool
+	// timeout is zero when the client's bounds on silence apply.
+	timeout time.Duration
+	// named is set when a stream has to name the attempt.
+	named bool
+	// resumed is set when the attempt was sent before.
+	resumed bool
 }
 
 // open sends the message and waits for the answer's head.
--- a/pkg/settings/default.go
+++ b/pkg/settings/default.go
@@ -13,7 +13,7 @@
 		PollInterval:   time.Second,
 		ClaimRetention: 24 * time.Hour,
 		DrainTimeout:   30 * time.Second,
-		Policy:         "prefix",
+		Policy:         "prefix_affinity",
 		Queue:          Queue{Length: 512, Wait: 30 * time.Second},
 		Stall:          Stall{FirstToken: 20 * time.Second, BetweenTokens: 5 * time.Second},
 		Bounds:         Bounds{BodyBytes: 4 << 20, HeaderBytes: 32 << 10, Connections: 4096},
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -173,6 +173,15 @@
 	pool.set.place(member, now)
 }
 
+// Refused reports that the member refused an attempt for its load.
+func (pool *Pool) Refused(member *Member) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	now := pool.config.Now()
+	member.limiter.decrease(sample{inFlight: member.inFlight, now: now, floor: float64(pool.config.Limit.Min)})
+	pool.set.place(member, now)
+}
+
 // Verdict says what the end of an attempt tells of the upstream.
 type Verdict int
 
@@ -280,6 +289,24 @@
 	pool.set.replace(healthy, pool.config.Now())
 }
 
+// Service returns the name of the service.
+func (pool *Pool) Service() string {
+	return pool.config.Service
+}
+
+// Ejected returns the number of ejected members.
+func (pool *Pool) Ejected() int {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	ejected := 0
+	for _, member := range pool.members {
+		if member.ejected {
+			ejected++
+		}
+	}
+	return ejected
+}
+
 // Pressure returns the attempts, and waiting besides, for the room of the pool.
 func (pool *Pool) Pressure(waiting int) float64 {
 	pool.mutex.Lock()
