Test the exchange: late answers, cut streams, repeats, seals, fuzzing

Change: tests for abandoned connections, pooled ones, net/http's own repeats, refused, sealed, foreign, stalled and undelimited answers; a fuzz test.

--- /dev/null
+++ b/pkg/exchange/exchange_test.go
@@ -0,0 +1,331 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	goleak.VerifyTestMain(m)
+}
+
+func startServer(t *testing.T, handler http.HandlerFunc) (*Client, *httptest.Server) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	client := NewClient(ClientConfig{
+		Address: server.Listener.Addr().String(), FirstTimeout: 200 * time.Millisecond, BetweenTimeout: 200 * time.Millisecond,
+	})
+	t.Cleanup(func() {
+		client.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return client, server
+}
+
+func modelRequest(attempt string) Request {
+	return Request{Attempt: attempt, Method: http.MethodPost, Path: "/v1/chat/completions", Body: []byte("{}"), Model: true}
+}
+
+// readAll reads parts until the answer ends and returns their data and the end.
+func readAll(answer *Answer) ([]string, error) {
+	var parts []string
+	for {
+		part, err := answer.Next()
+		if err != nil {
+			return parts, err
+		}
+		parts = append(parts, string(part.Data))
+	}
+}
+
+func beginStream(writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set("Content-Type", "text/event-stream")
+	writer.Header().Set(HeaderAttempt, request.Header.Get(HeaderAttempt))
+}
+
+// The late answer of an abandoned attempt must not reach the next attempt: the
+// engine writes it while the next request is under way.
+func TestConnectionOfAnAbandonedAttemptIsNeverUsedAgain(t *testing.T) {
+	late := make(chan struct{})
+	var connections atomic.Int64
+	client, _ := startServer(t, func(writer http.ResponseWriter, request *http.Request) {
+		beginStream(writer, request)
+		fmt.Fprintf(writer, "id: 1\ndata: of %s\n\n", request.Header.Get(HeaderAttempt))
+		_ = http.NewResponseController(writer).Flush()
+		if request.Header.Get(HeaderAttempt) == "abandoned" {
+			<-late
+		}
+		fmt.Fprintf(writer, "id: 2\ndata: late of %s\n\ndata: [DONE]\n\n", request.Header.Get(HeaderAttempt))
+	})
+	count := func(attempt string) *Answer {
+		answer, err := client.Send(t.Context(), modelRequest(attempt))
+		require.NoError(t, err)
+		connections.Add(1)
+		return answer
+	}
+	abandoned := count("abandoned")
+	_, err := abandoned.Next()
+	require.NoError(t, err)
+	used := abandoned.connection
+	abandoned.Close()
+	for index := range 20 {
+		answer := count(fmt.Sprint("next-", index))
+		require.NotSame(t, used, answer.connection)
+		parts, err := readAll(answer)
+		require.ErrorIs(t, err, io.EOF)
+		require.Equal(t, []string{fmt.Sprint("of next-", index), fmt.Sprint("late of next-", index)}, parts)
+		answer.Close()
+	}
+	close(late)
+}
+
+func TestWholeAnswersShareAConnection(t *testing.T) {
+	client, _ := startServer(t, func(writer http.ResponseWriter, request *http.Request) {
+		beginStream(writer, request)
+		fmt.Fprint(writer, "id: 1\ndata: a\n\ndata: [DONE]\n\n")
+	})
+	var used *connection
+	for index := range 5 {
+		answer, err := client.Send(t.Context(), modelRequest(fmt.Sprint(index)))
+		require.NoError(t, err)
+		_, err = readAll(answer)
+		require.ErrorIs(t, err, io.EOF)
+		answer.Close()
+		if used != nil {
+			require.Same(t, used, answer.connection)
+		}
+		used = answer.connection
+	}
+	client.Renew()
+	answer, err := client.Send(t.Context(), modelRequest("renewed"))
+	require.NoError(t, err)
+	require.NotSame(t, used, answer.connection)
+	answer.Close()
+}
+
+// Without care net/http sends a request with an Idempotency-Key again by itself
+// when a pooled connection breaks before the answer.
+func TestTransportNeverRepeatsARequest(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		var runs atomic.Int64
+		client, _ := startServer(t, func(_ http.ResponseWriter, request *http.Request) {
+			if request.URL.Path == "/warm" {
+				return
+			}
+			runs.Add(1)
+			panic(http.ErrAbortHandler)
+		})
+		request := Request{Attempt: "1", Method: method, Header: http.Header{"Idempotency-Key": {"1"}}}
+		request.Path = "/warm"
+		answer, err := client.Send(t.Context(), request)
+		require.NoError(t, err)
+		_, err = readAll(answer)
+		require.ErrorIs(t, err, io.EOF)
+		answer.Close()
+		request.Path = "/orders"
+		_, err = client.Send(t.Context(), request)
+		require.Equal(t, ReasonClosed, ErrorOf(err).Reason)
+		require.True(t, ErrorOf(err).Started)
+		require.EqualValues(t, 1, runs.Load())
+	}
+}
+
+func TestRefusedConnectionHasNotStarted(t *testing.T) {
+	client, server := startServer(t, func(http.ResponseWriter, *http.Request) {})
+	server.Close()
+	_, err := client.Send(t.Context(), modelRequest("1"))
+	require.Equal(t, ReasonConnect, ErrorOf(err).Reason)
+	require.False(t, ErrorOf(err).Started)
+}
+
+func TestSealedConnectionSendsNothingMore(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	defer near.Close()
+	sealed := &connection{Conn: near}
+	sealed.take()
+	require.False(t, sealed.seal())
+	_, err := sealed.Write([]byte("late"))
+	require.ErrorIs(t, err, net.ErrClosed)
+}
+
+// faultyStreams are the streams that aren't whole, and how they end.
+var faultyStreams = []struct {
+	body   string
+	parts  int
+	reason Reason
+}{
+	{body: "id: 1\ndata: a\n\n", parts: 1, reason: ReasonTruncated},
+	{body: "id: 1\ndata: a\n\nid: 2\nda", parts: 1, reason: ReasonTruncated},
+	{body: "id: 1\ndata: a\n\ndata: [DONE]\n", parts: 1, reason: ReasonTruncated},
+	{body: "id: 1\ndata: a\n\nid: 3\ndata: c\n\ndata: [DONE]\n\n", parts: 1, reason: ReasonDisorder},
+	{body: "id: 1\ndata: a\n\ndata: unnumbered\n\ndata: [DONE]\n\n", parts: 1, reason: ReasonDisorder},
+	{body: "id: x\ndata: a\n\n", parts: 0, reason: ReasonDisorder},
+	{body: "id: 1\ndata: " + strings.Repeat("a", MaxEventBytes+1) + "\n\n", parts: 0, reason: ReasonOversized},
+}
+
+func TestFaultyStreamsAreNotWhole(t *testing.T) {
+	for _, faulty := range faultyStreams {
+		client, _ := startServer(t, func(writer http.ResponseWriter, request *http.Request) {
+			beginStream(writer, request)
+			fmt.Fprint(writer, faulty.body)
+		})
+		answer, err := client.Send(t.Context(), modelRequest("1"))
+		require.NoError(t, err)
+		parts, err := readAll(answer)
+		answer.Close()
+		require.Len(t, parts, faulty.parts)
+		require.Equal(t, faulty.reason, ErrorOf(err).Reason, "%.40s", faulty.body)
+	}
+}
+
+func TestForeignAndUnnamedStreamsAreRefused(t *testing.T) {
+	for _, name := range []string{"another", ""} {
+		client, _ := startServer(t, func(writer http.ResponseWriter, request *http.Request) {
+			beginStream(writer, request)
+			writer.Header().Set(HeaderAttempt, name)
+			fmt.Fprint(writer, "id: 1\ndata: a\n\ndata: [DONE]\n\n")
+		})
+		_, err := client.Send(t.Context(), modelRequest("1"))
+		require.Equal(t, ReasonForeign, ErrorOf(err).Reason)
+	}
+}
+
+func TestStallIsNoticedAndACallersLeavingIsNot(t *testing.T) {
+	client, _ := startServer(t, func(writer http.ResponseWriter, request *http.Request) {
+		beginStream(writer, request)
+		fmt.Fprint(writer, "id: 1\ndata: a\n\n")
+		_ = http.NewResponseController(writer).Flush()
+		<-request.Context().Done()
+	})
+	answer, err := client.Send(t.Context(), modelRequest("1"))
+	require.NoError(t, err)
+	_, err = readAll(answer)
+	answer.Close()
+	require.Equal(t, ReasonStalled, ErrorOf(err).Reason)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	answer, err = client.Send(ctx, modelRequest("2"))
+	require.NoError(t, err)
+	cancel()
+	_, err = readAll(answer)
+	answer.Close()
+	require.Equal(t, ReasonCancelled, ErrorOf(err).Reason)
+}
+
+// A body whose end is only the end of the connection can't be told from a cut one.
+func TestUndelimitedBodyIsNotWhole(t *testing.T) {
+	client, _ := startServer(t, func(writer http.ResponseWriter, _ *http.Request) {
+		conn, stream, err := http.NewResponseController(writer).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = stream.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbooked")
+		_ = stream.Flush()
+	})
+	answer, err := client.Send(t.Context(), Request{Attempt: "1", Method: http.MethodGet, Path: "/"})
+	require.NoError(t, err)
+	defer answer.Close()
+	_, err = readAll(answer)
+	require.Equal(t, ReasonTruncated, ErrorOf(err).Reason)
+}
+
+// Events survive any cutting of the stream into reads.
+func TestScannerAgainstWriter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lines := rapid.SliceOfN(rapid.StringMatching(`[a-z "{}:]{1,40}`), 1, 20).Draw(t, "events")
+		var stream bytes.Buffer
+		for index, line := range lines {
+			fmt.Fprintf(&stream, ": comment\r\nid: %d\ndata: %s\n\n", index+1, line)
+		}
+		size := rapid.IntRange(1, 7).Draw(t, "read size")
+		scanner := newScanner(&chunked{reader: &stream, size: size})
+		for index, line := range lines {
+			event, err := scanner.next()
+			require.NoError(t, err)
+			require.Equal(t, int64(index+1), event.id)
+			require.Equal(t, line, string(event.data))
+		}
+		_, err := scanner.next()
+		require.ErrorIs(t, err, io.EOF)
+	})
+}
+
+// chunked reads a few bytes at a time.
+type chunked struct {
+	reader io.Reader
+	size   int
+}
+
+func (chunked *chunked) Read(buffer []byte) (int, error) {
+	return chunked.reader.Read(buffer[:min(len(buffer), chunked.size)])
+}
+
+// FuzzScanner checks that no stream yields an event larger than the bound, an
+// event without a blank line behind it, or an endless loop.
+func FuzzScanner(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\ndata: [DONE]\n\n"))
+	f.Add([]byte(": c\r\nid:2\r\ndata:a\r\ndata: b\r\n\r\n"))
+	f.Add([]byte("data\n\nid: -1\n\n"))
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		scanner := newScanner(bytes.NewReader(stream))
+		blank := bytes.Count(stream, []byte("\n\n")) + bytes.Count(stream, []byte("\n\r\n"))
+		if bytes.HasPrefix(stream, []byte("\n")) || bytes.HasPrefix(stream, []byte("\r\n")) {
+			blank++
+		}
+		events := 0
+		for {
+			event, err := scanner.next()
+			if err != nil {
+				break
+			}
+			events++
+			require.NotNil(t, event.data)
+			require.LessOrEqual(t, len(event.data), MaxEventBytes)
+			require.GreaterOrEqual(t, event.id, int64(0))
+		}
+		require.LessOrEqual(t, events, blank)
+	})
+}
+
+// BenchmarkNext is the cost of one event of a stream, without the network.
+func BenchmarkNext(b *testing.B) {
+	event := "id: %d\ndata: {\"id\":\"chatcmpl-1\",\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\" ring\"}}]}\n\n"
+	reader, writer := io.Pipe()
+	go func() {
+		buffered := bufio.NewWriterSize(writer, 1<<16)
+		for id := 1; ; id++ {
+			if _, err := fmt.Fprintf(buffered, event, id); err != nil {
+				return
+			}
+		}
+	}()
+	scanner := newScanner(reader)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := scanner.next(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	_ = reader.CloseWithError(errors.New("done"))
+}
