--- a/pkg/load/caller.go
+++ b/pkg/load/caller.go
@@ -89,9 +89,11 @@
 }
 
 func newCaller(config Config) *caller {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	if config.Dial == nil {
+		config.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	client := &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         config.Dial,
 		MaxIdleConnsPerHost: config.MaxInFlight,
 		DisableCompression:  true,
 	}}
--- a/pkg/load/config.go
+++ b/pkg/load/config.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
@@ -88,6 +89,8 @@
 	// Direct sends completions straight to Entries as to engines, in turn, to
 	// tell a router's own cost.
 	Direct bool
+	// Dial opens the callers' connections; nil means the usual way.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// JSON writes the report as JSON in place of a table.
 	JSON bool
 }
--- a/pkg/standin/endpoint.go
+++ b/pkg/standin/endpoint.go
@@ -8,7 +8,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,7 +43,7 @@
 		})
 	}
 	endpoint := &endpoint{
-		listener: &silentListener{Listener: listener, conns: make(map[*silentConn]struct{})},
+		listener: &silentListener{Listener: listener},
 		server:   &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout},
 		served:   make(chan struct{}),
 	}
@@ -72,7 +71,7 @@
 func (endpoint *endpoint) address() string { return endpoint.listener.Addr().String() }
 
 // silence makes all open connections silent for good.
-func (endpoint *endpoint) silence() { endpoint.listener.silence() }
+func (endpoint *endpoint) silence() { endpoint.listener.conns.silence() }
 
 // close ends the listener and all connections.
 func (endpoint *endpoint) close() error {
@@ -86,8 +85,7 @@
 
 type silentListener struct {
 	net.Listener
-	mutex sync.Mutex
-	conns map[*silentConn]struct{}
+	conns connSet
 }
 
 // Accept wraps the next connection.
@@ -96,32 +94,14 @@
 	if err != nil {
 		return nil, err
 	}
-	wrapped := &silentConn{Conn: conn, listener: listener}
-	listener.mutex.Lock()
-	defer listener.mutex.Unlock()
-	listener.conns[wrapped] = struct{}{}
-	return wrapped, nil
-}
-
-func (listener *silentListener) silence() {
-	listener.mutex.Lock()
-	defer listener.mutex.Unlock()
-	for conn := range listener.conns {
-		conn.silent.Store(true)
-	}
-}
-
-func (listener *silentListener) forget(conn *silentConn) {
-	listener.mutex.Lock()
-	defer listener.mutex.Unlock()
-	delete(listener.conns, conn)
+	return listener.conns.wrap(conn), nil
 }
 
 // silentConn drops what passes through it once silent is set.
 type silentConn struct {
 	net.Conn
-	listener *silentListener
-	silent   atomic.Bool
+	owner  *connSet
+	silent atomic.Bool
 }
 
 // Read returns what the other end sent, or drops it on a silent connection.
@@ -144,6 +124,6 @@
 
 // Close closes the connection.
 func (conn *silentConn) Close() error {
-	conn.listener.forget(conn)
+	conn.owner.forget(conn)
 	return conn.Conn.Close()
 }
