Let tests cut a router off as a crash does

Cause: a router that is shut down settles, cancels its attempts and returns its grants, so a shutdown tells nothing about a death. Change: router.Config.Dial opens the connections to upstreams and peers, platform.ClientConfig.Dial those to the platform; standin.Dialer.Kill cuts them; Router.Abort cuts the callers; demo.Fleet gets KillRouter. The load mix leaves out non-idempotent completions, which routers refuse. Conclusion: deaths in one process leave upstreams and platform as a dead process would.

--- a/pkg/demo/fleet.go
+++ b/pkg/demo/fleet.go
@@ -68,6 +68,9 @@
 	*router.Router
 	Settings settings.Settings
 	Registry *prometheus.Registry
+	// Dialer opens all connections of the router.
+	Dialer *standin.Dialer
+	ended  bool
 }
 
 // StartFleet starts the stand-ins and the routers. Nothing is published yet.
@@ -118,20 +121,23 @@
 		return err
 	}
 	registry := prometheus.NewRegistry()
+	dialer := &standin.Dialer{}
 	running, err := router.New(router.Config{
 		Settings: config,
 		Platform: platform.Dial(platform.ClientConfig{
 			Address: config.Platform.Address,
 			Timeout: config.Platform.Timeout,
 			Name:    config.CallerAddress,
+			Dial:    dialer.DialContext,
 		}),
 		Logger:   log.With(fleet.config.Logger, "router", index+1),
 		Registry: registry,
+		Dial:     dialer.DialContext,
 	})
 	if err != nil {
 		return err
 	}
-	node := &Node{Router: running, Settings: config, Registry: registry}
+	node := &Node{Router: running, Settings: config, Registry: registry, Dialer: dialer}
 	if index < len(fleet.Routers) {
 		fleet.Routers[index] = node
 		return nil
@@ -164,10 +170,22 @@
 	return config, nil
 }
 
+// KillRouter ends the router of a place as a crash does. StartRouter starts one
+// in its place.
+func (fleet *Fleet) KillRouter(index int) {
+	node := fleet.Routers[index]
+	node.ended = true
+	node.Dialer.Kill()
+	node.Abort()
+}
+
 // Close shuts the routers down and closes the stand-ins.
 func (fleet *Fleet) Close(ctx context.Context) error {
 	var errs []error
 	for _, node := range fleet.Routers {
+		if node.ended {
+			continue
+		}
 		_, err := node.Shutdown(ctx)
 		errs = append(errs, err)
 	}
--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -44,6 +44,8 @@
 	IdleTimeout time.Duration
 	// MaxIdle bounds the unused connections.
 	MaxIdle int
+	// Dial opens connections; nil means the usual way.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Defaults of ClientConfig.
@@ -89,10 +91,13 @@
 }
 
 func (client *Client) newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: client.config.ConnectTimeout}
+	dial := client.config.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: client.config.ConnectTimeout}).DialContext
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/pkg/load/plan.go
+++ b/pkg/load/plan.go
@@ -18,8 +18,6 @@
 const (
 	// KindStream is a streamed completion that may be run again.
 	KindStream Kind = "stream"
-	// KindDraft is a streamed completion that must not be run again.
-	KindDraft Kind = "draft"
 	// KindWhole is a completion that is answered at once.
 	KindWhole Kind = "whole"
 	// KindBooking is an order that must not be run again.
@@ -37,7 +35,6 @@
 
 var kinds = map[Kind]kindRow{
 	KindStream:  {model: true, stream: true, idempotent: true},
-	KindDraft:   {model: true, stream: true},
 	KindWhole:   {model: true, idempotent: true},
 	KindBooking: {},
 	KindLookup:  {idempotent: true},
@@ -48,7 +45,7 @@
 
 // Mixes is the one table of mixes; a new mix is one row.
 var Mixes = map[string]Mix{
-	"mixed":    {KindStream: 6, KindDraft: 1, KindWhole: 1, KindBooking: 1, KindLookup: 1},
+	"mixed":    {KindStream: 7, KindWhole: 1, KindBooking: 1, KindLookup: 1},
 	"model":    {KindStream: 1},
 	"bookings": {KindBooking: 1},
 	"desk":     {KindBooking: 1, KindLookup: 3},
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -38,6 +38,8 @@
 	Members func() []fleet.Member
 	// Self is the incarnation of this router, which is never asked.
 	Self string
+	// Dial opens connections; nil means the usual way.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Client speaks to other routers.
@@ -58,9 +60,11 @@
 	if config.Members == nil {
 		config.Members = func() []fleet.Member { return nil }
 	}
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	if config.Dial == nil {
+		config.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	base := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         config.Dial,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     idleTimeout,
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -37,6 +37,8 @@
 	Timeout time.Duration
 	// Name is sent with each call to tell clients apart; it may be empty.
 	Name string
+	// Dial opens connections; nil means the usual way.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// HTTPClient sends the calls; nil means one of the client's own.
 	HTTPClient *http.Client
 }
@@ -57,7 +59,7 @@
 		config.Timeout = defaultTimeout
 	}
 	if config.HTTPClient == nil {
-		config.HTTPClient = newHTTPClient()
+		config.HTTPClient = newHTTPClient(config.Dial)
 	}
 	link := &link{httpClient: config.HTTPClient, timeout: config.Timeout}
 	base := "http://" + config.Address
@@ -82,10 +84,12 @@
 // Close closes the idle connections.
 func (client *Client) Close() { client.link.httpClient.CloseIdleConnections() }
 
-func newHTTPClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newHTTPClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConns,
--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -56,6 +57,9 @@
 	Logger   log.Logger
 	// Registry receives the metrics and is served at /metrics.
 	Registry *prometheus.Registry
+	// Dial opens connections to upstreams and other routers; nil means the
+	// usual way.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // assembly is a router being built.
@@ -121,6 +125,7 @@
 		Key:     []byte(build.settings.PeerKey),
 		Members: func() []fleet.Member { return build.membership.Members() },
 		Self:    build.incarnation,
+		Dial:    build.given.Dial,
 	})
 	build.ledger = budget.NewLedger(budget.LedgerConfig{Table: build.table})
 	build.publisher = configuration.NewPublisher(configuration.PublisherConfig{
@@ -185,6 +190,7 @@
 		Exchange: exchange.ClientConfig{
 			FirstTimeout:   build.settings.Stall.FirstToken,
 			BetweenTimeout: build.settings.Stall.BetweenTokens,
+			Dial:           build.given.Dial,
 		},
 	})
 	build.ranker = entry.NewRanker(entry.RankerConfig{
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -107,6 +107,16 @@
 	return cut, err
 }
 
+// Abort ends the router as a crash does: callers are cut off, and nothing is
+// settled, returned or handed over on purpose. It is for tests of failures, which
+// also have to cut the router's outgoing connections.
+func (router *Router) Abort() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	router.server.Load().Shutdown(ctx)
+	_ = router.closeParts(ctx)
+}
+
 func (router *Router) closeParts(ctx context.Context) error {
 	if err := router.dispatcher.Close(ctx); err != nil {
 		router.warn("event", "dispatcher_close_failed", "err", err)
