Run a whole fleet with failures and audit its ledger

Cause: the promises hold between routers, so they have to be tried on a fleet. Change: pkg/testbed starts the demonstration's fleet with teams, drives load through it, breaks it on a seeded schedule and compares results, ledger and the upstreams' record.

--- a/pkg/load/config.go
+++ b/pkg/load/config.go
@@ -91,6 +91,8 @@
 	Direct bool
 	// Dial opens the callers' connections; nil means the usual way.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Observe is given each result when its request has ended; nil ignores them.
+	Observe func(Result)
 	// JSON writes the report as JSON in place of a table.
 	JSON bool
 }
--- a/pkg/load/record.go
+++ b/pkg/load/record.go
@@ -45,12 +45,13 @@
 // of returns how often the request ran. Lookups leave no record.
 func (index index) of(result Result) int {
 	if kinds[result.Request.Kind].model {
-		return len(index.runs[promptHash(result.Request)])
+		return len(index.runs[result.Request.PromptHash()])
 	}
 	return index.orders[result.Key]
 }
 
-func promptHash(request Request) string {
+// PromptHash returns the hash under which engines record the prompt.
+func (request Request) PromptHash() string {
 	return strconv.FormatUint(xxhash.Sum64String(standin.PromptOf(request.Messages)), 16)
 }
 
--- a/pkg/load/run.go
+++ b/pkg/load/run.go
@@ -85,6 +85,9 @@
 	} else {
 		driver.refused.Add(1)
 	}
+	if driver.config.Observe != nil {
+		driver.config.Observe(result)
+	}
 	driver.mutex.Lock()
 	defer driver.mutex.Unlock()
 	driver.results = append(driver.results, result)
--- a/pkg/standin/stream.go
+++ b/pkg/standin/stream.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 )
 
 // streamFaultError ends a stream for a switched fault.
@@ -44,6 +45,10 @@
 	StreamTruncate, StreamCut, StreamStall, StreamDuplicate, StreamReorder, StreamWrongAttempt,
 }
 
+// StreamFaults returns the faults of streams, in the order in which they are
+// drawn.
+func StreamFaults() []StreamFault { return slices.Clone(streamFaultOrder) }
+
 const sseDone = "data: [DONE]\n\n"
 
 // stream writes the events of one attempt to one caller.
--- /dev/null
+++ b/pkg/testbed/audit.go
@@ -0,0 +1,138 @@
+package testbed
+
+import (
+	"context"
+	"fmt"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/budget"
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/load"
+)
+
+// Audit is what the ledger says of one profile, and what the upstreams say.
+type Audit struct {
+	Profile   string           `json:"profile"`
+	Statement budget.Statement `json:"statement"`
+	// UsedTokens is what the upstreams' record says was used.
+	UsedTokens int64 `json:"used_tokens"`
+	// Answered counts the answered requests that cost tokens.
+	Answered int `json:"answered"`
+	// Unbilled are answered requests without a bill.
+	Unbilled []string `json:"unbilled"`
+	// Doubled are requests with more than one bill.
+	Doubled []string `json:"doubled"`
+}
+
+// Overspent reports whether more was used or charged than the limit.
+func (audit Audit) Overspent() bool {
+	return audit.UsedTokens > audit.Statement.LimitTokens || audit.Statement.SettledTokens > audit.Statement.LimitTokens
+}
+
+// Err returns the first broken promise, or nil.
+func (audit Audit) Err() error {
+	switch {
+	case audit.Overspent():
+		return broken(fmt.Sprintf("profile %s: %d tokens used, %d settled, limit %d", audit.Profile,
+			audit.UsedTokens, audit.Statement.SettledTokens, audit.Statement.LimitTokens))
+	case len(audit.Doubled) > 0:
+		return broken(fmt.Sprintf("profile %s: %d requests billed twice, first %s", audit.Profile, len(audit.Doubled), audit.Doubled[0]))
+	case len(audit.Unbilled) > 0:
+		return broken(fmt.Sprintf("profile %s: %d of %d answered requests not billed, first %s", audit.Profile,
+			len(audit.Unbilled), audit.Answered, audit.Unbilled[0]))
+	default:
+		return nil
+	}
+}
+
+// Audit compares the ledger with the results and the upstreams' record. It reads
+// the platform's table itself, past rates and faults, and is meant for after
+// Close of the routers, when all is settled.
+func (testbed *Testbed) Audit(ctx context.Context) ([]Audit, error) {
+	ledger := budget.NewLedger(budget.LedgerConfig{Table: testbed.Fleet.Platform.Stored()})
+	audits := make([]Audit, 0, len(testbed.Teams))
+	for _, team := range testbed.Teams {
+		audit, err := testbed.auditTeam(ctx, ledger, team)
+		if err != nil {
+			return nil, err
+		}
+		audits = append(audits, audit)
+	}
+	return audits, nil
+}
+
+func (testbed *Testbed) auditTeam(ctx context.Context, ledger *budget.Ledger, team load.Team) (Audit, error) {
+	statement, err := ledger.Statement(ctx, team.Profile)
+	if err != nil {
+		return Audit{}, err
+	}
+	bills, err := countBills(ctx, ledger, team.Profile)
+	if err != nil {
+		return Audit{}, err
+	}
+	audit := Audit{Profile: team.Profile, Statement: statement, UsedTokens: testbed.usedBy(team)}
+	for _, result := range testbed.resultsOf(team) {
+		if result.Outcome != fault.Answered {
+			continue
+		}
+		audit.Answered++
+		if bills[callerOf(team)+":"+result.Key] == 0 {
+			audit.Unbilled = append(audit.Unbilled, result.Key)
+		}
+	}
+	for request, count := range bills {
+		if count > 1 {
+			audit.Doubled = append(audit.Doubled, request)
+		}
+	}
+	return audit, nil
+}
+
+// countBills counts the bills of each request.
+func countBills(ctx context.Context, ledger *budget.Ledger, profile string) (map[string]int, error) {
+	bills := make(map[string]int)
+	after := ""
+	for {
+		lines, next, err := ledger.Lines(ctx, profile, after, 0)
+		if err != nil {
+			return nil, err
+		}
+		for _, line := range lines {
+			if line.Kind == budget.LineBill {
+				bills[line.RequestID]++
+			}
+		}
+		if next == "" {
+			return bills, nil
+		}
+		after = next
+	}
+}
+
+func (testbed *Testbed) resultsOf(team load.Team) []load.Result {
+	testbed.mutex.Lock()
+	defer testbed.mutex.Unlock()
+	var results []load.Result
+	for _, result := range testbed.results {
+		if result.Request.Team.Name == team.Name {
+			results = append(results, result)
+		}
+	}
+	return results
+}
+
+// usedBy returns the tokens that engines used for the team's requests.
+func (testbed *Testbed) usedBy(team load.Team) int64 {
+	own := make(map[string]bool)
+	for _, result := range testbed.resultsOf(team) {
+		own[result.Request.PromptHash()] = true
+	}
+	used := int64(0)
+	for _, engine := range testbed.Fleet.Engines {
+		for _, run := range engine.Runs() {
+			if own[run.PromptHash] {
+				used += int64(run.PromptTokens + run.CompletionTokens)
+			}
+		}
+	}
+	return used
+}
