Add the operators' commands and the stand-ins to the command line

Cause: operators drive the fleet from the command line, and a lost answer must be retried under the same operation id, also by hand.

--- a/pkg/command/command.go
+++ b/pkg/command/command.go
@@ -26,21 +26,31 @@
 	Context context.Context
 	Out     io.Writer
 	ErrOut  io.Writer
+	// Getenv returns an environment variable.
+	Getenv func(name string) string
 }
 
 // commandLine holds every command; a new command is one field.
 type commandLine struct {
-	Router  RouterCommand  `cmd:"" help:"Run one router of the fleet."`
-	Demo    DemoCommand    `cmd:"" help:"Run a small fleet with stand-ins on 127.0.0.0/8 and show what it does."`
-	Config  ConfigCommand  `cmd:"" help:"Check settings, or see which revision each router is on."`
-	Version VersionCommand `cmd:"" help:"Print the version."`
+	Router   RouterCommand   `cmd:"" help:"Run one router of the fleet."`
+	Demo     DemoCommand     `cmd:"" help:"Run a small fleet with stand-ins on 127.0.0.0/8 and show what it does."`
+	Config   ConfigCommand   `cmd:"" help:"Check settings, or see which revision each router is on."`
+	Profile  ProfileCommand  `cmd:"" help:"Publish, change, retire, top up, list and show profiles."`
+	Service  ServiceCommand  `cmd:"" help:"Publish, remove and list services."`
+	Caller   CallerCommand   `cmd:"" help:"Publish, remove and list calling services."`
+	Upstream UpstreamCommand `cmd:"" help:"Add, drain, remove and list upstreams."`
+	Budget   BudgetCommand   `cmd:"" help:"Show where the tokens of a budget are."`
+	Bill     BillCommand     `cmd:"" help:"List and show bills."`
+	Audit    AuditCommand    `cmd:"" help:"List accepted changes."`
+	Standin  StandinCommand  `cmd:"" help:"Run a stand-in for the platform, a model engine or a plain service."`
+	Version  VersionCommand  `cmd:"" help:"Print the version."`
 }
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return Run(Environment{Context: ctx, Out: out, ErrOut: errOut}, args)
+	return Run(Environment{Context: ctx, Out: out, ErrOut: errOut, Getenv: os.Getenv}, args)
 }
 
 // Run runs the command line in the environment and returns the exit code.
--- a/pkg/command/config.go
+++ b/pkg/command/config.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 
+	"gitlab.com/wisterialb/wisterialb/pkg/operator"
 	"gitlab.com/wisterialb/wisterialb/pkg/settings"
 )
 
 // ConfigCommand holds the commands about settings and configuration.
 type ConfigCommand struct {
-	Check ConfigCheckCommand `cmd:"" help:"Check a settings file and name every fault in it."`
+	Check  ConfigCheckCommand  `cmd:"" help:"Check a settings file and name every fault in it."`
+	Status ConfigStatusCommand `cmd:"" help:"Show which revision each router is on, and why not on the newest."`
 }
 
 // ConfigCheckCommand checks a settings file.
@@ -26,3 +28,45 @@
 		check.File, loaded.Zone, loaded.CallerAddress, loaded.PeerAddress, loaded.OperatorAddress)
 	return err
 }
+
+// ConfigStatusCommand shows the revisions of the routers.
+type ConfigStatusCommand struct {
+	Connection
+	JSON bool `help:"Print JSON."`
+}
+
+// Run runs the command.
+func (status ConfigStatusCommand) Run(environment Environment) error {
+	client, err := status.client(environment)
+	if err != nil {
+		return err
+	}
+	answer, err := client.Status(environment.Context)
+	if err != nil {
+		return err
+	}
+	if status.JSON {
+		return printJSON(environment, answer)
+	}
+	if _, err := fmt.Fprintf(environment.Out, "newest revision: %d, as router %s knows\n", answer.Revision, answer.Router); err != nil {
+		return err
+	}
+	table := table{columns: []string{"ROUTER", "ZONE", "STATE", "REVISION", "LOAD", "CALLERS", "OPERATORS", "REASON"}}
+	for _, member := range answer.Members {
+		table.rows = append(table.rows, memberRow(member))
+	}
+	return table.print(environment.Out)
+}
+
+func memberRow(member operator.Member) []string {
+	return []string{
+		member.Incarnation,
+		member.Zone,
+		string(member.State),
+		formatRevision(member.Revision),
+		fmt.Sprintf("%.2f", member.Load),
+		member.CallerAddress,
+		member.OperatorAddress,
+		member.Reason,
+	}
+}
--- /dev/null
+++ b/pkg/command/document.go
@@ -0,0 +1,167 @@
+package command
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"go.yaml.in/yaml/v3"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/operator"
+)
+
+// documentKind says how documents of a kind are named and shown.
+type documentKind[Body any] struct {
+	kind    configuration.Kind
+	name    func(body Body) string
+	columns []string
+	row     func(body Body) []string
+}
+
+// The kinds of documents as the command line shows them.
+var (
+	profileKind = documentKind[configuration.Profile]{
+		kind:    configuration.KindProfile,
+		name:    func(profile configuration.Profile) string { return profile.Name },
+		columns: []string{"PRIORITY", "CALLERS", "SERVICES", "RETIRED"},
+		row: func(profile configuration.Profile) []string {
+			return []string{
+				strconv.Itoa(profile.Priority),
+				strings.Join(profile.Callers, ","),
+				strings.Join(profile.Services, ","),
+				strconv.FormatBool(profile.Retired),
+			}
+		},
+	}
+	serviceKind = documentKind[configuration.Service]{
+		kind:    configuration.KindService,
+		name:    func(service configuration.Service) string { return service.Name },
+		columns: []string{"PROTOCOL", "MODEL", "CALL_TOKENS"},
+		row: func(service configuration.Service) []string {
+			return []string{string(service.Protocol), service.Model, strconv.FormatInt(service.CallTokens, 10)}
+		},
+	}
+	callerKind = documentKind[configuration.Caller]{
+		kind:    configuration.KindCaller,
+		name:    func(caller configuration.Caller) string { return caller.Name },
+		columns: []string{"TEAM", "WEIGHT"},
+		row: func(caller configuration.Caller) []string {
+			return []string{caller.Team, strconv.FormatFloat(caller.Weight, 'g', -1, 64)}
+		},
+	}
+	upstreamKind = documentKind[configuration.Upstream]{
+		kind:    configuration.KindUpstream,
+		name:    func(upstream configuration.Upstream) string { return upstream.Name },
+		columns: []string{"SERVICE", "ADDRESS", "ZONE", "DRAINING"},
+		row: func(upstream configuration.Upstream) []string {
+			return []string{upstream.Service, upstream.Address, upstream.Zone, strconv.FormatBool(upstream.Draining)}
+		},
+	}
+)
+
+// document checks a body and returns it as a new document.
+func (kind documentKind[Body]) document(body Body) (operator.Document, error) {
+	if err := kind.check(body); err != nil {
+		return operator.Document{}, usageError{cause: err}
+	}
+	content, err := json.Marshal(body)
+	if err != nil {
+		return operator.Document{}, err
+	}
+	return operator.Document{Kind: kind.kind, Name: kind.name(body), Body: content}, nil
+}
+
+// documents checks bodies and returns them as new documents.
+func (kind documentKind[Body]) documents(bodies []Body) ([]operator.Document, error) {
+	documents := make([]operator.Document, 0, len(bodies))
+	for _, body := range bodies {
+		document, err := kind.document(body)
+		if err != nil {
+			return nil, err
+		}
+		documents = append(documents, document)
+	}
+	return documents, nil
+}
+
+// check names every field of the body that breaks its validate tag.
+func (kind documentKind[Body]) check(body Body) error {
+	validate := validator.New(validator.WithRequiredStructEnabled())
+	validate.RegisterTagNameFunc(func(field reflect.StructField) string {
+		return strings.Split(field.Tag.Get("yaml"), ",")[0]
+	})
+	var invalid validator.ValidationErrors
+	if !errors.As(validate.Struct(body), &invalid) {
+		return nil
+	}
+	lines := make([]string, 0, len(invalid))
+	for _, fieldError := range invalid {
+		_, path, _ := strings.Cut(fieldError.Namespace(), ".")
+		rule := strings.TrimSuffix(fieldError.Tag()+"="+fieldError.Param(), "=")
+		lines = append(lines, fmt.Sprintf("  %s: does not meet %s", path, rule))
+	}
+	return fault.New(fault.Config{
+		Kind:    fault.Invalid,
+		Message: fmt.Sprintf("the %s %q is not valid:\n%s", kind.kind, kind.name(body), strings.Join(lines, "\n")),
+		Remedy:  "correct the fields named above; nothing was sent",
+	})
+}
+
+// read reads documents of the kind out of a YAML file, which may hold several.
+func (kind documentKind[Body]) read(path string) ([]Body, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, usageError{cause: kind.fileFault(path, err)}
+	}
+	defer file.Close()
+	decoder := yaml.NewDecoder(file)
+	decoder.KnownFields(true)
+	var bodies []Body
+	for {
+		var body Body
+		err := decoder.Decode(&body)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, usageError{cause: kind.fileFault(path, err)}
+		}
+		bodies = append(bodies, body)
+	}
+	if len(bodies) == 0 {
+		return nil, usageError{cause: kind.fileFault(path, errors.New("no document in the file"))}
+	}
+	return bodies, nil
+}
+
+func (kind documentKind[Body]) fileFault(path string, err error) error {
+	return fault.New(fault.Config{
+		Kind:    fault.Invalid,
+		Message: fmt.Sprintf("%s: %v", path, err),
+		Remedy:  fmt.Sprintf("name a YAML file with documents of the kind %s; nothing was sent", kind.kind),
+		Cause:   err,
+	})
+}
+
+// choose returns the documents of the file, or the one that flags describe.
+func (kind documentKind[Body]) choose(file string, described Body) ([]Body, error) {
+	if file == "" {
+		return []Body{described}, nil
+	}
+	if kind.name(described) != "" {
+		return nil, usageError{cause: fault.New(fault.Config{
+			Kind:    fault.Invalid,
+			Message: "both a name and a file are given",
+			Remedy:  "give one of the two",
+		})}
+	}
+	return kind.read(file)
+}
