Read documents from the table; validate the policy's name

Cause: a router holds only the profiles it serves, so listing and changing profiles through its view would miss the others and start from old revisions. Conclusion: operators see what the table holds.

--- a/pkg/command/change.go
+++ b/pkg/command/change.go
@@ -89,7 +89,7 @@
 }
 
 // publish sends one document; a nil body removes it.
-func (change Change) publish(environment Environment, client *operator.Client, document operator.Document) error {
+func (change Change) publish(environment Environment, client *operator.Client, document configuration.Stored) error {
 	publication, err := client.Publish(environment.Context, configuration.Change{
 		OperationID: change.OperationID,
 		Reason:      change.Reason,
@@ -174,13 +174,15 @@
 		return err
 	}
 	change = change.begin(environment)
-	document := operator.Document{Kind: kind.kind, Name: name}
+	document := configuration.Stored{Kind: kind.kind, Name: name}
 	if change.Expected != nil {
 		document.Revision = *change.Expected
 		return change.publish(environment, client, document)
 	}
 	current, err := client.Document(environment.Context, kind.kind, name)
-	if err != nil {
+	// A document that is gone may have been removed by an earlier try of this
+	// operation, which the router knows by the operation id.
+	if err != nil && !fault.Is(err, fault.NotFound) {
 		return err
 	}
 	document.Revision = current.Revision
--- a/pkg/command/document.go
+++ b/pkg/command/document.go
@@ -15,7 +15,6 @@
 
 	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
-	"gitlab.com/wisterialb/wisterialb/pkg/operator"
 )
 
 // documentKind says how documents of a kind are named and shown.
@@ -68,20 +67,20 @@
 )
 
 // document checks a body and returns it as a new document.
-func (kind documentKind[Body]) document(body Body) (operator.Document, error) {
+func (kind documentKind[Body]) document(body Body) (configuration.Stored, error) {
 	if err := kind.check(body); err != nil {
-		return operator.Document{}, usageError{cause: err}
+		return configuration.Stored{}, usageError{cause: err}
 	}
 	content, err := json.Marshal(body)
 	if err != nil {
-		return operator.Document{}, err
+		return configuration.Stored{}, err
 	}
-	return operator.Document{Kind: kind.kind, Name: kind.name(body), Body: content}, nil
+	return configuration.Stored{Kind: kind.kind, Name: kind.name(body), Body: content}, nil
 }
 
 // documents checks bodies and returns them as new documents.
-func (kind documentKind[Body]) documents(bodies []Body) ([]operator.Document, error) {
-	documents := make([]operator.Document, 0, len(bodies))
+func (kind documentKind[Body]) documents(bodies []Body) ([]configuration.Stored, error) {
+	documents := make([]configuration.Stored, 0, len(bodies))
 	for _, body := range bodies {
 		document, err := kind.document(body)
 		if err != nil {
--- a/pkg/configuration/publication.go
+++ b/pkg/configuration/publication.go
@@ -109,9 +109,11 @@
 	return decodeItem[Record](items[0])
 }
 
+// sameChange leaves out the expected revision: an operator who reads the
+// document again before a retry sees the revision that the first try made.
 func sameChange(a, b Change) bool {
 	return a.Kind == b.Kind && a.Name == b.Name && a.Operator == b.Operator &&
-		a.Expected == b.Expected && a.Reason == b.Reason && bytes.Equal(a.Body, b.Body)
+		a.Reason == b.Reason && bytes.Equal(a.Body, b.Body)
 }
 
 // checkExpected requires that the document is as the operator saw it. A limit
--- a/pkg/operator/message.go
+++ b/pkg/operator/message.go
@@ -5,6 +5,7 @@
 
 	"gitlab.com/wisterialb/wisterialb/pkg/budget"
 	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
+	"gitlab.com/wisterialb/wisterialb/pkg/fleet"
 	"gitlab.com/wisterialb/wisterialb/pkg/operator/operatorpb"
 )
 
@@ -36,7 +37,7 @@
 	return Member{
 		Incarnation:     message.GetIncarnation(),
 		Zone:            message.GetZone(),
-		State:           MemberState(message.GetState()),
+		State:           fleet.State(message.GetState()),
 		Revision:        message.GetRevision(),
 		CallerAddress:   message.GetCallerAddress(),
 		PeerAddress:     message.GetPeerAddress(),
@@ -86,7 +87,7 @@
 	}
 }
 
-func documentMessage(document Document) *operatorpb.Document {
+func documentMessage(document configuration.Stored) *operatorpb.Document {
 	return &operatorpb.Document{
 		Kind:     string(document.Kind),
 		Name:     document.Name,
@@ -95,8 +96,8 @@
 	}
 }
 
-func documentOf(message *operatorpb.Document) Document {
-	return Document{
+func documentOf(message *operatorpb.Document) configuration.Stored {
+	return configuration.Stored{
 		Kind:     configuration.Kind(message.GetKind()),
 		Name:     message.GetName(),
 		Revision: message.GetRevision(),
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -18,14 +18,32 @@
 
 	"gitlab.com/wisterialb/wisterialb/pkg/budget"
 	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
+	"gitlab.com/wisterialb/wisterialb/pkg/fleet"
 )
 
-// Publisher makes changes of the configuration and keeps the audit trail.
+// Publisher makes changes of the configuration, keeps the audit trail and reads
+// what the table holds. configuration.Publisher is one.
 type Publisher interface {
 	// Publish makes the change once for each operation id.
 	Publish(ctx context.Context, change configuration.Change) (configuration.Record, error)
 	// Audit returns accepted changes behind the revision, in their order.
 	Audit(ctx context.Context, after uint64, limit int) ([]configuration.Record, error)
+	// Head returns the newest revision.
+	Head(ctx context.Context) (uint64, error)
+	Document(ctx context.Context, kind configuration.Kind, name string) (configuration.Stored, error)
+	// Documents returns a page in the order of names and the after of the next
+	// page, which is empty on the last one.
+	Documents(ctx context.Context, kind configuration.Kind, after string, limit int) ([]configuration.Stored, string, error)
+}
+
+// Follower adopts the configuration of this router. configuration.Follower is
+// one.
+type Follower interface {
+	Revision() uint64
+	// Offer hands over accepted changes.
+	Offer(ctx context.Context, records []configuration.Record)
+	// Hint tells of a newer revision.
+	Hint(revision uint64)
 }
 
 // Ledger answers questions about budgets.
@@ -36,37 +54,11 @@
 	Lines(ctx context.Context, profile, after string, limit int) ([]budget.Line, string, error)
 }
 
-// Documents is the configuration that this router has adopted.
-type Documents interface {
-	// Ready is false until the router has a confirmed configuration.
-	Ready() bool
-	Revision() uint64
-	// List returns the documents of the kind in the order of their names.
-	List(kind configuration.Kind) []Document
-	Get(kind configuration.Kind, name string) (Document, bool)
-}
-
-// Document is one document of the configuration.
-type Document struct {
-	Kind configuration.Kind `json:"kind"`
-	Name string             `json:"name"`
-	// Revision is that of the document's last change.
-	Revision uint64 `json:"revision"`
-	// Body is the JSON of the document.
-	Body []byte `json:"-"`
-}
-
-// MemberState is how sure this router is of another one.
-type MemberState string
-
-// MemberLive is the state of a router that has a lease and answers probes.
-const MemberLive MemberState = "live"
-
 // Member is one router of the fleet.
 type Member struct {
 	Incarnation     string      `json:"incarnation"`
 	Zone            string      `json:"zone"`
-	State           MemberState `json:"state"`
+	State           fleet.State `json:"state"`
 	Revision        uint64      `json:"revision"`
 	CallerAddress   string      `json:"caller_address"`
 	PeerAddress     string      `json:"peer_address"`
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -19,6 +19,7 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/budget"
 	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/fleet"
 	"gitlab.com/wisterialb/wisterialb/pkg/operator"
 )
 
@@ -65,25 +66,25 @@
 	return []budget.Line{line}, "next", nil
 }
 
-type fakeDocuments struct {
-	revision  uint64
-	documents []operator.Document
-}
+// fakeFollower is on revision 7 and adopts what it is offered.
+type fakeFollower struct{}
+
+func (fakeFollower) Revision() uint64                              { return 7 }
+func (fakeFollower) Offer(context.Context, []configuration.Record) {}
+func (fakeFollower) Hint(uint64)                                   {}
 
-func (documents fakeDocuments) Ready() bool      { return documents.revision > 0 }
-func (documents fakeDocuments) Revision() uint64 { return documents.revision }
+func (publisher *fakePublisher) Head(context.Context) (uint64, error) { return 7, nil }
 
-func (documents fakeDocuments) List(configuration.Kind) []operator.Document {
-	return documents.documents
+func (publisher *fakePublisher) Document(_ context.Context, kind configuration.Kind, name string) (configuration.Stored, error) {
+	return configuration.Stored{Kind: kind, Name: name, Revision: 3, Body: []byte("{}")}, nil
 }
 
-func (documents fakeDocuments) Get(_ configuration.Kind, name string) (operator.Document, bool) {
-	for _, document := range documents.documents {
-		if document.Name == name {
-			return document, true
-		}
+func (publisher *fakePublisher) Documents(_ context.Context, kind configuration.Kind, after string, limit int) ([]configuration.Stored, string, error) {
+	stored := []configuration.Stored{{Kind: kind, Name: after + "a", Revision: uint64(limit), Body: []byte("{}")}}
+	if after != "" {
+		return stored, "", nil
 	}
-	return operator.Document{}, false
+	return stored, "a", nil
 }
 
 func newConfig(publisher operator.Publisher) operator.ServerConfig {
@@ -91,13 +92,9 @@
 		Tokens:    []operator.Token{{Name: "nils", Hash: operator.HashToken("other")}, {Name: "elin", Hash: operator.HashToken(token)}},
 		Publisher: publisher,
 		Ledger:    fakeLedger{},
-		Documents: fakeDocuments{revision: 7, documents: []operator.Document{
-			{Kind: configuration.KindProfile, Name: "a", Revision: 3, Body: []byte("{}")},
-			{Kind: configuration.KindProfile, Name: "b", Revision: 4, Body: []byte("{}")},
-			{Kind: configuration.KindProfile, Name: "c", Revision: 7, Body: []byte("{}")},
-		}},
-		Members: func() []operator.Member {
-			return []operator.Member{{Incarnation: "self", State: operator.MemberLive}, {Incarnation: "peer", Zone: "gislaved", State: operator.MemberLive, Revision: 1}}
+		Follower:  fakeFollower{},
+		Members: func() []fleet.Member {
+			return []fleet.Member{{Incarnation: "self", State: fleet.Live}, {Incarnation: "peer", Zone: "gislaved", State: fleet.Live, Revision: 1}}
 		},
 		Self:        "self",
 		Propagation: time.Millisecond,
@@ -240,16 +237,21 @@
 	client := connect(t, operator.ClientConfig{Addresses: []string{start(t, newConfig(&fakePublisher{}))}})
 	documents, next, err := client.Documents(context.Background(), configuration.KindProfile, operator.Page{Limit: 2})
 	require.NoError(t, err)
-	require.Len(t, documents, 2)
-	require.Equal(t, "b", next)
-	documents, next, err = client.Documents(context.Background(), configuration.KindProfile, operator.Page{After: next, Limit: 2})
+	require.Equal(t, []configuration.Stored{{Kind: configuration.KindProfile, Name: "a", Revision: 2, Body: []byte("{}")}}, documents)
+	require.Equal(t, "a", next)
+	documents, next, err = client.Documents(context.Background(), configuration.KindProfile, operator.Page{After: next})
 	require.NoError(t, err)
-	require.Len(t, documents, 1)
+	require.Equal(t, uint64(100), documents[0].Revision, "the limit of a page without one")
 	require.Empty(t, next)
+	document, err := client.Document(context.Background(), configuration.KindProfile, "z")
+	require.NoError(t, err)
+	require.Equal(t, uint64(3), document.Revision)
 	_, _, err = client.Documents(context.Background(), "recipe", operator.Page{})
 	require.Equal(t, fault.Invalid, fault.KindOf(err))
-	_, err = client.Document(context.Background(), configuration.KindProfile, "z")
-	require.Equal(t, fault.NotFound, fault.KindOf(err))
+	status, err := client.Status(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), status.Revision)
+	require.Equal(t, []string{"", "it still reports revision 1"}, []string{status.Members[0].Reason, status.Members[1].Reason})
 	statement, err := client.Budget(context.Background(), "a")
 	require.NoError(t, err)
 	expected, _ := fakeLedger{}.Statement(context.Background(), "a")
--- a/pkg/operator/publish.go
+++ b/pkg/operator/publish.go
@@ -9,6 +9,7 @@
 
 	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/fleet"
 	"gitlab.com/wisterialb/wisterialb/pkg/operator/operatorpb"
 
 	"encoding/json"
@@ -60,6 +61,8 @@
 	}
 	_ = level.Info(server.config.Logger).Log("msg", "configuration changed", "revision", record.Revision,
 		"kind", change.Kind, "name", change.Name, "operator", change.Operator, "operation_id", change.OperationID)
+	server.config.Follower.Offer(ctx, []configuration.Record{record})
+	server.config.Follower.Hint(record.Revision)
 	publication := server.awaitRouters(ctx, record.Revision)
 	return publicationMessage(publication), nil
 }
@@ -143,9 +146,10 @@
 func (server *Server) members(revision uint64) []Member {
 	known := server.config.Members()
 	members := make([]Member, 0, len(known))
-	for _, member := range known {
+	for _, reported := range known {
+		member := memberFrom(reported)
 		if member.Incarnation == server.config.Self {
-			member.Revision = server.config.Documents.Revision()
+			member.Revision = server.config.Follower.Revision()
 		}
 		member.Reason = lagReason(member, revision)
 		members = append(members, member)
@@ -153,11 +157,24 @@
 	return members
 }
 
+func memberFrom(member fleet.Member) Member {
+	return Member{
+		Incarnation:     member.Incarnation,
+		Zone:            member.Zone,
+		State:           member.State,
+		Revision:        member.Revision,
+		CallerAddress:   member.CallerAddress,
+		PeerAddress:     member.PeerAddress,
+		OperatorAddress: member.OperatorAddress,
+		Load:            member.Load,
+	}
+}
+
 func lagReason(member Member, revision uint64) string {
 	switch {
 	case member.Revision >= revision:
 		return ""
-	case member.State != MemberLive:
+	case member.State != fleet.Live:
 		return fmt.Sprintf("it is %s; last known on revision %d", member.State, member.Revision)
 	default:
 		return fmt.Sprintf("it still reports revision %d", member.Revision)
--- a/pkg/operator/read.go
+++ b/pkg/operator/read.go
@@ -2,83 +2,67 @@
 
 import (
 	"context"
-	"fmt"
+	"time"
 
 	"encoding/json"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
-	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/operator/operatorpb"
 )
 
+// headTimeout bounds how long GetStatus waits for the table. Without its answer
+// the newest revision is the one that the routers know.
+const headTimeout = time.Second
+
 // GetStatus tells which revision each live router is on.
-func (server *Server) GetStatus(context.Context, *operatorpb.GetStatusRequest) (*operatorpb.GetStatusResponse, error) {
-	revision := server.config.Documents.Revision()
+func (server *Server) GetStatus(ctx context.Context, _ *operatorpb.GetStatusRequest) (*operatorpb.GetStatusResponse, error) {
+	revision := server.newestRevision(ctx)
+	return &operatorpb.GetStatusResponse{
+		Router:   server.config.Self,
+		Revision: revision,
+		Members:  convert(server.members(revision), memberMessage),
+	}, nil
+}
+
+func (server *Server) newestRevision(ctx context.Context) uint64 {
+	ctx, cancel := context.WithTimeout(ctx, headTimeout)
+	defer cancel()
+	revision := server.config.Follower.Revision()
 	for _, member := range server.config.Members() {
 		revision = max(revision, member.Revision)
 	}
-	response := &operatorpb.GetStatusResponse{Router: server.config.Self, Revision: revision}
-	for _, member := range server.members(revision) {
-		response.Members = append(response.Members, memberMessage(member))
+	if head, err := server.config.Publisher.Head(ctx); err == nil {
+		revision = max(revision, head)
 	}
-	return response, nil
+	return revision
 }
 
 // ListDocuments returns a page of documents of one kind.
-func (server *Server) ListDocuments(_ context.Context, request *operatorpb.ListDocumentsRequest) (*operatorpb.ListDocumentsResponse, error) {
+func (server *Server) ListDocuments(ctx context.Context, request *operatorpb.ListDocumentsRequest) (*operatorpb.ListDocumentsResponse, error) {
 	kind := configuration.Kind(request.GetKind())
 	if !isDocumentKind(kind) {
 		return nil, unknownKind(kind)
 	}
-	if err := server.checkReady(); err != nil {
+	documents, next, err := server.config.Publisher.Documents(ctx, kind, request.GetAfter(), pageSize(request.GetLimit()))
+	if err != nil {
 		return nil, err
 	}
-	response := &operatorpb.ListDocumentsResponse{}
-	size := pageSize(request.GetLimit())
-	for _, document := range server.config.Documents.List(kind) {
-		if document.Name <= request.GetAfter() {
-			continue
-		}
-		if len(response.Documents) == size {
-			response.Next = response.Documents[size-1].Name
-			break
-		}
-		response.Documents = append(response.Documents, documentMessage(document))
-	}
-	return response, nil
+	return &operatorpb.ListDocumentsResponse{Documents: convert(documents, documentMessage), Next: next}, nil
 }
 
 // GetDocument returns one document.
-func (server *Server) GetDocument(_ context.Context, request *operatorpb.GetDocumentRequest) (*operatorpb.GetDocumentResponse, error) {
+func (server *Server) GetDocument(ctx context.Context, request *operatorpb.GetDocumentRequest) (*operatorpb.GetDocumentResponse, error) {
 	kind := configuration.Kind(request.GetKind())
 	if !isDocumentKind(kind) {
 		return nil, unknownKind(kind)
 	}
-	if err := server.checkReady(); err != nil {
+	document, err := server.config.Publisher.Document(ctx, kind, request.GetName())
+	if err != nil {
 		return nil, err
 	}
-	document, ok := server.config.Documents.Get(kind, request.GetName())
-	if !ok {
-		return nil, fault.New(fault.Config{
-			Kind:    fault.NotFound,
-			Message: fmt.Sprintf("there is no %s %q", kind, request.GetName()),
-			Remedy:  fmt.Sprintf("see `wisterialb %s list`, or publish it", kind),
-		})
-	}
 	return &operatorpb.GetDocumentResponse{Document: documentMessage(document)}, nil
 }
 
-func (server *Server) checkReady() error {
-	if server.config.Documents.Ready() {
-		return nil
-	}
-	return fault.New(fault.Config{
-		Kind:    fault.Unavailable,
-		Message: "this router has no confirmed configuration yet",
-		Remedy:  "ask another router, or again once the platform's table can be reached",
-	})
-}
-
 // GetBudget returns the statement of a budget.
 func (server *Server) GetBudget(ctx context.Context, request *operatorpb.GetBudgetRequest) (*operatorpb.GetBudgetResponse, error) {
 	statement, err := server.config.Ledger.Statement(ctx, request.GetProfile())
@@ -94,11 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response := &operatorpb.ListBillsResponse{Next: next}
-	for _, line := range lines {
-		response.Lines = append(response.Lines, lineMessage(line))
-	}
-	return response, nil
+	return &operatorpb.ListBillsResponse{Lines: convert(lines, lineMessage), Next: next}, nil
 }
 
 // ListAudit returns a page of accepted changes.
@@ -108,10 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response := &operatorpb.ListAuditResponse{}
-	for _, record := range records {
-		response.Records = append(response.Records, recordMessage(record))
-	}
+	response := &operatorpb.ListAuditResponse{Records: convert(records, recordMessage)}
 	if len(records) == size {
 		response.Next = records[size-1].Revision
 	}
@@ -124,11 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response := &operatorpb.ListUpstreamStatesResponse{}
-	for _, state := range states {
-		response.States = append(response.States, stateMessage(state))
-	}
-	return response, nil
+	return &operatorpb.ListUpstreamStatesResponse{States: convert(states, stateMessage)}, nil
 }
 
 func (server *Server) upstreamStates(ctx context.Context) ([]UpstreamState, error) {
@@ -136,17 +109,36 @@
 		return server.config.UpstreamStates.States(ctx)
 	}
 	var states []UpstreamState
-	for _, document := range server.config.Documents.List(configuration.KindUpstream) {
-		var upstream configuration.Upstream
-		if err := json.Unmarshal(document.Body, &upstream); err != nil {
+	after := ""
+	for {
+		documents, next, err := server.config.Publisher.Documents(ctx, configuration.KindUpstream, after, maxPageSize)
+		if err != nil {
 			return nil, err
 		}
-		states = append(states, UpstreamState{
-			Name:    upstream.Name,
-			Service: upstream.Service,
-			Wanted:  LoadedModel{Model: upstream.Model, Adapter: upstream.Adapter, Version: upstream.Version, Role: upstream.Role},
-			Reason:  "this router does not order models",
-		})
+		for _, document := range documents {
+			state, err := wantedState(document)
+			if err != nil {
+				return nil, err
+			}
+			states = append(states, state)
+		}
+		if next == "" {
+			return states, nil
+		}
+		after = next
 	}
-	return states, nil
+}
+
+// wantedState returns the state of an upstream that nobody observes.
+func wantedState(document configuration.Stored) (UpstreamState, error) {
+	var upstream configuration.Upstream
+	if err := json.Unmarshal(document.Body, &upstream); err != nil {
+		return UpstreamState{}, err
+	}
+	return UpstreamState{
+		Name:    upstream.Name,
+		Service: upstream.Service,
+		Wanted:  LoadedModel{Model: upstream.Model, Adapter: upstream.Adapter, Version: upstream.Version, Role: upstream.Role},
+		Reason:  "this router does not order models",
+	}, nil
 }
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/twitchtv/twirp"
 
+	"gitlab.com/wisterialb/wisterialb/pkg/fleet"
 	"gitlab.com/wisterialb/wisterialb/pkg/operator/operatorpb"
 )
 
@@ -21,9 +22,9 @@
 	Tokens    []Token
 	Publisher Publisher
 	Ledger    Ledger
-	Documents Documents
+	Follower  Follower
 	// Members returns the routers that this one knows, itself included.
-	Members func() []Member
+	Members func() []fleet.Member
 	// Self is the incarnation of this router.
 	Self string
 	// UpstreamStates may be nil when orders to upstreams are not carried out.
--- a/pkg/settings/default.go
+++ b/pkg/settings/default.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/upstream"
+)
 
 // Defaults returns the values of all settings that a file may leave out. The
 // zone, the addresses, the peer key and the operators have none.
@@ -13,7 +17,7 @@
 		PollInterval:   time.Second,
 		ClaimRetention: 24 * time.Hour,
 		DrainTimeout:   30 * time.Second,
-		Policy:         "prefix",
+		Policy:         upstream.DefaultPolicy,
 		Queue:          Queue{Length: 512, Wait: 30 * time.Second},
 		Stall:          Stall{FirstToken: 20 * time.Second, BetweenTokens: 5 * time.Second},
 		Bounds:         Bounds{BodyBytes: 4 << 20, HeaderBytes: 32 << 10, Connections: 4096},
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -41,8 +41,8 @@
 	ClaimRetention time.Duration `yaml:"claim_retention" validate:"min=1m,max=720h"`
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout time.Duration `yaml:"drain_timeout" validate:"min=1s,max=1h"`
-	// Policy names how an upstream is chosen.
-	Policy string `yaml:"policy" validate:"required"`
+	// Policy names how an upstream is chosen, one of upstream.Policies.
+	Policy string `yaml:"policy" validate:"policy"`
 	// Queue bounds the work that waits for an upstream.
 	Queue Queue `yaml:"queue"`
 	// Stall bounds the silence of an upstream.
--- a/pkg/settings/validation.go
+++ b/pkg/settings/validation.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/go-playground/validator/v10"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/upstream"
 )
 
 // tagRow says what a broken validate tag means. A %s stands for the tag's
@@ -25,6 +27,7 @@
 	"max":         {"is more than %s", "write %s or less"},
 	"len":         {"is not %s characters long", "write the hexadecimal SHA-256 of the token"},
 	"hexadecimal": {"is not hexadecimal", "write the hexadecimal SHA-256 of the token"},
+	"policy":      {"is no policy", "write one of: " + policyNames()},
 	"oneof":       {"is none of the known values", "write one of: %s"},
 }
 
@@ -40,11 +43,32 @@
 	validate.RegisterTagNameFunc(func(field reflect.StructField) string {
 		return strings.Split(field.Tag.Get("yaml"), ",")[0]
 	})
-	// The tag is a constant and the function is not nil, so this can't fail.
-	_ = validate.RegisterValidation("ip_port", isIPPort)
+	for tag, function := range functions {
+		// The tags are constants and the functions not nil, so this can't fail.
+		_ = validate.RegisterValidation(tag, function)
+	}
 	return validate
 }
 
+// functions are the validate tags that the library does not know.
+var functions = map[string]validator.Func{
+	"ip_port": isIPPort,
+	"policy":  isPolicy,
+}
+
+func isPolicy(level validator.FieldLevel) bool {
+	_, err := upstream.FindPolicy(level.Field().String())
+	return err == nil
+}
+
+func policyNames() string {
+	var names []string
+	for _, policy := range upstream.Policies {
+		names = append(names, policy.Name)
+	}
+	return strings.Join(names, " ")
+}
+
 func isIPPort(level validator.FieldLevel) bool {
 	address, err := netip.ParseAddrPort(level.Field().String())
 	return err == nil && address.Port() != 0
