Serve documents from the table in the router's operator server

Cause: the router handed the operator server its own view, which lacks profiles that it does not serve. Change: pkg/router gives the server the publisher and the follower and the members as they are; pkg/router/documents.go is no longer needed. Conclusion: operators see every stored document at any router.

--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -246,8 +246,8 @@
 		Tokens:     tokens,
 		Publisher:  build.publisher,
 		Ledger:     build.ledger,
-		Documents:  documents{follower: build.follower},
-		Members:    build.operatorMembers,
+		Follower:   build.follower,
+		Members:    build.membership.Members,
 		Self:       build.incarnation,
 		Logger:     build.logger,
 		Registerer: build.given.Registry,
@@ -266,24 +266,6 @@
 	return mux
 }
 
-func (build *assembly) operatorMembers() []operator.Member {
-	members := build.membership.Members()
-	shown := make([]operator.Member, 0, len(members))
-	for _, member := range members {
-		shown = append(shown, operator.Member{
-			Incarnation:     member.Incarnation,
-			Zone:            member.Zone,
-			State:           operator.MemberState(member.State),
-			Revision:        member.Revision,
-			CallerAddress:   member.CallerAddress,
-			PeerAddress:     member.PeerAddress,
-			OperatorAddress: member.OperatorAddress,
-			Load:            member.Load,
-		})
-	}
-	return shown
-}
-
 // report tells the fleet what this router has adopted and how busy it is.
 func (router *Router) report(context.Context) {
 	load := float64(router.running()) / fullLoad
