Run the command line against a fleet in scripted cases

Cause: nothing proved what operators and callers are told in the cases that matter: races, retries, retirement, draining, refusals, lost answers. Change: test/cases holds a directory for each case with cmd and expout; one Go test runs them in process with testscript against a fleet of package demo. Found and mended: nbhttp keeps a space for an empty header value, so that an empty profile was looked up; reads without an answer named an operation id. publish_timeout is a setting now, so that cases do not depend on the machine.

--- a/pkg/operator/retry.go
+++ b/pkg/operator/retry.go
@@ -94,6 +94,14 @@
 	request *Request,
 ) (*Response, error) {
 	response, err := call(ctx, client, method, request)
+	if fault.Is(err, fault.Lost) {
+		return nil, fault.New(fault.Config{
+			Kind:    fault.Unavailable,
+			Message: fault.MessageOf(err),
+			Remedy:  "ask again, or name other routers with --address",
+			Cause:   err,
+		})
+	}
 	if err != nil {
 		return nil, fault.WithOutcome(err, fault.NotRun)
 	}
--- a/pkg/operator/transport.go
+++ b/pkg/operator/transport.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -112,9 +113,18 @@
 	}
 	return fault.New(fault.Config{
 		Kind:    fault.Lost,
-		Message: "no answer: " + err.Error(),
+		Message: "no answer: " + causeOf(err).Error(),
 		Remedy:  "make the call again under the same operation id",
 		Outcome: fault.OutcomeUnknown,
 		Cause:   err,
 	})
 }
+
+// causeOf returns what went wrong with a request, without the request.
+func causeOf(err error) error {
+	var request *url.Error
+	if errors.As(err, &request) {
+		return request.Err
+	}
+	return err
+}
--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -121,7 +121,8 @@
 }
 
 func (router *Router) profileOf(ctx context.Context, request *http.Request, caller configuration.Caller) (configuration.Profile, error) {
-	name := request.Header.Get(headerProfile)
+	// nbhttp keeps the space in front of an empty value.
+	name := strings.TrimSpace(request.Header.Get(headerProfile))
 	if name == "" {
 		return configuration.Profile{}, fault.New(fault.Config{
 			Kind:    fault.Invalid,
--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -243,14 +243,15 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/", operator.NewServer(operator.ServerConfig{
-		Tokens:     tokens,
-		Publisher:  build.publisher,
-		Ledger:     build.ledger,
-		Follower:   build.follower,
-		Members:    build.membership.Members,
-		Self:       build.incarnation,
-		Logger:     build.logger,
-		Registerer: build.given.Registry,
+		Tokens:      tokens,
+		Publisher:   build.publisher,
+		Ledger:      build.ledger,
+		Follower:    build.follower,
+		Members:     build.membership.Members,
+		Propagation: build.settings.PublishTimeout,
+		Self:        build.incarnation,
+		Logger:      build.logger,
+		Registerer:  build.given.Registry,
 	}))
 	mux.Handle("/metrics", promhttp.HandlerFor(build.given.Registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("/healthz", func(writer http.ResponseWriter, _ *http.Request) {
--- a/pkg/settings/default.go
+++ b/pkg/settings/default.go
@@ -15,6 +15,7 @@
 		Horizon:        10 * time.Second,
 		SettleInterval: time.Second,
 		PollInterval:   time.Second,
+		PublishTimeout: 5 * time.Second,
 		ClaimRetention: 24 * time.Hour,
 		DrainTimeout:   30 * time.Second,
 		Policy:         upstream.DefaultPolicy,
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -37,6 +37,9 @@
 	SettleInterval time.Duration `yaml:"settle_interval" validate:"min=10ms,max=1m"`
 	// PollInterval is the time between two reads of the configuration.
 	PollInterval time.Duration `yaml:"poll_interval" validate:"min=50ms,max=5s"`
+	// PublishTimeout bounds how long an accepted change waits for the live
+	// routers to adopt it before the operator is told which have not.
+	PublishTimeout time.Duration `yaml:"publish_timeout" validate:"min=100ms,max=1m"`
 	// ClaimRetention is how long claims and stored results are kept.
 	ClaimRetention time.Duration `yaml:"claim_retention" validate:"min=1m,max=720h"`
 	// DrainTimeout bounds a graceful shutdown.
--- /dev/null
+++ b/test/cases_test.go
@@ -0,0 +1,77 @@
+// Package test runs the regression cases: each directory under cases holds a
+// script, cmd, the files that it needs, and what it is expected to print,
+// expout. Run with -update to write expout anew.
+//
+// The flow: TestCases hands each cmd to testscript with the commands of
+// session_test.go; each command adds what it printed to a transcript; when the
+// script has ended, the transcript is compared with expout. Everything runs in
+// this process.
+package test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/require"
+)
+
+var update = flag.Bool("update", false, "write the expected output of the cases anew")
+
+const (
+	scriptName   = "cmd"
+	expectedName = "expout"
+)
+
+func TestCases(t *testing.T) {
+	root, err := filepath.Abs("cases")
+	require.NoError(t, err)
+	scripts, err := filepath.Glob(filepath.Join(root, "*", scriptName))
+	require.NoError(t, err)
+	require.NotEmpty(t, scripts)
+	for _, script := range scripts {
+		directory := filepath.Dir(script)
+		t.Run(filepath.Base(directory), func(t *testing.T) { runCase(t, directory) })
+	}
+}
+
+func runCase(t *testing.T, directory string) {
+	t.Helper()
+	session := &session{}
+	testscript.RunT(sequential{t}, testscript.Params{
+		Files: []string{filepath.Join(directory, scriptName)},
+		Cmds:  session.commands(),
+		Setup: func(environment *testscript.Env) error {
+			environment.Defer(session.close)
+			t.Chdir(environment.WorkDir)
+			return os.CopyFS(environment.WorkDir, os.DirFS(directory))
+		},
+	})
+	expected := filepath.Join(directory, expectedName)
+	if *update {
+		require.NoError(t, os.WriteFile(expected, session.transcript.Bytes(), 0o600))
+	}
+	content, err := os.ReadFile(expected)
+	require.NoError(t, err)
+	require.Equal(t, string(content), session.transcript.String())
+}
+
+// sequential runs scripts one after the other.
+type sequential struct {
+	*testing.T
+}
+
+func (sequential) Parallel() {}
+
+func (sequential) Verbose() bool { return testing.Verbose() }
+
+func (sequential sequential) Run(name string, function func(t testscript.T)) {
+	sequential.T.Run(name, func(t *testing.T) { function(sequentialOf(t)) })
+}
+
+func sequentialOf(t *testing.T) testscript.T {
+	t.Helper()
+	return sequential{t}
+}
--- /dev/null
+++ b/test/session_test.go
@@ -0,0 +1,215 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/command"
+	"gitlab.com/wisterialb/wisterialb/pkg/demo"
+	"gitlab.com/wisterialb/wisterialb/pkg/settings"
+	"gitlab.com/wisterialb/wisterialb/pkg/standin"
+)
+
+const (
+	startTimeout = 30 * time.Second
+	fleetLimit   = 10_000
+)
+
+// zones are the places of the routers of a fleet.
+var zones = []string{"varnamo", "gislaved", "jonkoping"}
+
+// session is what one script works with.
+type session struct {
+	transcript bytes.Buffer
+	fleet      *demo.Fleet
+	listeners  []net.Listener
+}
+
+// commands is the one table of commands that scripts can use besides those of
+// testscript.
+func (session *session) commands() map[string]func(*testscript.TestScript, bool, []string) {
+	return map[string]func(*testscript.TestScript, bool, []string){
+		"fleet":      session.startFleet,
+		"silence":    session.listenSilently,
+		"wisterialb": session.runCommand,
+		"call":       session.call,
+		"runs":       session.printRuns,
+		"metrics":    session.printMetrics,
+	}
+}
+
+func (session *session) close() {
+	for _, listener := range session.listeners {
+		_ = listener.Close()
+	}
+	if session.fleet != nil {
+		_ = session.fleet.Close(context.Background())
+	}
+}
+
+// startFleet starts a fleet of N routers, two engines and a service, with the
+// documents of the demonstration: fleet N.
+func (session *session) startFleet(script *testscript.TestScript, _ bool, args []string) {
+	count, err := strconv.Atoi(args[0])
+	script.Check(err)
+	session.fleet, err = demo.StartFleet(demo.FleetConfig{
+		Zones:    zones[:count],
+		Services: 1,
+		Engines: []standin.EngineConfig{
+			{Name: "engine-1", TokenInterval: time.Millisecond, Seed: 1},
+			{Name: "engine-2", TokenInterval: time.Millisecond, Seed: 2},
+		},
+		Adjust: func(_ int, settings settings.Settings) settings.Settings {
+			settings.PollInterval = 100 * time.Millisecond
+			settings.PublishTimeout = startTimeout
+			return settings
+		},
+	})
+	script.Check(err)
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	script.Check(session.fleet.WaitLive(ctx))
+	script.Check(session.fleet.Publish(ctx, fleetLimit))
+	script.Setenv("WISTERIALB_ADDRESS", session.fleet.Routers[0].Settings.OperatorAddress)
+	script.Setenv("WISTERIALB_OPERATOR_TOKEN", demo.OperatorToken)
+}
+
+// listenSilently accepts connections and answers none, and names the address in
+// a variable: silence VARIABLE.
+func (session *session) listenSilently(script *testscript.TestScript, _ bool, args []string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	script.Check(err)
+	session.listeners = append(session.listeners, listener)
+	script.Setenv(args[0], listener.Addr().String())
+}
+
+// runCommand runs the command line with its exit code: wisterialb ARGS...
+func (session *session) runCommand(script *testscript.TestScript, _ bool, args []string) {
+	var out, errOut bytes.Buffer
+	code := command.Run(command.Environment{
+		Context: context.Background(),
+		Out:     &out,
+		ErrOut:  &errOut,
+		Getenv:  script.Getenv,
+	}, args)
+	session.record(script, "wisterialb", args, out.String()+errOut.String()+fmt.Sprintf("exit %d\n", code))
+}
+
+// callOptions are the settings of a call: key=value.
+func callOptions(args []string) map[string]string {
+	options := map[string]string{
+		"router":  "0",
+		"token":   demo.CallerToken,
+		"profile": demo.ProfileName,
+	}
+	for _, arg := range args {
+		key, value, _ := strings.Cut(arg, "=")
+		options[key] = value
+	}
+	return options
+}
+
+// call sends a request to a router and prints its status, outcome and, when it
+// is refused, body: call METHOD PATH [router=N] [token=T] [profile=P] [key=K]
+// [body=TEXT] [bytes=N]. With bytes, the body is that long.
+func (session *session) call(script *testscript.TestScript, _ bool, args []string) {
+	options := callOptions(args[2:])
+	body := options["body"]
+	if options["bytes"] != "" {
+		count, err := strconv.Atoi(options["bytes"])
+		script.Check(err)
+		body = strings.Repeat("x", count)
+	}
+	index, err := strconv.Atoi(options["router"])
+	script.Check(err)
+	address := session.fleet.Routers[index].CallerAddress()
+	request, err := http.NewRequest(args[0], "http://"+address+args[1], strings.NewReader(body))
+	script.Check(err)
+	request.Header.Set("Authorization", "Bearer "+options["token"])
+	request.Header.Set("Wisterialb-Profile", options["profile"])
+	if options["key"] != "" {
+		request.Header.Set("Idempotency-Key", options["key"])
+	}
+	response, err := http.DefaultClient.Do(request)
+	script.Check(err)
+	content, err := io.ReadAll(response.Body)
+	script.Check(errors.Join(err, response.Body.Close()))
+	printed := fmt.Sprintf("status %d, outcome %s\n", response.StatusCode, response.Header.Get("Wisterialb-Outcome"))
+	if response.StatusCode != http.StatusOK {
+		printed += strings.TrimSpace(string(content)) + "\n"
+	}
+	session.record(script, "call", args, printed)
+}
+
+// printRuns prints how often each upstream has run a request: runs.
+func (session *session) printRuns(script *testscript.TestScript, _ bool, args []string) {
+	var out strings.Builder
+	for _, engine := range session.fleet.Engines {
+		fmt.Fprintf(&out, "%s %d\n", engine.Name(), len(engine.Runs()))
+	}
+	for _, service := range session.fleet.Services {
+		fmt.Fprintf(&out, "%s %d\n", service.Name(), len(service.Runs().Runs))
+	}
+	session.record(script, "runs", args, out.String())
+}
+
+// printMetrics prints the lines of a router's metrics that match: metrics REGEXP.
+func (session *session) printMetrics(script *testscript.TestScript, _ bool, args []string) {
+	pattern, err := regexp.Compile(args[0])
+	script.Check(err)
+	response, err := http.Get("http://" + session.fleet.Routers[0].Settings.OperatorAddress + "/metrics")
+	script.Check(err)
+	content, err := io.ReadAll(response.Body)
+	script.Check(errors.Join(err, response.Body.Close()))
+	var out strings.Builder
+	for line := range strings.Lines(string(content)) {
+		if pattern.MatchString(line) {
+			out.WriteString(line)
+		}
+	}
+	session.record(script, "metrics", args, out.String())
+}
+
+// record adds a command and what it printed to the transcript, without what
+// differs from run to run.
+func (session *session) record(script *testscript.TestScript, name string, args []string, printed string) {
+	line := name
+	for _, arg := range args {
+		if arg == "" || strings.Contains(arg, " ") {
+			arg = "'" + arg + "'"
+		}
+		line += " " + arg
+	}
+	printed = "$ " + line + "\n" + printed + "\n"
+	printed = strings.ReplaceAll(printed, script.MkAbs("."), "<directory>")
+	for _, mask := range masks {
+		printed = mask.pattern.ReplaceAllString(printed, mask.replacement)
+	}
+	session.transcript.WriteString(printed)
+	_, err := io.WriteString(script.Stdout(), printed)
+	script.Check(err)
+}
+
+// mask hides what differs from run to run.
+type mask struct {
+	pattern     *regexp.Regexp
+	replacement string
+}
+
+var masks = []mask{
+	{regexp.MustCompile(`[0-9A-HJKMNP-TV-Z]{26}`), "<ulid>"},
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?Z`), "<time>"},
+	{regexp.MustCompile(`127\.0\.0\.\d+:\d+`), "<address>"},
+	{regexp.MustCompile(`[ \t]+\n`), "\n"},
+}
