--- a/pkg/router/control.go
+++ b/pkg/router/control.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
-
-	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 )
 
 const (
@@ -30,7 +28,7 @@
 }
 
 func newControlServer(name, address string, handler http.Handler) (*controlServer, error) {
-	engine := nbhttp.NewEngine(nbhttp.Config{
+	engine, err := startEngine(nbhttp.Config{
 		Name:                   name,
 		Network:                "tcp",
 		Addrs:                  []string{address},
@@ -42,13 +40,8 @@
 		KeepaliveTime:          controlKeepalive,
 		NPoller:                1,
 	})
-	if err := engine.Start(); err != nil {
-		return nil, fault.New(fault.Config{
-			Kind:    fault.Unavailable,
-			Message: "cannot listen on " + address + " for " + name + ": " + err.Error(),
-			Remedy:  "free the address or change it in the settings",
-			Cause:   err,
-		})
+	if err != nil {
+		return nil, err
 	}
 	return &controlServer{engine: engine}, nil
 }
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -86,7 +86,7 @@
 		exchanges: make(map[*inFlight]struct{}),
 		stop:      make(chan struct{}),
 	}
-	server.engine = nbhttp.NewEngine(nbhttp.Config{
+	engine, err := startEngine(nbhttp.Config{
 		Name:                    "callers",
 		Network:                 "tcp",
 		Addrs:                   []string{config.Address},
@@ -99,14 +99,10 @@
 		KeepaliveTime:           config.LongestDeadline + keepaliveMargin,
 		ReleaseWebsocketPayload: true,
 	})
-	if err := server.engine.Start(); err != nil {
-		return nil, fault.New(fault.Config{
-			Kind:    fault.Unavailable,
-			Message: "cannot listen on " + config.Address + ": " + err.Error(),
-			Remedy:  "free the address or change caller_address in the settings",
-			Cause:   err,
-		})
+	if err != nil {
+		return nil, err
 	}
+	server.engine = engine
 	server.swept.Go(func() {
 		ticker := time.NewTicker(sweepInterval)
 		defer ticker.Stop()
