Hand settlements over and borrow while the table is slow

Cause: a table that hangs held up the second router and the lenders until the retries were used up, up to 12 s. Change: a second goroutine hands over what waits longer than 250 ms; a reservation asks other routers after 300 ms; settlement every 200 ms apart from resizing; held settlements are kept once by number.

--- a/pkg/budget/batch.go
+++ b/pkg/budget/batch.go
@@ -42,11 +42,18 @@
 		return nil, false, err
 	}
 	for _, pending := range batch.settlements {
-		plan.add(pending.settlement, pending.kept)
+		plan.add(pending.settlement, escrow.isKept(pending))
 	}
 	return plan, false, nil
 }
 
+// isKept reports whether a second router may hold the settlement.
+func (escrow *Escrow) isKept(pending *pendingSettlement) bool {
+	escrow.mutex.Lock()
+	defer escrow.mutex.Unlock()
+	return pending.kept
+}
+
 func newBatchPlan(incarnation string) *batchPlan {
 	return &batchPlan{
 		incarnation: incarnation,
--- a/pkg/budget/escrow.go
+++ b/pkg/budget/escrow.go
@@ -19,7 +19,9 @@
 	// DefaultHorizon is the demand that a grant covers.
 	DefaultHorizon = 10 * time.Second
 	// DefaultSettleInterval is the time between two settlement batches.
-	DefaultSettleInterval = time.Second
+	DefaultSettleInterval = 200 * time.Millisecond
+	// resizeInterval is the time between two looks at the size of the grants.
+	resizeInterval = time.Second
 	// DefaultMaxWait bounds the wait of a reservation for returned grants.
 	DefaultMaxWait = 3 * time.Second
 	// DefaultDrainTimeout bounds the table calls of Close without a deadline.
@@ -89,7 +91,8 @@
 	// pending are settlements in the order of their numbers.
 	pending    []*pendingSettlement
 	settlement uint64
-	kept       map[string][]Settlement
+	// kept are settlements of other routers, by owner and number.
+	kept map[string]map[uint64]Settlement
 
 	// settling admits one settlement at a time; it guards the fields below.
 	settling sync.Mutex
@@ -99,29 +102,44 @@
 	// resizeParallelism bounds the grants that are resized at once.
 	resizeParallelism int
 
-	wake    chan struct{}
 	stop    chan struct{}
-	stopped chan struct{}
+	running sync.WaitGroup
 }
 
 // NewEscrow returns an Escrow and starts its control goroutine, which settles,
-// refills and returns grants until Close.
+// refills and returns grants until Close, and a second one, which hands
+// settlements to another router while the first waits for the table.
 func NewEscrow(config EscrowConfig) *Escrow {
 	escrow := newEscrow(config)
-	go func() {
-		defer close(escrow.stopped)
-		ticker := time.NewTicker(escrow.config.SettleInterval)
-		defer ticker.Stop()
+	escrow.running.Go(func() {
+		settle := time.NewTicker(escrow.config.SettleInterval)
+		defer settle.Stop()
+		resize := time.NewTicker(resizeInterval)
+		defer resize.Stop()
 		for {
 			select {
 			case <-escrow.stop:
 				return
-			case <-escrow.wake:
-			case <-ticker.C:
+			case <-settle.C:
+				escrow.settle(context.Background())
+			case <-resize.C:
+				escrow.settleKept(context.Background())
+				escrow.resize(context.Background())
 			}
-			escrow.tick(context.Background())
 		}
-	}()
+	})
+	escrow.running.Go(func() {
+		handOver := time.NewTicker(keepAge)
+		defer handOver.Stop()
+		for {
+			select {
+			case <-escrow.stop:
+				return
+			case <-handOver.C:
+				escrow.handOver(context.Background(), keepAge)
+			}
+		}
+	})
 	return escrow
 }
 
@@ -134,23 +152,14 @@
 		sizing:   policies[config.Policy].construct(config),
 		metrics:  newMetrics(config.Registerer),
 		accounts: make(map[string]*account),
-		kept:     make(map[string][]Settlement),
+		kept:     make(map[string]map[uint64]Settlement),
 
 		resizeParallelism: defaultResizeParallelism,
 
-		wake:    make(chan struct{}, 1),
-		stop:    make(chan struct{}),
-		stopped: make(chan struct{}),
+		stop: make(chan struct{}),
 	}
 }
 
-// tick is one round of the control goroutine.
-func (escrow *Escrow) tick(ctx context.Context) {
-	escrow.settle(ctx)
-	escrow.settleKept(ctx)
-	escrow.resize(ctx)
-}
-
 // account returns the account of a profile, made when needed.
 func (escrow *Escrow) account(profile string) *account {
 	escrow.mutex.Lock()
@@ -222,18 +231,6 @@
 	return loan, nil
 }
 
-// Keep holds settlements of another router until that router has settled them
-// or is closed.
-func (escrow *Escrow) Keep(_ context.Context, owner string, settlements []Settlement) error {
-	escrow.mutex.Lock()
-	defer escrow.mutex.Unlock()
-	if escrow.draining {
-		return drainingError()
-	}
-	escrow.kept[owner] = append(escrow.kept[owner], settlements...)
-	return nil
-}
-
 // Close refuses new reservations, settles what has ended and returns all
 // grants. What other reservations hold, and loans that no borrower has
 // recorded, become unattributed. The error is fault.Unavailable when the table
@@ -243,7 +240,7 @@
 		return nil
 	}
 	close(escrow.stop)
-	<-escrow.stopped
+	escrow.running.Wait()
 	return escrow.finish(ctx)
 }
 
--- a/pkg/budget/finish.go
+++ b/pkg/budget/finish.go
@@ -21,7 +21,7 @@
 		return escrow.settleAll(ctx)
 	})
 	if err != nil {
-		escrow.handOver(context.WithoutCancel(ctx))
+		escrow.handOver(context.WithoutCancel(ctx), 0)
 		return err
 	}
 	for _, account := range escrow.allAccounts() {
--- a/pkg/budget/kept.go
+++ b/pkg/budget/kept.go
@@ -2,40 +2,142 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"time"
 
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
+// The flow of a held bill: a settlement that has waited longer than keepAge for
+// the table goes to a second router as well. That router settles it once the
+// owner is closed, and drops it once the owner has settled it. Both write the
+// same keys, and the owner's holder row orders them, so the bill stands once.
+
+const (
+	// keepAge is how long a settlement waits for the table alone.
+	keepAge = 250 * time.Millisecond
+	// maxKept bounds the settlements that are held for one other router.
+	maxKept = 50000
+)
+
+// Keep holds settlements of another router until that router has settled them
+// or is closed. The errors are fault.Draining and fault.Overloaded.
+func (escrow *Escrow) Keep(_ context.Context, owner string, settlements []Settlement) error {
+	escrow.mutex.Lock()
+	defer escrow.mutex.Unlock()
+	if escrow.draining {
+		return drainingError()
+	}
+	kept := escrow.kept[owner]
+	if kept == nil {
+		kept = make(map[uint64]Settlement)
+		escrow.kept[owner] = kept
+	}
+	if len(kept)+len(settlements) > maxKept {
+		return fault.New(fault.Config{
+			Kind:    fault.Overloaded,
+			Message: "this router holds too many settlements of " + owner,
+			Remedy:  "ask another router",
+		})
+	}
+	for _, settlement := range settlements {
+		kept[settlement.Number] = settlement
+	}
+	return nil
+}
+
+// handOver sends settlements older than age to a second router.
+func (escrow *Escrow) handOver(ctx context.Context, age time.Duration) {
+	if escrow.config.Keeper == nil {
+		return
+	}
+	handed, settlements := escrow.markKept(time.Now().Add(-age))
+	if len(handed) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	if err := escrow.config.Keeper.Keep(ctx, escrow.config.Incarnation, settlements); err != nil {
+		_ = escrow.config.Logger.Log("level", "warn", "message", "no second router holds the settlements", "error", err)
+		return
+	}
+	for _, pending := range handed {
+		pending.receipt.markHeld()
+	}
+}
+
+const (
+	// keepTimeout bounds one call to a second router.
+	keepTimeout = 2 * time.Second
+	// maxHandOver bounds the settlements of one call to a second router.
+	maxHandOver = 1000
+)
+
+// markKept marks the settlements from before a time that no second router holds
+// yet. The mark comes before the call, because its answer can be lost.
+func (escrow *Escrow) markKept(before time.Time) ([]*pendingSettlement, []Settlement) {
+	escrow.mutex.Lock()
+	defer escrow.mutex.Unlock()
+	var handed []*pendingSettlement
+	var settlements []Settlement
+	for _, pending := range escrow.pending {
+		if pending.at.After(before) || len(handed) == maxHandOver {
+			break
+		}
+		if isClosed(pending.receipt.held) {
+			continue
+		}
+		pending.kept = true
+		handed = append(handed, pending)
+		settlements = append(settlements, pending.settlement)
+	}
+	return handed, settlements
+}
+
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
 // settleKept settles what this router holds for routers that are closed, and
 // drops what the owners have settled themselves.
 func (escrow *Escrow) settleKept(ctx context.Context) {
-	for owner, settlements := range escrow.takeKept() {
-		var left []Settlement
+	for owner, settlements := range escrow.keptByOwner() {
 		for _, settlement := range settlements {
 			done, err := escrow.settleFor(ctx, owner, settlement)
-			if err != nil || !done {
-				left = append(left, settlement)
+			if err != nil {
+				return
+			}
+			if done {
+				escrow.dropKept(owner, settlement.Number)
 			}
 		}
-		escrow.putBackKept(owner, left)
 	}
 }
 
-func (escrow *Escrow) takeKept() map[string][]Settlement {
+func (escrow *Escrow) keptByOwner() map[string][]Settlement {
 	escrow.mutex.Lock()
 	defer escrow.mutex.Unlock()
-	kept := escrow.kept
-	escrow.kept = make(map[string][]Settlement)
-	return kept
+	copied := make(map[string][]Settlement, len(escrow.kept))
+	for owner, settlements := range escrow.kept {
+		copied[owner] = slices.Collect(maps.Values(settlements))
+	}
+	return copied
 }
 
-func (escrow *Escrow) putBackKept(owner string, settlements []Settlement) {
-	if len(settlements) == 0 {
-		return
-	}
+func (escrow *Escrow) dropKept(owner string, number uint64) {
 	escrow.mutex.Lock()
 	defer escrow.mutex.Unlock()
-	escrow.kept[owner] = append(settlements, escrow.kept[owner]...)
+	delete(escrow.kept[owner], number)
+	if len(escrow.kept[owner]) == 0 {
+		delete(escrow.kept, owner)
+	}
 }
 
 // settleFor settles for a closed owner: unattributed tokens become lines. It
@@ -43,27 +145,36 @@
 func (escrow *Escrow) settleFor(ctx context.Context, owner string, settlement Settlement) (bool, error) {
 	done := false
 	err := escrow.retrier.Run(ctx, func(ctx context.Context) error {
-		profile := settlement.Reservation.Profile
-		keys := append([]platform.Key{holderKey(profile, owner)}, lineKeys(settlement, owner)...)
-		items, err := escrow.table.Get(ctx, keys...)
+		plan, err := escrow.planKept(ctx, owner, settlement)
 		if err != nil {
 			return err
 		}
-		plan := newBatchPlan(owner)
-		if err := plan.readHolders([]string{profile}, items[:1]); err != nil {
-			return err
-		}
-		if err := plan.readLines(items[1:]); err != nil {
-			return err
-		}
-		plan.add(settlement, true)
-		holder := plan.holders[profile].row
+		profile := settlement.Reservation.Profile
+		holder := plan.holders[profile]
+		done = holder.item.Version == 0 || len(plan.lines) == 0 || holder.row.Closed
 		charge := plan.charges[profile]
-		done = items[0].Version == 0 || len(plan.lines) == 0 || holder.Closed
-		if !done || !holder.Closed || charge.total() > holder.Settled.UnattributedTokens {
+		if !done || len(plan.lines) == 0 || !holder.row.Closed || charge.total() > holder.row.Settled.UnattributedTokens {
 			return nil
 		}
 		return escrow.table.Transact(ctx, platform.Transaction{Writes: plan.writes()})
 	})
 	return done, err
 }
+
+func (escrow *Escrow) planKept(ctx context.Context, owner string, settlement Settlement) (*batchPlan, error) {
+	profile := settlement.Reservation.Profile
+	keys := append([]platform.Key{holderKey(profile, owner)}, lineKeys(settlement, owner)...)
+	items, err := escrow.table.Get(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	plan := newBatchPlan(owner)
+	if err := plan.readHolders([]string{profile}, items[:1]); err != nil {
+		return nil, err
+	}
+	if err := plan.readLines(items[1:]); err != nil {
+		return nil, err
+	}
+	plan.add(settlement, true)
+	return plan, nil
+}
--- a/pkg/budget/obtain.go
+++ b/pkg/budget/obtain.go
@@ -13,14 +13,17 @@
 
 // The flow of a reservation that the held grant does not cover: it waits in the
 // account, and until it is served or its time is over it (1) takes a grant from
-// the table, shared by all that wait, (2) borrows from other routers, and
-// (3) pauses for tokens to be returned. It is refused at once when even all
+// the table, shared by all that wait, (2) borrows from other routers when the
+// table refuses or is slow, and (3) pauses for tokens to be returned. It is refused at once when even all
 // unsettled tokens of the budget would not do.
 
 // The pauses between two rounds of asking.
 const (
 	firstPause = 20 * time.Millisecond
 	maxPause   = 500 * time.Millisecond
+	// grantPatience is how long a reservation waits for the table before it
+	// asks other routers. The call to the table goes on.
+	grantPatience = 300 * time.Millisecond
 )
 
 // obtain waits until the demand is reserved, or returns why it is refused.
@@ -125,9 +128,13 @@
 	result := escrow.grants.DoChan(account.profile, func() (any, error) {
 		return escrow.take(context.WithoutCancel(ctx), account)
 	})
+	patience := time.NewTimer(grantPatience)
+	defer patience.Stop()
 	select {
 	case <-ctx.Done():
 		return standing{}, ctx.Err()
+	case <-patience.C:
+		return standing{}, context.DeadlineExceeded
 	case answer := <-result:
 		return answer.Val.(standing), answer.Err
 	}
--- a/pkg/budget/settle.go
+++ b/pkg/budget/settle.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
@@ -12,8 +11,7 @@
 // the lines. Each interval the control goroutine cuts the queue into batches,
 // records the loans that the batch may have spent, and writes each batch in one
 // transaction with the next sequence of the incarnation. A batch whose answer
-// was lost is found applied by its sequence, or written again as it was. While
-// the table does not answer, the queue goes to a second router as well.
+// was lost is found applied by its sequence, or written again as it was.
 
 const (
 	// maxLines bounds the lines of one settlement; more are joined into one.
@@ -29,6 +27,7 @@
 type pendingSettlement struct {
 	settlement Settlement
 	receipt    *Receipt
+	at         time.Time
 	// kept is set before the settlement is sent to a second router.
 	kept bool
 }
@@ -63,7 +62,7 @@
 	defer escrow.mutex.Unlock()
 	escrow.settlement++
 	settlement.Number = escrow.settlement
-	escrow.pending = append(escrow.pending, &pendingSettlement{settlement: settlement, receipt: receipt})
+	escrow.pending = append(escrow.pending, &pendingSettlement{settlement: settlement, receipt: receipt, at: time.Now()})
 }
 
 // chargeable returns the lines as they are charged, and their sum.
@@ -109,14 +108,12 @@
 		"reserved_tokens", settlement.Reservation.Tokens, "line_tokens", line.Tokens)
 }
 
-// settle writes all pending settlements. On an error the rest stays pending and
-// is handed to the keeper.
+// settle writes all pending settlements. On an error the rest stays pending.
 func (escrow *Escrow) settle(ctx context.Context) {
 	escrow.settling.Lock()
 	defer escrow.settling.Unlock()
 	if err := escrow.settleAll(ctx); err != nil {
 		_ = escrow.config.Logger.Log("level", "warn", "message", "settlements wait for the table", "error", err)
-		escrow.handOver(ctx)
 	}
 }
 
@@ -195,107 +192,3 @@
 		}
 	}
 }
-
-// handOver sends pending settlements to a second router.
-func (escrow *Escrow) handOver(ctx context.Context) {
-	if escrow.config.Keeper == nil {
-		return
-	}
-	handed, settlements := escrow.markKept()
-	if len(handed) == 0 {
-		return
-	}
-	if err := escrow.config.Keeper.Keep(ctx, escrow.config.Incarnation, settlements); err != nil {
-		_ = escrow.config.Logger.Log("level", "warn", "message", "no second router holds the settlements", "error", err)
-		return
-	}
-	for _, pending := range handed {
-		pending.receipt.markHeld()
-	}
-}
-
-// markKept marks the settlements that no second router holds yet.
-func (escrow *Escrow) markKept() ([]*pendingSettlement, []Settlement) {
-	escrow.mutex.Lock()
-	defer escrow.mutex.Unlock()
-	var handed []*pendingSettlement
-	var settlements []Settlement
-	for _, pending := range escrow.pending {
-		if isClosed(pending.receipt.held) {
-			continue
-		}
-		pending.kept = true
-		handed = append(handed, pending)
-		settlements = append(settlements, pending.settlement)
-	}
-	return handed, settlements
-}
-
-func isClosed(channel <-chan struct{}) bool {
-	select {
-	case <-channel:
-		return true
-	default:
-		return false
-	}
-}
-
-// recordLoans writes received loans into the books of lender and borrower.
-func (escrow *Escrow) recordLoans(ctx context.Context) error {
-	for _, account := range escrow.allAccounts() {
-		for _, loan := range account.unrecordedLoans() {
-			if err := escrow.recordLoan(ctx, account, loan); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
-// recordLoan inserts the transfer row together with both holder rows, so that
-// a loan is booked once and the amount is charged at one router only.
-func (escrow *Escrow) recordLoan(ctx context.Context, account *account, loan Loan) error {
-	err := escrow.retrier.Run(ctx, func(ctx context.Context) error {
-		items, err := escrow.table.Get(ctx, transferKey(loan),
-			holderKey(loan.Profile, loan.Lender), holderKey(loan.Profile, escrow.config.Incarnation))
-		if err != nil {
-			return err
-		}
-		borrower, err := newHolderRecord(loan.Profile, escrow.config.Incarnation, items[2])
-		if err != nil {
-			return err
-		}
-		if items[0].Version != 0 {
-			account.adopt(borrower.row)
-			return nil
-		}
-		lender, err := newHolderRecord(loan.Profile, loan.Lender, items[1])
-		if err != nil {
-			return err
-		}
-		return escrow.writeLoan(ctx, account, loan, lender, borrower)
-	})
-	if err == nil {
-		account.markRecorded(loan)
-	}
-	return err
-}
-
-func (escrow *Escrow) writeLoan(ctx context.Context, account *account, loan Loan, lender, borrower holderRecord) error {
-	if lender.row.outstandingTokens()+lender.row.Settled.UnattributedTokens < loan.Tokens {
-		return fault.New(fault.Config{
-			Kind:    fault.Internal,
-			Message: "lender " + loan.Lender + " does not hold what it lent",
-			Remedy:  "report this error; the loan stays unrecorded",
-		})
-	}
-	changed := borrower.row.WithBorrowed(loan.Tokens)
-	writes := []platform.Write{insert(transferKey(loan), transferRow{Loan: loan, Borrower: escrow.config.Incarnation})}
-	writes = append(writes, lender.writes(lender.row.WithLent(loan.Tokens))...)
-	writes = append(writes, borrower.writes(changed)...)
-	if err := escrow.table.Transact(ctx, platform.Transaction{Writes: writes}); err != nil {
-		return err
-	}
-	account.adopt(changed)
-	return nil
-}
