Carry the number of a held settlement between routers

Cause: the message of a held settlement had no number, so the second router could not tell two settlements apart nor recognise the owner's bill. Change: peer.proto's Settlement has a number; the router releases an answer's end once the bill is held (Receipt.Held); standin.FaultyTable replaces the budget test's own faulty table. Conclusion: bills that a second router holds stay identified.

--- a/pkg/budget/machine_test.go
+++ b/pkg/budget/machine_test.go
@@ -38,7 +38,7 @@
 type node struct {
 	name    string
 	escrow  *Escrow
-	table   *faultyTable
+	table   *standin.FaultyTable
 	running []*running
 	paused  bool
 	dead    bool
@@ -78,7 +78,7 @@
 
 func (machine *machine) boot() {
 	name := fmt.Sprintf("router-%d", len(machine.nodes))
-	node := &node{name: name, table: &faultyTable{Table: machine.table}}
+	node := &node{name: name, table: standin.NewFaultyTable(standin.FaultyTableConfig{Table: machine.table})}
 	node.escrow = newEscrow(EscrowConfig{
 		Table: node.table, Incarnation: name, Lender: peers{machine, node}, Keeper: peers{machine, node},
 		MaxWait: 100 * time.Millisecond,
@@ -117,6 +117,8 @@
 	self    *node
 }
 
+var errLostMessage = fault.New(fault.Config{Kind: fault.Unavailable, Message: "no answer", Remedy: "ask again"})
+
 func (peers peers) Borrow(ctx context.Context, request LoanRequest) (Loan, error) {
 	for _, node := range peers.machine.awake() {
 		if node == peers.self {
@@ -129,7 +131,7 @@
 		peers.machine.steps["loans"]++
 		if peers.machine.dropLoans {
 			peers.machine.steps["loans lost"]++
-			return Loan{}, lost()
+			return Loan{}, errLostMessage
 		}
 		if peers.machine.repeatLoans {
 			peers.self.escrow.account(loan.Profile).receive(loan)
@@ -147,11 +149,11 @@
 		peers.machine.steps["kept"] += len(settlements)
 		err := node.escrow.Keep(ctx, owner, settlements)
 		if peers.machine.dropKeeps {
-			return lost()
+			return errLostMessage
 		}
 		return err
 	}
-	return lost()
+	return errLostMessage
 }
 
 // pick draws one of the routers, or skips the step.
@@ -233,25 +235,22 @@
 
 func (machine *machine) breakTable(t *rapid.T) {
 	table := pick(t, machine.nodes).table
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
 	switch rapid.IntRange(0, 4).Draw(t, "fault") {
 	case 0:
-		table.delays = 1
-		table.downAfterDelay = true
-	case 4:
-		table.down = true
+		table.SetFaults(standin.TableFaults{Delays: 1, DownAfterDelay: true})
 	case 1:
-		table.loseAnswers = rapid.IntRange(1, 4).Draw(t, "answers")
+		table.SetFaults(standin.TableFaults{LoseAnswers: rapid.IntRange(1, 4).Draw(t, "answers")})
 	case 2:
-		table.delays = rapid.IntRange(1, 4).Draw(t, "delays")
+		table.SetFaults(standin.TableFaults{Delays: rapid.IntRange(1, 4).Draw(t, "delays")})
 	case 3:
-		table.down = false
+		table.SetFaults(standin.TableFaults{})
+	case 4:
+		table.SetFaults(standin.TableFaults{Down: true})
 	}
 }
 
 func (machine *machine) deliver(t *rapid.T) {
-	pick(t, machine.nodes).table.deliver(context.Background())
+	pick(t, machine.nodes).table.Deliver(context.Background())
 }
 
 func (machine *machine) breakPeers(t *rapid.T) {
@@ -389,9 +388,9 @@
 // heal ends all faults and compares the final books with the oracle.
 func (machine *machine) heal(t require.TestingT) {
 	for _, node := range machine.nodes {
-		node.table.heal()
-		for len(node.table.inTransit) > 0 {
-			node.table.deliver(context.Background())
+		node.table.SetFaults(standin.TableFaults{})
+		for node.table.Deliver(context.Background()) {
+			continue
 		}
 		node.paused = false
 	}
--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -141,6 +141,7 @@
 		RequestId: settlement.Reservation.RequestID,
 		Tokens:    settlement.Reservation.Tokens,
 		Lines:     convert(settlement.Lines, lineToWire),
+		Number:    settlement.Number,
 	}
 }
 
@@ -151,7 +152,8 @@
 			RequestID: settlement.GetRequestId(),
 			Tokens:    settlement.GetTokens(),
 		},
-		Lines: convert(settlement.GetLines(), lineFromWire),
+		Lines:  convert(settlement.GetLines(), lineFromWire),
+		Number: settlement.GetNumber(),
 	}
 }
 
--- a/pkg/router/pipeline.go
+++ b/pkg/router/pipeline.go
@@ -119,7 +119,7 @@
 	timer := time.NewTimer(router.config.BillWait)
 	defer timer.Stop()
 	select {
-	case <-receipt.Durable():
+	case <-receipt.Held():
 	case <-timer.C:
 		router.metrics.billsLate.Inc()
 	case <-ctx.Done():
