--- a/pkg/demo/fleet.go
+++ b/pkg/demo/fleet.go
@@ -14,14 +14,12 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
-	"gitlab.com/wisterialb/wisterialb/pkg/peer"
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 	"gitlab.com/wisterialb/wisterialb/pkg/router"
 	"gitlab.com/wisterialb/wisterialb/pkg/settings"
@@ -36,8 +34,7 @@
 	// OperatorName is written to the demonstration's audit trail.
 	OperatorName = "demo"
 
-	platformTimeout     = 2 * time.Second
-	platformConnections = 32
+	platformTimeout = 2 * time.Second
 )
 
 // FleetConfig describes a Fleet.
@@ -71,19 +68,8 @@
 	*router.Router
 	Settings settings.Settings
 	Registry *prometheus.Registry
-	link     *link
-}
-
-// Cut separates the router from the platform and from its peers, or joins it
-// to them again. Its callers and upstreams stay reachable.
-func (node *Node) Cut(cut bool) {
-	node.link.cut.Store(cut)
-}
-
-// Kill ends the router as if its VM had died: nothing is settled or returned.
-func (node *Node) Kill() {
-	node.Cut(true)
-	node.Abort()
+	// Dialer opens all connections of the router.
+	Dialer *standin.Dialer
 }
 
 // StartFleet starts the stand-ins and the routers. Nothing is published yet.
@@ -134,26 +120,23 @@
 		return err
 	}
 	registry := prometheus.NewRegistry()
-	link := &link{}
+	dialer := &standin.Dialer{}
 	running, err := router.New(router.Config{
 		Settings: config,
 		Platform: platform.Dial(platform.ClientConfig{
 			Address: config.Platform.Address,
 			Timeout: config.Platform.Timeout,
 			Name:    config.CallerAddress,
-			HTTPClient: &http.Client{
-				Transport: link.wrap(&http.Transport{MaxIdleConnsPerHost: platformConnections}),
-			},
+			Dial:    dialer.DialContext,
 		}),
 		Logger:   log.With(fleet.config.Logger, "router", index+1),
 		Registry: registry,
-
-		PeerTransport: link.wrap(peer.NewTransport()),
+		Dial:     dialer.DialContext,
 	})
 	if err != nil {
 		return err
 	}
-	node := &Node{Router: running, Settings: config, Registry: registry, link: link}
+	node := &Node{Router: running, Settings: config, Registry: registry, Dialer: dialer}
 	if index < len(fleet.Routers) {
 		fleet.Routers[index] = node
 		return nil
@@ -186,6 +169,14 @@
 	return config, nil
 }
 
+// KillRouter ends the router of a place as a crash does. StartRouter starts one
+// in its place.
+func (fleet *Fleet) KillRouter(index int) {
+	node := fleet.Routers[index]
+	node.Dialer.Kill()
+	node.Abort()
+}
+
 // Close shuts the routers down and closes the stand-ins.
 func (fleet *Fleet) Close(ctx context.Context) error {
 	var errs []error
--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -56,8 +57,9 @@
 	Logger   log.Logger
 	// Registry receives the metrics and is served at /metrics.
 	Registry *prometheus.Registry
-	// PeerTransport carries calls to other routers; nil means the default.
-	PeerTransport http.RoundTripper
+	// Dial opens connections to upstreams and other routers; nil means the
+	// usual way.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // assembly is a router being built.
@@ -123,8 +125,7 @@
 		Key:     []byte(build.settings.PeerKey),
 		Members: func() []fleet.Member { return build.membership.Members() },
 		Self:    build.incarnation,
-
-		Transport: build.given.PeerTransport,
+		Dial:    build.given.Dial,
 	})
 	build.ledger = budget.NewLedger(budget.LedgerConfig{Table: build.table})
 	build.publisher = configuration.NewPublisher(configuration.PublisherConfig{
@@ -189,6 +190,7 @@
 		Exchange: exchange.ClientConfig{
 			FirstTimeout:   build.settings.Stall.FirstToken,
 			BetweenTimeout: build.settings.Stall.BetweenTokens,
+			Dial:           build.given.Dial,
 		},
 	})
 	build.ranker = entry.NewRanker(entry.RankerConfig{
@@ -247,14 +249,15 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/", operator.NewServer(operator.ServerConfig{
-		Tokens:     tokens,
-		Publisher:  build.publisher,
-		Ledger:     build.ledger,
-		Documents:  documents{follower: build.follower},
-		Members:    build.operatorMembers,
-		Self:       build.incarnation,
-		Logger:     build.logger,
-		Registerer: build.given.Registry,
+		Tokens:      tokens,
+		Publisher:   build.publisher,
+		Ledger:      build.ledger,
+		Follower:    build.follower,
+		Members:     build.membership.Members,
+		Propagation: build.settings.PublishTimeout,
+		Self:        build.incarnation,
+		Logger:      build.logger,
+		Registerer:  build.given.Registry,
 	}))
 	mux.Handle("/metrics", promhttp.HandlerFor(build.given.Registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("/healthz", func(writer http.ResponseWriter, _ *http.Request) {
@@ -270,24 +273,6 @@
 	return mux
 }
 
-func (build *assembly) operatorMembers() []operator.Member {
-	members := build.membership.Members()
-	shown := make([]operator.Member, 0, len(members))
-	for _, member := range members {
-		shown = append(shown, operator.Member{
-			Incarnation:     member.Incarnation,
-			Zone:            member.Zone,
-			State:           operator.MemberState(member.State),
-			Revision:        member.Revision,
-			CallerAddress:   member.CallerAddress,
-			PeerAddress:     member.PeerAddress,
-			OperatorAddress: member.OperatorAddress,
-			Load:            member.Load,
-		})
-	}
-	return shown
-}
-
 // report tells the fleet what this router has adopted and how busy it is.
 func (router *Router) report(context.Context) {
 	load := float64(router.running()) / fullLoad
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -112,20 +112,17 @@
 	return cut, err
 }
 
-// Abort stops serving at once and settles nothing, as if the process had died.
-// It is for tests; the caller cuts the router off from platform and peers first.
+// Abort ends the router as a crash does: callers are cut off, and nothing is
+// settled, returned or handed over on purpose. It is for tests of failures, which
+// also have to cut the router's outgoing connections.
 func (router *Router) Abort() {
 	if !router.ended.CompareAndSwap(false, true) {
 		return
 	}
-	router.draining.Store(true)
-	router.server.Load().Abort()
-	for _, control := range router.control {
-		control.close(context.Background())
-	}
-	router.background.stop()
-	router.follower.Close()
-	router.membership.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	router.server.Load().Shutdown(ctx)
+	_ = router.closeParts(ctx)
 }
 
 func (router *Router) closeParts(ctx context.Context) error {
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -56,7 +56,7 @@
 	resume := first.response.Header.Get("Wisterialb-Resume")
 	require.NotEmpty(t, resume)
 	text := first.take(5)
-	fleet.Routers[0].Kill()
+	fleet.KillRouter(0)
 	more, end := first.rest()
 	require.NotEqual(t, "[DONE]", end)
 	second := fleet.stream(call{router: 1, key: "k1", header: map[string]string{
