--- a/pkg/claim/entry.go
+++ b/pkg/claim/entry.go
@@ -31,6 +31,10 @@
 	run     string
 	// end is the last state, for endClaim.
 	end claimRow
+	// origin is the insert that a fence withdraws, while its caller waits.
+	origin *entry
+	// failedAt is when the table had not decided an insert within the retries.
+	failedAt time.Time
 	// absent is set while the last read showed no claim and nothing was sent
 	// since.
 	absent bool
@@ -93,9 +97,30 @@
 	return nil
 }
 
-// answer gives an entry its decision. It returns true when an owned claim has
-// nobody to run it.
+// answer gives an entry its decision, and the decision of a fence to the insert
+// that it withdraws. It returns true when an owned claim has nobody to run it.
 func (registry *Registry) answer(entry *entry, decision Decision, err error) bool {
+	if entry.origin != nil && err == nil {
+		registry.answerOrigin(entry.origin, decision)
+	}
+	return registry.answerOne(entry, decision, err)
+}
+
+// answerOrigin tells an insert that it is withdrawn for good, or what another
+// run's claim says.
+func (registry *Registry) answerOrigin(origin *entry, decision Decision) {
+	if decision.State != Withdrawn {
+		registry.answerOne(origin, decision, nil)
+		return
+	}
+	registry.answerOne(origin, Decision{}, fault.New(fault.Config{
+		Kind:    fault.Unavailable,
+		Message: "the claim of request " + origin.request.RequestID + " could not be written in time and is withdrawn",
+		Remedy:  "retry with a new request id",
+	}))
+}
+
+func (registry *Registry) answerOne(entry *entry, decision Decision, err error) bool {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	if entry.answered {
@@ -127,6 +152,7 @@
 	copied := newQueued(entry)
 	copied.kind = entry.kind
 	copied.end = entry.end
+	copied.origin = entry.origin
 	return copied
 }
 
@@ -138,6 +164,7 @@
 func (entry *entry) fence() *entry {
 	fence := entry.again()
 	fence.kind = fenceClaim
+	fence.origin = entry
 	fence.end = claimRow{}.WithEnd(Withdrawn, Result{}, "")
 	return fence
 }
--- a/pkg/claim/group.go
+++ b/pkg/claim/group.go
@@ -12,6 +12,9 @@
 // the worst case one check of a seal.
 const maxGroup = platform.MaxTransactionWrites / 2
 
+// fenceWait bounds the wait of a caller for the withdrawal of its claim.
+const fenceWait = 2 * time.Second
+
 // maxUnfinished bounds the entries that are kept for later.
 const maxUnfinished = 10000
 
@@ -156,7 +159,7 @@
 func (registry *Registry) place(plan *groupPlan, entry *entry, item platform.Item, row claimRow) {
 	entry.absent = item.Version == 0
 	if entry.kind != insertClaim && plan.seals[entry.hour].Version != 0 {
-		registry.answer(entry, row.decision(), nil)
+		registry.answer(entry, tooOld(), nil)
 		return
 	}
 	switch entry.kind {
@@ -177,7 +180,7 @@
 	case item.Version != 0:
 		registry.answer(entry, row.decision(), nil)
 	case sealed || registry.isOld(entry):
-		registry.answer(entry, Decision{State: Unknown, Reason: "the request is older than claims are kept"}, nil)
+		registry.answer(entry, tooOld(), nil)
 	case registry.hasLeft(entry):
 		registry.answer(entry, Decision{}, undecided(entry, nil))
 	default:
@@ -215,6 +218,10 @@
 	return row.Owner == plan.owner && row.Run == entry.run
 }
 
+func tooOld() Decision {
+	return Decision{State: Unknown, Reason: "the request is older than claims are kept"}
+}
+
 // isOld reports whether this router's clock says that the claim may have been
 // removed. The seal of the hour decides where clocks differ.
 func (registry *Registry) isOld(entry *entry) bool {
@@ -253,17 +260,29 @@
 	}
 }
 
-// fail ends an entry that the table did not decide. An insert that may have
-// been applied is fenced off, and an end is tried again, until the table has
-// them.
+// fail deals with an entry that the table did not decide. An end is tried again
+// until the table has it. An insert that may have been applied is fenced off;
+// its caller waits up to fenceWait for that, to be told that nothing ran.
 func (registry *Registry) fail(entry *entry, cause error) {
 	registry.metrics.undecided.Inc()
-	registry.answer(entry, Decision{}, undecided(entry, cause))
 	switch {
-	case entry.kind != insertClaim:
-		registry.later(entry.again())
-	case !entry.absent:
+	case entry.kind == insertClaim && entry.absent:
+		registry.answer(entry, Decision{}, undecided(entry, cause))
+	case entry.kind == insertClaim:
+		entry.failedAt = time.Now()
 		registry.later(entry.fence())
+	default:
+		registry.giveUpOrigin(entry, cause)
+		registry.later(entry.again())
+		registry.answer(entry, Decision{}, undecided(entry, cause))
+	}
+}
+
+// giveUpOrigin ends the wait of an insert whose fence was not decided in time.
+func (registry *Registry) giveUpOrigin(fence *entry, cause error) {
+	origin := fence.origin
+	if origin != nil && time.Since(origin.failedAt) >= fenceWait {
+		registry.answer(origin, Decision{}, undecided(origin, cause))
 	}
 }
 
@@ -276,6 +295,19 @@
 	}
 }
 
+// dropUnfinished answers the callers of entries that are not tried again.
+func (registry *Registry) dropUnfinished() {
+	registry.mutex.Lock()
+	dropped := registry.unfinished
+	registry.unfinished = nil
+	registry.mutex.Unlock()
+	for _, entry := range dropped {
+		if entry.origin != nil {
+			registry.answer(entry.origin, Decision{}, undecided(entry.origin, nil))
+		}
+	}
+}
+
 // requeue queues the entries that were kept for later.
 func (registry *Registry) requeue() {
 	registry.mutex.Lock()
--- a/pkg/claim/registry.go
+++ b/pkg/claim/registry.go
@@ -134,6 +134,7 @@
 		case <-registry.stop:
 			registry.requeue()
 			registry.commitQueued(ctx)
+			registry.dropUnfinished()
 			return
 		case <-registry.wake:
 			registry.commitQueued(ctx)
