Let the test of a left caller wait for the claim to be written

Cause: the test read the claim before its delayed write had arrived. Change: it waits 3 s of virtual time first. Conclusion: the test was at fault, not the registry.

--- a/pkg/claim/registry_test.go
+++ b/pkg/claim/registry_test.go
@@ -225,6 +225,7 @@
 		defer cancel()
 		_, err := registry.Claim(ctx, request)
 		require.Equal(t, fault.OutcomeUnknown, fault.OutcomeOf(err))
+		time.Sleep(3 * time.Second)
 		decision, err := other.Wait(t.Context(), request)
 		require.NoError(t, err)
 		require.Equal(t, claim.Withdrawn, decision.State)
