--- /dev/null
+++ b/pkg/fleet/main_test.go
@@ -0,0 +1,17 @@
+package fleet
+
+import (
+	"flag"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain fixes the seed of generated tests, unless the command line sets one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	goleak.VerifyTestMain(m)
+}
