Order engines from each router and ask routers for their revision

Cause: the orderer was not started; a publication waited for what probes had told of the other routers, which lags by the time of a whole round of probes. Change: the router starts an orderer; upstream states come from the engines; the operator server passes a published record to each router that answers and takes its revision from the answer. Smallest changes in pkg/operator (Adopter, askMembers) and pkg/router (wiring); without an Adopter all is as before. Conclusion: the wait after a publication no longer depends on the fleet's size by way of the probes.

--- a/pkg/operator/publish.go
+++ b/pkg/operator/publish.go
@@ -63,7 +63,7 @@
 		"kind", change.Kind, "name", change.Name, "operator", change.Operator, "operation_id", change.OperationID)
 	server.config.Follower.Offer(ctx, []configuration.Record{record})
 	server.config.Follower.Hint(record.Revision)
-	publication := server.awaitRouters(ctx, record.Revision)
+	publication := server.awaitRouters(ctx, record)
 	return publicationMessage(publication), nil
 }
 
@@ -111,9 +111,13 @@
 
 // awaitRouters waits until every live router is on the revision, or until the
 // bound or the context ends.
-func (server *Server) awaitRouters(ctx context.Context, revision uint64) Publication {
+func (server *Server) awaitRouters(ctx context.Context, record configuration.Record) Publication {
 	ctx, cancel := context.WithTimeout(ctx, server.config.Propagation)
 	defer cancel()
+	revision := record.Revision
+	if server.config.Adopter != nil {
+		return publicationFrom(revision, server.askMembers(ctx, revision, []configuration.Record{record}))
+	}
 	ticker := time.NewTicker(propagationPoll)
 	defer ticker.Stop()
 	for {
@@ -131,8 +135,12 @@
 
 // publicationOf tells which members are known to be on the revision.
 func (server *Server) publicationOf(revision uint64) Publication {
+	return publicationFrom(revision, server.members(revision))
+}
+
+func publicationFrom(revision uint64, members []Member) Publication {
 	publication := Publication{Revision: revision}
-	for _, member := range server.members(revision) {
+	for _, member := range members {
 		publication.Routers++
 		if member.Reason != "" {
 			publication.Lagging = append(publication.Lagging, member)
--- a/pkg/operator/read.go
+++ b/pkg/operator/read.go
@@ -20,10 +20,26 @@
 	return &operatorpb.GetStatusResponse{
 		Router:   server.config.Self,
 		Revision: revision,
-		Members:  convert(server.members(revision), memberMessage),
+		Members:  convert(server.statusMembers(ctx, revision), memberMessage),
 	}, nil
 }
 
+// statusMembers asks the routers for their revisions if it can.
+func (server *Server) statusMembers(ctx context.Context, revision uint64) []Member {
+	if server.config.Adopter == nil {
+		return server.members(revision)
+	}
+	ctx, cancel := context.WithTimeout(ctx, headTimeout)
+	defer cancel()
+	members := server.askMembers(ctx, 0, nil)
+	for i, member := range members {
+		if member.Reason == "" {
+			members[i].Reason = lagReason(member, revision)
+		}
+	}
+	return members
+}
+
 func (server *Server) newestRevision(ctx context.Context) uint64 {
 	ctx, cancel := context.WithTimeout(ctx, headTimeout)
 	defer cancel()
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/twitchtv/twirp"
 
+	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
 	"gitlab.com/wisterialb/wisterialb/pkg/fleet"
 	"gitlab.com/wisterialb/wisterialb/pkg/operator/operatorpb"
 )
@@ -25,6 +26,9 @@
 	Follower  Follower
 	// Members returns the routers that this one knows, itself included.
 	Members func() []fleet.Member
+	// Adopter asks routers for their revision; nil means that the revisions are
+	// those that Members reports.
+	Adopter configuration.Adopter
 	// Self is the incarnation of this router.
 	Self string
 	// UpstreamStates may be nil when orders to upstreams are not carried out.
--- a/pkg/order/state.go
+++ b/pkg/order/state.go
@@ -47,6 +47,7 @@
 // Status compares what is wanted of an upstream with what it has.
 type Status struct {
 	Upstream string `json:"upstream"`
+	Service  string `json:"service"`
 	Wanted   Target `json:"wanted"`
 	Actual   Target `json:"actual"`
 	Loading  bool   `json:"loading"`
--- a/pkg/order/task.go
+++ b/pkg/order/task.go
@@ -21,7 +21,7 @@
 // run brings the engine to what is wanted and returns how it stands.
 func (task *task) run(ctx context.Context) Status {
 	wanted, _ := targetOf(task.upstream)
-	status := Status{Upstream: task.upstream.Name, Wanted: wanted}
+	status := Status{Upstream: task.upstream.Name, Service: task.upstream.Service, Wanted: wanted}
 	state, err := task.state(ctx)
 	if err != nil {
 		return task.differs(status, err)
--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -27,6 +27,7 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
 	"gitlab.com/wisterialb/wisterialb/pkg/fleet"
 	"gitlab.com/wisterialb/wisterialb/pkg/operator"
+	"gitlab.com/wisterialb/wisterialb/pkg/order"
 	"gitlab.com/wisterialb/wisterialb/pkg/peer"
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 	"gitlab.com/wisterialb/wisterialb/pkg/settings"
@@ -148,6 +149,15 @@
 		OnDead:        build.ledger.CloseIncarnation,
 		OnRevision:    build.follower.Hint,
 	})
+	build.engines = order.NewHTTPEngine()
+	build.orderer = order.NewOrderer(order.Config{
+		Table:   build.table,
+		Self:    build.incarnation,
+		View:    build.follower.View,
+		Members: build.membership.Members,
+		Engine:  build.engines,
+		Logger:  build.logger,
+	})
 	build.background = newBackground(reportInterval, build.report)
 }
 
@@ -249,11 +259,16 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/", operator.NewServer(operator.ServerConfig{
-		Tokens:      tokens,
-		Publisher:   build.publisher,
-		Ledger:      build.ledger,
-		Follower:    build.follower,
-		Members:     build.membership.Members,
+		Tokens:    tokens,
+		Publisher: build.publisher,
+		Ledger:    build.ledger,
+		Follower:  build.follower,
+		Members:   build.membership.Members,
+		Adopter:   build.peers,
+		UpstreamStates: upstreamStates{inspector: order.NewInspector(order.InspectorConfig{
+			View:   build.follower.View,
+			Engine: build.engines,
+		})},
 		Propagation: build.settings.PublishTimeout,
 		Self:        build.incarnation,
 		Logger:      build.logger,
--- /dev/null
+++ b/pkg/router/orders.go
@@ -0,0 +1,29 @@
+package router
+
+import (
+	"context"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/operator"
+	"gitlab.com/wisterialb/wisterialb/pkg/order"
+)
+
+// upstreamStates gives operators what engines should have loaded and have.
+type upstreamStates struct {
+	inspector *order.Inspector
+}
+
+// States asks all engines.
+func (upstreamStates upstreamStates) States(ctx context.Context) ([]operator.UpstreamState, error) {
+	statuses := upstreamStates.inspector.Inspect(ctx)
+	states := make([]operator.UpstreamState, len(statuses))
+	for i, status := range statuses {
+		states[i] = operator.UpstreamState{
+			Name:    status.Upstream,
+			Service: status.Service,
+			Wanted:  operator.LoadedModel(status.Wanted),
+			Actual:  operator.LoadedModel(status.Actual),
+			Reason:  status.Reason,
+		}
+	}
+	return states, nil
+}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -21,6 +21,7 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/dispatch"
 	"gitlab.com/wisterialb/wisterialb/pkg/entry"
 	"gitlab.com/wisterialb/wisterialb/pkg/fleet"
+	"gitlab.com/wisterialb/wisterialb/pkg/order"
 )
 
 // limits are the bounds that the handlers keep.
@@ -48,6 +49,8 @@
 	claims      *claim.Registry
 	follower    *configuration.Follower
 	membership  *fleet.Membership
+	orderer     *order.Orderer
+	engines     *order.HTTPEngine
 	ranker      *entry.Ranker
 	dispatcher  *dispatch.UpstreamDispatcher
 	server      atomic.Pointer[Server]
@@ -137,6 +140,8 @@
 		err = router.membership.Deregister(ctx)
 	}
 	router.background.stop()
+	router.orderer.Close()
+	router.engines.Close()
 	router.follower.Close()
 	router.membership.Close()
 	for _, control := range router.control {
