Test the choice of upstreams and bound its cost

Cause: choice, limits and ejection had no tests of their own. Change: rapid test of a pool's index, tests of affinity, aged reports, limits, ejection, probing; a cheaper rendezvous hash; better_of_two takes waits within 5% as equal, since rests of old reports decided before (23 of 100 attempts went to one of two equal members; now within 25 to 75).

--- a/pkg/upstream/member.go
+++ b/pkg/upstream/member.go
@@ -144,7 +144,7 @@
 	if member.report.Capacity <= 0 {
 		return learned
 	}
-	left := math.Ceil(float64(member.report.Capacity)*reserveShare) - member.foreign(now)
+	left := math.Ceil(float64(member.report.Capacity)*reserveShare) - math.Round(member.foreign(now))
 	return max(1, min(learned, int(left)))
 }
 
--- a/pkg/upstream/monitor.go
+++ b/pkg/upstream/monitor.go
@@ -206,6 +206,8 @@
 	}
 	now := pool.config.Now()
 	for _, member := range pool.set.eligible {
-		pool.set.place(member, now)
+		if member.filing.load > 0 {
+			pool.set.place(member, now)
+		}
 	}
 }
--- a/pkg/upstream/policy.go
+++ b/pkg/upstream/policy.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"encoding/binary"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -99,6 +98,10 @@
 	return least
 }
 
+// noticeable is the share of one expected wait below which another counts as
+// shorter. A smaller difference would let the rests of old load reports decide.
+const noticeable = 0.95
+
 // betterOfTwo takes the better of two members by expected wait.
 type betterOfTwo struct {
 	random *rand.Rand
@@ -112,7 +115,7 @@
 	if first == nil || second == nil || first == second {
 		return first
 	}
-	if betterOfTwo.wait(set, second) < betterOfTwo.wait(set, first) {
+	if betterOfTwo.wait(set, second) < noticeable*betterOfTwo.wait(set, first) {
 		return second
 	}
 	return first
@@ -185,6 +188,9 @@
 	var scores [rankedMembers]uint64
 	for index, hash := range prefixAffinity.hashes {
 		score := mix(prefix, hash)
+		if index >= rankedMembers && score <= scores[rankedMembers-1] {
+			continue
+		}
 		for place := range best {
 			if best[place] == nil || score > scores[place] {
 				copy(best[place+1:], best[place:])
@@ -211,10 +217,12 @@
 	}
 }
 
-// mix hashes a prefix with a member's hash.
+// mix hashes a prefix with a member's hash, by the finalizer of MurmurHash3.
 func mix(prefix, member uint64) uint64 {
-	var both [16]byte
-	binary.LittleEndian.PutUint64(both[:8], prefix)
-	binary.LittleEndian.PutUint64(both[8:], member)
-	return xxhash.Sum64(both[:])
+	hash := prefix ^ member
+	hash ^= hash >> 33
+	hash *= 0xff51afd7ed558ccd
+	hash ^= hash >> 33
+	hash *= 0xc4ceb9fe1a85ec53
+	return hash ^ hash>>33
 }
--- /dev/null
+++ b/pkg/upstream/pool_test.go
@@ -0,0 +1,337 @@
+package upstream
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
+	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	goleak.VerifyTestMain(m)
+}
+
+func upstreams(count int) []configuration.Upstream {
+	list := make([]configuration.Upstream, count)
+	for index := range list {
+		list[index].Address = fmt.Sprintf("127.0.%d.%d:8000", index/250, 1+index%250)
+	}
+	return list
+}
+
+// clock is a clock that tests move.
+type clock struct {
+	now time.Time
+}
+
+func newTestPool(tb testing.TB, config Config, list []configuration.Upstream) (*Pool, *clock) {
+	tb.Helper()
+	clock := &clock{now: time.Unix(1000, 0)}
+	config.Service = "advice"
+	config.Now = func() time.Time { return clock.now }
+	if config.Upstreams == nil {
+		config.Upstreams = func(string) []configuration.Upstream { return list }
+	}
+	pool, err := NewPool(config)
+	require.NoError(tb, err)
+	return pool, clock
+}
+
+func take(tb testing.TB, pool *Pool, demand Demand) *Member {
+	tb.Helper()
+	member, err := pool.Take(demand)
+	require.NoError(tb, err)
+	return member
+}
+
+// Whatever the policy and the order of events, a pool's index agrees with its
+// members, nobody is above the limit, and draining members get no work.
+func TestPoolAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := upstreams(5)
+		current := list
+		policy := rapid.SampledFrom(Policies).Draw(t, "policy")
+		clock := &clock{now: time.Unix(1000, 0)}
+		pool, err := NewPool(Config{
+			Service: "advice", Policy: policy.Name, Limit: LimitConfig{Initial: 4, Min: 2},
+			Upstreams: func(string) []configuration.Upstream { return current },
+			Now:       func() time.Time { return clock.now },
+		})
+		require.NoError(t, err)
+		var running []*Member
+		t.Repeat(map[string]func(*rapid.T){
+			"take": func(t *rapid.T) {
+				member, err := pool.Take(Demand{PrefixHash: rapid.Uint64Range(0, 5).Draw(t, "prefix"), Avoid: []string{list[0].Address}})
+				if err != nil {
+					require.Empty(t, pool.set.open)
+					return
+				}
+				require.False(t, member.draining)
+				require.LessOrEqual(t, member.inFlight, member.allowance(clock.now))
+				running = append(running, member)
+			},
+			"put": func(t *rapid.T) {
+				if len(running) == 0 {
+					t.Skip("nothing runs")
+				}
+				pool.First(running[0], time.Duration(rapid.IntRange(1, 900).Draw(t, "latency"))*time.Millisecond)
+				pool.Put(running[0], rapid.SampledFrom([]Verdict{Neutral, Success, Failure}).Draw(t, "verdict"), time.Second)
+				running = running[1:]
+			},
+			"drain": func(t *rapid.T) {
+				changed := append([]configuration.Upstream{}, list...)
+				changed[rapid.IntRange(0, 4).Draw(t, "drained")].Draining = true
+				current = changed[:rapid.IntRange(1, 5).Draw(t, "kept")]
+			},
+			"report": func(t *rapid.T) {
+				for _, member := range pool.members {
+					pool.Observe(member, exchange.LoadReport{
+						Running: rapid.Int64Range(0, 20).Draw(t, "running"), Capacity: rapid.Int64Range(0, 10).Draw(t, "capacity"),
+					}, member.inFlight)
+				}
+			},
+			"pass": func(t *rapid.T) {
+				clock.now = clock.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				pool.reconsider()
+			},
+			"": func(t *rapid.T) { checkIndex(t, pool) },
+		})
+	})
+}
+
+func checkIndex(t *rapid.T, pool *Pool) {
+	open := 0
+	for _, member := range pool.set.eligible {
+		if member.filing.open == notOpen {
+			continue
+		}
+		open++
+		require.Same(t, member, pool.set.open[member.filing.open])
+	}
+	require.Len(t, pool.set.open, open)
+	if pool.set.byLoad != nil {
+		require.Equal(t, open, pool.set.byLoad.Len())
+	}
+}
+
+func TestPrefixesStayWhereTheyAreAsLongAsLoadAllows(t *testing.T) {
+	pool, _ := newTestPool(t, Config{Policy: "prefix_affinity"}, upstreams(10))
+	homes := make(map[uint64]string)
+	for prefix := uint64(1); prefix <= 200; prefix++ {
+		member := take(t, pool, Demand{PrefixHash: prefix})
+		homes[prefix] = member.Address()
+		pool.Put(member, Success, time.Second)
+	}
+	for prefix, home := range homes {
+		member := take(t, pool, Demand{PrefixHash: prefix})
+		require.Equal(t, home, member.Address())
+		pool.Put(member, Success, time.Second)
+	}
+	used := make(map[string]int)
+	for range 40 {
+		used[take(t, pool, Demand{PrefixHash: 7}).Address()]++
+	}
+	require.Greater(t, len(used), rankedMembers, "one prefix filled its members above the mean")
+	for _, attempts := range used {
+		require.LessOrEqual(t, attempts, 8)
+	}
+}
+
+func TestBetterOfTwoAvoidsTheLoadThatOthersCause(t *testing.T) {
+	pool, clock := newTestPool(t, Config{Policy: "better_of_two", Limit: LimitConfig{Initial: 64}}, upstreams(2))
+	loaded := take(t, pool, Demand{})
+	pool.Put(loaded, Success, time.Second)
+	other := take(t, pool, Demand{Avoid: []string{loaded.Address()}})
+	pool.Put(other, Success, time.Second)
+	pool.Observe(loaded, exchange.LoadReport{Running: 30, Capacity: 32}, 0)
+	pool.Observe(other, exchange.LoadReport{Capacity: 32}, 0)
+	fresh := share(t, pool, loaded)
+	clock.now = clock.now.Add(20 * time.Second)
+	require.Less(t, fresh, 30)
+	require.InDelta(t, 50, share(t, pool, loaded), 25)
+}
+
+// share returns how many of 100 attempts, one at a time, the member gets.
+func share(t *testing.T, pool *Pool, member *Member) int {
+	t.Helper()
+	got := 0
+	for range 100 {
+		taken := take(t, pool, Demand{})
+		if taken == member {
+			got++
+		}
+		pool.Put(taken, Success, time.Second)
+	}
+	return got
+}
+
+func TestLimitFollowsLatencyAndReports(t *testing.T) {
+	pool, clock := newTestPool(t, Config{Limit: LimitConfig{Initial: 20, Target: 300 * time.Millisecond}}, upstreams(1))
+	var member *Member
+	for range 20 {
+		member = take(t, pool, Demand{})
+	}
+	_, err := pool.Take(Demand{})
+	require.ErrorIs(t, err, ErrFull)
+	for range 3 {
+		clock.now = clock.now.Add(100 * time.Millisecond)
+		pool.First(member, 500*time.Millisecond)
+	}
+	require.Equal(t, 18, member.allowance(clock.now), "one decrease in one latency")
+	pool.Observe(member, exchange.LoadReport{Running: 20, Capacity: 10}, 20)
+	require.Equal(t, 11, member.allowance(clock.now))
+	pool.Observe(member, exchange.LoadReport{Running: 28, Capacity: 10}, 20)
+	require.Equal(t, 3, member.allowance(clock.now))
+	clock.now = clock.now.Add(time.Minute)
+	require.Equal(t, 11, member.allowance(clock.now), "an old report of others' load counts no more")
+}
+
+func TestFailingMemberIsEjectedAndAllNever(t *testing.T) {
+	pool, _ := newTestPool(t, Config{Policy: "round_robin"}, upstreams(3))
+	fail := func(address string) {
+		for range 60 {
+			member := take(t, pool, Demand{})
+			verdict := Success
+			if member.Address() == address {
+				verdict = Failure
+			}
+			pool.Put(member, verdict, time.Millisecond)
+		}
+	}
+	fail("none")
+	list := pool.source
+	fail(list[0].Address)
+	require.Equal(t, 1, pool.Ejected())
+	fail(list[1].Address)
+	require.Len(t, pool.set.eligible, 1)
+	fail(list[2].Address)
+	require.Equal(t, 3, pool.Ejected())
+	require.Len(t, pool.set.eligible, 3, "with all ejected, none is")
+}
+
+func TestProbeReturnsAnEjectedMember(t *testing.T) {
+	var well atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		if !well.Load() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer server.Close()
+	list := []configuration.Upstream{{Address: server.Listener.Addr().String()}}
+	pool, err := NewPool(Config{Upstreams: func(string) []configuration.Upstream { return list }})
+	require.NoError(t, err)
+	defer pool.Close()
+	for range breakerFailures {
+		pool.Put(take(t, pool, Demand{}), Failure, time.Millisecond)
+	}
+	require.Equal(t, 1, pool.Ejected())
+	monitor := NewMonitor(MonitorConfig{
+		Pools: func() []*Pool { return []*Pool{pool} }, Logger: log.NewNopLogger(), Interval: 10 * time.Millisecond, Rate: 1000,
+	})
+	defer monitor.Close()
+	time.Sleep(200 * time.Millisecond)
+	require.Equal(t, 1, pool.Ejected())
+	well.Store(true)
+	require.Eventually(t, func() bool { return pool.Ejected() == 0 }, time.Minute, 5*time.Millisecond)
+	require.Equal(t, DefaultMinLimit, int(take(t, pool, Demand{}).limiter.limit), "a member that came back begins small")
+}
+
+func TestMonitorReadsLoadReports(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(writer, `{"running":3,"waiting":1,"capacity":8,"age_ms":100}`)
+	}))
+	defer server.Close()
+	list := []configuration.Upstream{{Address: server.Listener.Addr().String()}}
+	pool, err := NewPool(Config{Upstreams: func(string) []configuration.Upstream { return list }})
+	require.NoError(t, err)
+	defer pool.Close()
+	member := take(t, pool, Demand{})
+	var woken atomic.Int64
+	monitor := NewMonitor(MonitorConfig{
+		Pools: func() []*Pool { return []*Pool{pool} }, Logger: log.NewNopLogger(), Interval: 10 * time.Millisecond, Rate: 1000,
+		Changed: func(*Pool) { woken.Add(1) },
+	})
+	defer monitor.Close()
+	require.Eventually(t, func() bool { return woken.Load() > 0 }, time.Minute, time.Millisecond)
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	require.InDelta(t, 8, member.capacity(), 0)
+	require.Greater(t, member.foreign(time.Now()), 1.0)
+}
+
+// BenchmarkTake is the cost of a choice with the counting in and out, while a
+// tenth of the room is in use.
+func BenchmarkTake(b *testing.B) {
+	for _, count := range []int{10, 3800} {
+		for _, policy := range Policies {
+			b.Run(fmt.Sprintf("%s/%d", policy.Name, count), func(b *testing.B) {
+				list := upstreams(count)
+				pool, err := NewPool(Config{Policy: policy.Name, Upstreams: func(string) []configuration.Upstream { return list }})
+				require.NoError(b, err)
+				for range count * 3 {
+					take(b, pool, Demand{})
+				}
+				b.ReportAllocs()
+				for index := 0; b.Loop(); index++ {
+					member, err := pool.Take(Demand{PrefixHash: uint64(1 + index%1000)})
+					if err != nil {
+						b.Fatal(err)
+					}
+					pool.Put(member, Success, time.Second)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkRank is the cost of ranking the members for a prefix that was not met
+// before.
+func BenchmarkRank(b *testing.B) {
+	list := upstreams(3800)
+	pool, err := NewPool(Config{Upstreams: func(string) []configuration.Upstream { return list }})
+	require.NoError(b, err)
+	for index := 0; b.Loop(); index++ {
+		member, err := pool.Take(Demand{PrefixHash: uint64(index + 1)})
+		if err != nil {
+			b.Fatal(err)
+		}
+		pool.Put(member, Success, time.Second)
+	}
+}
+
+// BenchmarkReconsider is the cost of a monitor's look at all members.
+func BenchmarkReconsider(b *testing.B) {
+	list := upstreams(3800)
+	pool, err := NewPool(Config{Upstreams: func(string) []configuration.Upstream { return list }})
+	require.NoError(b, err)
+	for b.Loop() {
+		pool.reconsider()
+		pool.due(time.Second)
+	}
+}
+
+func ExamplePool() {
+	list := []configuration.Upstream{{Address: "127.0.0.1:8000"}, {Address: "127.0.0.2:8000", Draining: true}}
+	pool, err := NewPool(Config{Service: "advice", Upstreams: func(string) []configuration.Upstream { return list }})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	member, err := pool.Take(Demand{})
+	fmt.Println(member.Address(), err)
+	pool.Put(member, Success, time.Second)
+	// Output: 127.0.0.1:8000 <nil>
+}
