Refuse waiting work at its latest start, not at its deadline

Cause: under overload work was dispatched so near to its deadline that most of it ran in vain. Change: a waiting request leaves the queue when one of mean duration could no longer be done by its deadline; only answered requests count into the mean.

--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -67,8 +67,9 @@
 
 // waiter is a request in the queue. Its grant is sent once, under the lock.
 type waiter[D, R any] struct {
-	demand D
-	grant  chan grant[R]
+	demand   D
+	deadline time.Time
+	grant    chan grant[R]
 }
 
 type grant[R any] struct {
@@ -121,8 +122,8 @@
 	var none R
 	entry := gate.entry(request)
 	wait := gate.predict(entry)
-	if late := gate.late(request.Deadline, wait); late > 0 {
-		return none, nil, nil, gate.overloaded("the wait would pass the deadline", late)
+	if late := gate.late(entry.Deadline, wait); late > 0 {
+		return none, nil, nil, gate.overloaded("the request would not be done by its deadline", late)
 	}
 	if gate.config.MaxWait > 0 && wait > gate.config.MaxWait {
 		return none, nil, nil, gate.overloaded("the wait would be too long", wait-gate.config.MaxWait)
@@ -140,26 +141,35 @@
 
 func (gate *Gate[D, R]) entry(request Request[D]) queue.Entry[*waiter[D, R]] {
 	return queue.Entry[*waiter[D, R]]{
-		Value:    &waiter[D, R]{demand: request.Demand, grant: make(chan grant[R], 1)},
+		Value:    &waiter[D, R]{demand: request.Demand, deadline: request.Deadline, grant: make(chan grant[R], 1)},
 		Team:     request.Team,
 		Weight:   request.Weight,
 		Priority: request.Priority,
-		Deadline: request.Deadline,
+		Deadline: gate.latestStart(request.Deadline),
 	}
 }
 
+// latestStart returns when a request has to start so that one of mean duration
+// is done by the deadline. Work that starts later mostly runs in vain.
+func (gate *Gate[D, R]) latestStart(deadline time.Time) time.Time {
+	if deadline.IsZero() {
+		return deadline
+	}
+	return deadline.Add(-gate.duration)
+}
+
 // predict returns how long the entry would wait.
 func (gate *Gate[D, R]) predict(entry queue.Entry[*waiter[D, R]]) time.Duration {
 	turns := gate.waiting.Ahead(entry) + 1
 	return gate.duration * time.Duration(turns) / time.Duration(max(1, gate.running))
 }
 
-// late returns by how much the wait passes the deadline.
-func (gate *Gate[D, R]) late(deadline time.Time, wait time.Duration) time.Duration {
-	if deadline.IsZero() {
+// late returns by how much the wait passes the latest start.
+func (gate *Gate[D, R]) late(latestStart time.Time, wait time.Duration) time.Duration {
+	if latestStart.IsZero() {
 		return 0
 	}
-	return wait - deadline.Sub(gate.config.Now())
+	return wait - latestStart.Sub(gate.config.Now())
 }
 
 func (gate *Gate[D, R]) overloaded(reason string, retryAfter time.Duration) error {
@@ -180,6 +190,14 @@
 	})
 }
 
+// tooLate returns the error for a request that waited past its latest start.
+func (gate *Gate[D, R]) tooLate(waiter *waiter[D, R], now time.Time) error {
+	if now.Before(waiter.deadline) {
+		return gate.overloaded("no upstream became free in time", gate.duration)
+	}
+	return gate.expired()
+}
+
 func (gate *Gate[D, R]) refuse(waiter *waiter[D, R], err error) {
 	waiter.grant <- grant[R]{err: err}
 }
@@ -223,17 +241,24 @@
 	gate.running++
 }
 
-// Release counts a resource out that was held for the duration and is free
-// again.
+// Release counts a resource out that is free again. The duration is how long
+// the request took, or zero when it was broken off and says nothing of others.
 func (gate *Gate[D, R]) Release(duration time.Duration) {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
 	gate.running--
-	if gate.duration == 0 {
+	gate.observe(duration)
+	gate.wake()
+}
+
+func (gate *Gate[D, R]) observe(duration time.Duration) {
+	switch {
+	case duration <= 0:
+	case gate.duration == 0:
 		gate.duration = duration
+	default:
+		gate.duration += time.Duration(durationWeight * float64(duration-gate.duration))
 	}
-	gate.duration += time.Duration(durationWeight * float64(duration-gate.duration))
-	gate.wake()
 }
 
 // Wake hands out resources that became free by other means than Release.
@@ -261,7 +286,7 @@
 		next.grant <- grant[R]{resource: resource, err: err}
 	}
 	for _, late := range gate.waiting.Expire(now) {
-		gate.refuse(late, gate.expired())
+		gate.refuse(late, gate.tooLate(late, now))
 	}
 }
 
--- a/pkg/dispatch/service.go
+++ b/pkg/dispatch/service.go
@@ -69,6 +69,9 @@
 // release gives back a member that acquire returned.
 func (service *service) release(member *upstream.Member, verdict upstream.Verdict, duration time.Duration) {
 	service.pool.Put(member, verdict, duration)
+	if verdict != upstream.Success {
+		duration = 0
+	}
 	service.gate.Release(duration)
 }
 
--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -56,6 +56,12 @@
 	DefaultMaxIdle        = 64
 )
 
+// The buffers of one connection; most events and request heads fit them.
+const (
+	connectionReadBytes  = 2 << 10
+	connectionWriteBytes = 1 << 10
+)
+
 // Client speaks to one upstream. Its connections belong to a generation; Renew
 // starts the next one and no connection of an older one is taken again.
 type Client struct {
@@ -101,6 +107,8 @@
 		DisableCompression:  true,
 		IdleConnTimeout:     client.config.IdleTimeout,
 		MaxIdleConnsPerHost: client.config.MaxIdle,
+		ReadBufferSize:      connectionReadBytes,
+		WriteBufferSize:     connectionWriteBytes,
 	}
 }
 
--- a/pkg/exchange/events.go
+++ b/pkg/exchange/events.go
@@ -12,7 +12,7 @@
 const MaxEventBytes = 1 << 20
 
 // readBufferBytes is the read buffer of one open stream.
-const readBufferBytes = 4 << 10
+const readBufferBytes = 1 << 10
 
 // scanned is one event as it stands in the stream.
 type scanned struct {
