--- a/pkg/settings/default.go
+++ b/pkg/settings/default.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/upstream"
+)
 
 // Defaults returns the values of all settings that a file may leave out. The
 // zone, the addresses, the peer key and the operators have none.
@@ -11,9 +15,10 @@
 		Horizon:        10 * time.Second,
 		SettleInterval: time.Second,
 		PollInterval:   time.Second,
+		PublishTimeout: 5 * time.Second,
 		ClaimRetention: 24 * time.Hour,
 		DrainTimeout:   30 * time.Second,
-		Policy:         "prefix_affinity",
+		Policy:         upstream.DefaultPolicy,
 		Queue:          Queue{Length: 512, Wait: 30 * time.Second},
 		Stall:          Stall{FirstToken: 20 * time.Second, BetweenTokens: 5 * time.Second},
 		Bounds:         Bounds{BodyBytes: 4 << 20, HeaderBytes: 32 << 10, Connections: 4096},
