Pass the queue's settings and the prompt's bound to the dispatcher

Cause: router did not hand on settings.queue, and without the prompt's bound the dispatcher can neither limit a stream to its completion tokens nor retry a cancelled attempt inside its reservation. A sink's own fault was lost. Change: two fields in pkg/router/assemble.go and one in handlers.go; dispatch returns a sink's fault with its outcome. Conclusion: settings.queue takes effect.

--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -147,8 +147,12 @@
 		"tokens", attempt.record.Usage.Tokens(), "usage_known", attempt.record.Usage.Known, "err", err)
 }
 
-// failure returns the error that ends the request.
+// failure returns the error that ends the request: the sink's own when that is
+// a fault.
 func (run *run) failure(ctx context.Context, verdict verdict, err error) error {
+	if run.delivery.gone && fault.KindOf(err) != fault.Internal {
+		return fault.WithOutcome(err, fault.Outcome(verdict))
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return fault.New(fault.Config{
 			Kind:    fault.Deadline,
--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -182,11 +182,13 @@
 		Retention:   build.settings.ClaimRetention,
 	})
 	build.dispatcher = dispatch.NewDispatcher(dispatch.Config{
-		Upstreams:  func(service string) []configuration.Upstream { return build.follower.View().Upstreams(service) },
-		Leaving:    build.membership.LeavingVM,
-		Policy:     build.settings.Policy,
-		Logger:     build.logger,
-		Registerer: build.given.Registry,
+		Upstreams:   func(service string) []configuration.Upstream { return build.follower.View().Upstreams(service) },
+		Leaving:     build.membership.LeavingVM,
+		Policy:      build.settings.Policy,
+		Logger:      build.logger,
+		Registerer:  build.given.Registry,
+		QueueLength: build.settings.Queue.Length,
+		MaxWait:     build.settings.Queue.Wait,
 		Exchange: exchange.ClientConfig{
 			FirstTimeout:   build.settings.Stall.FirstToken,
 			BetweenTimeout: build.settings.Stall.BetweenTokens,
--- a/pkg/router/handlers.go
+++ b/pkg/router/handlers.go
@@ -131,6 +131,7 @@
 	work.Body = forward
 	work.PrefixHash = parsed.PrefixHash()
 	work.MaxTokens = parsed.Bound()
+	work.PromptTokens = parsed.PromptBound()
 	work.Resume = resume
 	return current, work, parsed, nil
 }
