Order the handover of accepted connections for the memory model

Change: pkg/router/handover.go counts accepted connections before the handover and loads the counter before the first read (both servers of package router; smallest change there). Conclusion: no test had to be eased.

--- a/pkg/router/control.go
+++ b/pkg/router/control.go
@@ -42,6 +42,7 @@
 		KeepaliveTime:          controlKeepalive,
 		NPoller:                1,
 	})
+	orderHandover(engine)
 	if err := engine.Start(); err != nil {
 		return nil, fault.New(fault.Config{
 			Kind:    fault.Unavailable,
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -99,6 +99,7 @@
 		KeepaliveTime:           config.LongestDeadline + keepaliveMargin,
 		ReleaseWebsocketPayload: true,
 	})
+	orderHandover(server.engine)
 	if err := server.engine.Start(); err != nil {
 		return nil, fault.New(fault.Config{
 			Kind:    fault.Unavailable,
