Add the load command and two example deployments

Cause: operators need settings and documents of the size they run, and a way to send a load to a fleet that checks every answer.

--- a/pkg/command/command.go
+++ b/pkg/command/command.go
@@ -42,6 +42,7 @@
 	Budget   BudgetCommand   `cmd:"" help:"Show where the tokens of a budget are."`
 	Bill     BillCommand     `cmd:"" help:"List and show bills."`
 	Audit    AuditCommand    `cmd:"" help:"List accepted changes."`
+	Load     LoadCommand     `cmd:"" help:"Send a load of requests to a fleet and check each answer."`
 	Standin  StandinCommand  `cmd:"" help:"Run a stand-in for the platform, a model engine or a plain service."`
 	Version  VersionCommand  `cmd:"" help:"Print the version."`
 }
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -15,13 +15,26 @@
 
 const examples = "../../docs/examples"
 
-func TestExamplesAreAccepted(t *testing.T) {
-	files, err := filepath.Glob(filepath.Join(examples, "*.yaml"))
-	require.NoError(t, err)
-	require.NotEmpty(t, files)
-	for _, file := range files {
-		_, err := settings.Load(file)
-		require.NoError(t, err, file)
+// TestDeployments accepts every router of the example deployments and checks
+// that each has the size of its users' today: three places, 8 to 9 routers, no
+// address twice.
+func TestDeployments(t *testing.T) {
+	for _, deployment := range []string{"lindqvist", "kitahama"} {
+		files, err := filepath.Glob(filepath.Join(examples, deployment, "*.yaml"))
+		require.NoError(t, err)
+		zones := make(map[string]bool)
+		addresses := make(map[string]bool)
+		for _, file := range files {
+			loaded, err := settings.Load(file)
+			require.NoError(t, err)
+			zones[loaded.Zone] = true
+			addresses[loaded.CallerAddress] = true
+			addresses[loaded.PeerAddress] = true
+			addresses[loaded.OperatorAddress] = true
+		}
+		require.Contains(t, []int{8, 9}, len(files), deployment)
+		require.Len(t, zones, 3, deployment)
+		require.Len(t, addresses, 3*len(files), deployment)
 	}
 }
 
@@ -31,7 +44,7 @@
 	content, err := os.ReadFile(filepath.Join(examples, "router.yaml"))
 	require.NoError(t, err)
 	plain, faults := settings.Parse(content, examples)
-	require.Empty(t, faults)
+	require.Empty(t, faults, "the example is accepted")
 	lines := strings.Split(string(content), "\n")
 	for i, line := range lines {
 		body := strings.TrimLeft(line, " ")
--- a/test/cases_test.go
+++ b/test/cases_test.go
@@ -40,11 +40,14 @@
 func runCase(t *testing.T, directory string) {
 	t.Helper()
 	session := &session{}
+	examples, err := filepath.Abs(filepath.Join("..", "docs", "examples"))
+	require.NoError(t, err)
 	testscript.RunT(sequential{t}, testscript.Params{
 		Files: []string{filepath.Join(directory, scriptName)},
 		Cmds:  session.commands(),
 		Setup: func(environment *testscript.Env) error {
 			environment.Defer(session.close)
+			environment.Setenv(examplesVariable, examples)
 			t.Chdir(environment.WorkDir)
 			return os.CopyFS(environment.WorkDir, os.DirFS(directory))
 		},
--- a/test/session_test.go
+++ b/test/session_test.go
@@ -22,6 +22,9 @@
 )
 
 const (
+	// examplesVariable names the directory of the example settings.
+	examplesVariable = "EXAMPLES"
+
 	startTimeout = 30 * time.Second
 	fleetLimit   = 10_000
 )
@@ -59,7 +62,7 @@
 }
 
 // startFleet starts a fleet of N routers, two engines and a service, with the
-// documents of the demonstration: fleet N.
+// documents of the demonstration or without any: fleet N [bare].
 func (session *session) startFleet(script *testscript.TestScript, _ bool, args []string) {
 	count, err := strconv.Atoi(args[0])
 	script.Check(err)
@@ -80,7 +83,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	script.Check(session.fleet.WaitLive(ctx))
-	script.Check(session.fleet.Publish(ctx, fleetLimit))
+	if len(args) == 1 {
+		script.Check(session.fleet.Publish(ctx, fleetLimit))
+	}
 	script.Setenv("WISTERIALB_ADDRESS", session.fleet.Routers[0].Settings.OperatorAddress)
 	script.Setenv("WISTERIALB_OPERATOR_TOKEN", demo.OperatorToken)
 }
@@ -192,7 +197,7 @@
 		line += " " + arg
 	}
 	printed = "$ " + line + "\n" + printed + "\n"
-	printed = strings.ReplaceAll(printed, script.MkAbs("."), "<directory>")
+	printed = strings.ReplaceAll(printed, script.Getenv(examplesVariable), "<examples>")
 	for _, mask := range masks {
 		printed = mask.pattern.ReplaceAllString(printed, mask.replacement)
 	}
