Notice silent connections by asking the engine on a fresh one

Requests that asked for a fresh connection could get a pooled one, since Close does not prevent it. Change: exchange.watch asks for the attempt's position after 500 ms of silence; a load poll that times out starts a new generation; fresh requests, cancelling and records use a transport without a pool; an idempotent plain request leaves half of its time for another attempt. Measured: go test -race ./pkg/dispatch ./pkg/exchange ./pkg/upstream pass, with bounds of an hour in TestSilentConnectionIsNoticedByAskingTheEngine. Conclusion: the stall bounds now mean a slow engine, and can be long.

--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -17,6 +17,8 @@
 	headerRetryAfter     = "Retry-After"
 	// reasonRefused means that the upstream refused the attempt unrun.
 	reasonRefused exchange.Reason = "refused"
+	// minPlainTimeout is the shortest bound on the silence of a plain service.
+	minPlainTimeout = 10 * time.Millisecond
 	// cancelTries is how often an attempt's cancelling is tried.
 	cancelTries = 2
 )
@@ -92,11 +94,22 @@
 		Fresh:    !work.Idempotent,
 	}
 	if !work.Model {
-		request.Timeout = attempt.run.dispatcher.config.PlainTimeout
+		request.Timeout = attempt.plainTimeout()
 	}
 	return attempt.member.Client().Send(ctx, request)
 }
 
+// plainTimeout bounds the silence of a plain service. An idempotent request
+// keeps half of its time for another attempt.
+func (attempt *attempt) plainTimeout() time.Duration {
+	work := attempt.run.work
+	timeout := attempt.run.dispatcher.config.PlainTimeout
+	if !work.Idempotent || work.Deadline.IsZero() {
+		return timeout
+	}
+	return min(timeout, max(time.Until(work.Deadline)/2, minPlainTimeout))
+}
+
 // follow delivers the answer and recovers it at the same upstream.
 func (attempt *attempt) follow(ctx context.Context, answer *exchange.Answer, err error) error {
 	for {
@@ -224,7 +237,9 @@
 	}
 	attempt.answered = true
 	latency := time.Since(attempt.begunAt)
-	attempt.run.service.pool.First(attempt.member, latency)
+	if attempt.recoveries == 0 {
+		attempt.run.service.pool.First(attempt.member, latency)
+	}
 	attempt.run.dispatcher.metrics.firstPart(attempt.run.service.name, latency)
 }
 
@@ -329,7 +344,6 @@
 		if err == nil || errors.Is(err, exchange.ErrUnknownAttempt) {
 			return usageOf(record, err)
 		}
-		attempt.member.Client().Renew()
 	}
 	return Usage{}
 }
--- a/pkg/dispatch/dispatcher_test.go
+++ b/pkg/dispatch/dispatcher_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
@@ -96,7 +97,9 @@
 	if config.Upstreams == nil {
 		config.Upstreams = func(string) []configuration.Upstream { return upstreams }
 	}
-	config.Exchange = shortBounds
+	if config.Exchange.FirstTimeout == 0 {
+		config.Exchange = shortBounds
+	}
 	config.PlainTimeout = 300 * time.Millisecond
 	config.Policy = "round_robin"
 	dispatcher := NewDispatcher(config)
@@ -186,7 +189,7 @@
 	if data.HasArg("extend") {
 		work.Extend = func(context.Context, int64) error { return nil }
 	}
-	killer := &killing{Sink: sink, engine: engine, after: events}
+	killer := &acting{Sink: sink, after: events, act: func() { _ = engine.Close() }}
 	if events == 0 {
 		go func() {
 			for len(engine.Runs()) == 0 {
@@ -215,20 +218,20 @@
 	}
 }
 
-// killing closes the engine behind a number of events.
-type killing struct {
+// acting does something behind a number of events.
+type acting struct {
 	Sink
-	engine *standin.Engine
-	after  int
-	seen   int
+	act   func()
+	after int
+	seen  int
 }
 
-func (killing *killing) Event(event Event) error {
-	killing.seen++
-	if killing.seen == killing.after {
-		_ = killing.engine.Close()
+func (acting *acting) Event(event Event) error {
+	acting.seen++
+	if acting.seen == acting.after {
+		acting.act()
 	}
-	return killing.Sink.Event(event)
+	return acting.Sink.Event(event)
 }
 
 func refuse(t *testing.T, data *datadriven.TestData) string {
@@ -301,6 +304,41 @@
 	require.Equal(t, expectedText(), sink.text())
 }
 
+// longBounds leave it to the watch to notice a silent connection.
+var longBounds = exchange.ClientConfig{
+	FirstTimeout: time.Hour, BetweenTimeout: time.Hour, SuspectTimeout: 20 * time.Millisecond,
+}
+
+func TestSilentConnectionIsNoticedByAskingTheEngine(t *testing.T) {
+	engine := startEngine(t, standin.EngineConfig{TokenInterval: 5 * time.Millisecond})
+	dispatcher := startDispatcher(t, Config{Exchange: longBounds}, upstreamAt(engine.Address()))
+	for _, events := range []int{1, 3, maxTokens} {
+		sink := &collected{}
+		_, err := dispatcher.Dispatch(t.Context(), modelWork(fmt.Sprint(events)), &acting{Sink: sink, after: events, act: engine.Silence})
+		require.NoError(t, err)
+		require.Equal(t, expectedText(), sink.text())
+	}
+	engine.Silence()
+	sink := &collected{}
+	_, err := dispatcher.Dispatch(t.Context(), modelWork("pooled"), sink)
+	require.NoError(t, err)
+	require.Equal(t, expectedText(), sink.text())
+	require.Len(t, engine.Runs(), 4)
+}
+
+func TestSlowEngineIsNotTakenForASilentConnection(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	engine := startEngine(t, standin.EngineConfig{TokenInterval: 100 * time.Millisecond})
+	dispatcher := startDispatcher(t, Config{Exchange: longBounds, Registerer: registry}, upstreamAt(engine.Address()))
+	_, err := dispatcher.Dispatch(t.Context(), modelWork("slow"), &collected{})
+	require.NoError(t, err)
+	families, err := registry.Gather()
+	require.NoError(t, err)
+	for _, family := range families {
+		require.NotEqual(t, "wisterialb_dispatch_recoveries_total", family.GetName())
+	}
+}
+
 func TestStreamPastItsReservationIsCancelled(t *testing.T) {
 	engine := startEngine(t, standin.EngineConfig{TokenInterval: 5 * time.Millisecond})
 	dispatcher := startDispatcher(t, Config{}, upstreamAt(engine.Address()))
--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,12 +35,13 @@
 	// Stream is set for server-sent events.
 	Stream bool
 
-	config   ClientConfig
-	opening  opening
-	position int64
+	client  *Client
+	opening opening
+	// position is that of the last part; the watch reads it too.
+	position atomic.Int64
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
-	timer    *time.Timer
+	watch    *watch
 	mutex    sync.Mutex
 	// connection is nil until one was got.
 	connection *connection
@@ -55,7 +57,8 @@
 // start begins the bound on silence.
 func (answer *Answer) start(ctx context.Context) {
 	answer.ctx, answer.cancel = context.WithCancelCause(ctx)
-	answer.timer = time.AfterFunc(answer.timeout(), func() { answer.cancel(errStalled) })
+	answer.watch = newWatch(answer)
+	answer.watch.begin(answer.timeout())
 }
 
 func (answer *Answer) gotConnection(info httptrace.GotConnInfo) {
@@ -106,8 +109,8 @@
 	if answer.whole {
 		return Part{}, io.EOF
 	}
-	answer.timer.Reset(answer.timeout())
-	defer answer.unwatch()
+	answer.watch.begin(answer.timeout())
+	defer answer.watch.end()
 	if answer.Stream {
 		return answer.nextEvent()
 	}
@@ -119,18 +122,13 @@
 	switch {
 	case answer.opening.timeout > 0:
 		return answer.opening.timeout
-	case answer.position == answer.opening.after:
-		return answer.config.FirstTimeout
+	case answer.position.Load() == answer.opening.after:
+		return answer.client.config.FirstTimeout
 	default:
-		return answer.config.BetweenTimeout
+		return answer.client.config.BetweenTimeout
 	}
 }
 
-// unwatch stops the bound while the caller is busy with a part.
-func (answer *Answer) unwatch() {
-	answer.timer.Stop()
-}
-
 func (answer *Answer) nextEvent() (Part, error) {
 	for {
 		event, err := answer.scanner.next()
@@ -144,15 +142,15 @@
 			answer.end()
 			return Part{}, io.EOF
 		}
-		if event.id > 0 && event.id <= answer.position {
+		position := answer.position.Load()
+		if event.id > 0 && event.id <= position {
 			answer.repeated++
 			continue
 		}
-		if event.id != answer.position+1 {
+		if event.id != position+1 {
 			return Part{}, answer.fail(errDisorder, ReasonDisorder)
 		}
-		answer.position++
-		return Part{Position: answer.position, Data: event.data}, nil
+		return Part{Position: answer.position.Add(1), Data: event.data}, nil
 	}
 }
 
@@ -160,7 +158,7 @@
 // used again. The answer is whole in any case.
 func (answer *Answer) end() {
 	answer.whole = true
-	answer.unwatch()
+	answer.watch.end()
 	timer := time.AfterFunc(endTimeout, func() { answer.cancel(errStalled) })
 	defer timer.Stop()
 	_, _ = io.CopyN(io.Discard, answer.scanner.reader, 1)
@@ -170,8 +168,7 @@
 	buffer := make([]byte, partBytes)
 	count, err := io.ReadAtLeast(answer.body, buffer, 1)
 	if count > 0 {
-		answer.position++
-		return Part{Position: answer.position, Data: buffer[:count]}, nil
+		return Part{Position: answer.position.Add(1), Data: buffer[:count]}, nil
 	}
 	if !errors.Is(err, io.EOF) {
 		return Part{}, answer.fail(err, ReasonTruncated)
@@ -202,7 +199,7 @@
 // Close ends the exchange. The connection is closed unless the answer was read
 // to its end.
 func (answer *Answer) Close() {
-	answer.unwatch()
+	answer.watch.end()
 	if !answer.whole {
 		answer.abandon()
 	}
--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -38,6 +38,9 @@
 	FirstTimeout time.Duration
 	// BetweenTimeout bounds the silence between two parts.
 	BetweenTimeout time.Duration
+	// SuspectTimeout is the silence after which a model engine is asked, on a
+	// fresh connection, whether it has sent more than has arrived.
+	SuspectTimeout time.Duration
 	// ControlTimeout bounds cancelling, records, load reports and probes.
 	ControlTimeout time.Duration
 	// IdleTimeout is how long an unused connection is kept.
@@ -53,6 +56,7 @@
 	DefaultConnectTimeout = time.Second
 	DefaultFirstTimeout   = 5 * time.Second
 	DefaultBetweenTimeout = 2 * time.Second
+	DefaultSuspectTimeout = 500 * time.Millisecond
 	DefaultControlTimeout = time.Second
 	DefaultIdleTimeout    = 30 * time.Second
 	DefaultMaxIdle        = 64
@@ -69,11 +73,15 @@
 type Client struct {
 	config     ClientConfig
 	generation atomic.Pointer[http.Transport]
+	// single opens a connection for each request and keeps none.
+	single *http.Transport
 }
 
 // NewClient returns a client without open connections.
 func NewClient(config ClientConfig) *Client {
 	client := &Client{config: config.withDefaults()}
+	client.single = client.newTransport()
+	client.single.DisableKeepAlives = true
 	client.generation.Store(client.newTransport())
 	return client
 }
@@ -82,6 +90,7 @@
 	config.ConnectTimeout = positive(config.ConnectTimeout, DefaultConnectTimeout)
 	config.FirstTimeout = positive(config.FirstTimeout, DefaultFirstTimeout)
 	config.BetweenTimeout = positive(config.BetweenTimeout, DefaultBetweenTimeout)
+	config.SuspectTimeout = positive(config.SuspectTimeout, DefaultSuspectTimeout)
 	config.ControlTimeout = positive(config.ControlTimeout, DefaultControlTimeout)
 	config.IdleTimeout = positive(config.IdleTimeout, DefaultIdleTimeout)
 	config.MaxIdle = positive(config.MaxIdle, DefaultMaxIdle)
@@ -169,9 +178,10 @@
 	message.ContentLength = int64(len(request.Body))
 	message.Header = forwarded(request.Header)
 	message.Header.Set(HeaderAttempt, request.Attempt)
-	message.Close = request.Fresh
 	message.Header.Set(HeaderPriority, strconv.Itoa(request.Priority))
-	return client.open(ctx, message, opening{attempt: request.Attempt, timeout: request.Timeout, named: request.Model})
+	return client.open(ctx, message, opening{
+		attempt: request.Attempt, timeout: request.Timeout, named: request.Model, fresh: request.Fresh,
+	})
 }
 
 // Resume reopens the stream of an attempt behind a position.
@@ -192,17 +202,20 @@
 	timeout time.Duration
 	// named is set when a stream has to name the attempt.
 	named bool
+	// fresh is set when no pooled connection is to be used.
+	fresh bool
 	// resumed is set when the attempt was sent before.
 	resumed bool
 }
 
 // open sends the message and waits for the answer's head.
 func (client *Client) open(ctx context.Context, message *http.Request, opening opening) (*Answer, error) {
-	answer := &Answer{config: client.config, opening: opening, position: opening.after}
+	answer := &Answer{client: client, opening: opening}
+	answer.position.Store(opening.after)
 	answer.start(ctx)
 	trace := &httptrace.ClientTrace{GotConn: answer.gotConnection}
 	message = message.WithContext(httptrace.WithClientTrace(answer.ctx, trace)) //nolint:contextcheck // answer.ctx is derived from ctx
-	response, err := client.generation.Load().RoundTrip(message)                //nolint:bodyclose // Answer.Close closes it
+	response, err := client.transport(opening.fresh).RoundTrip(message)         //nolint:bodyclose // Answer.Close closes it
 	if err != nil {
 		failure := answer.fail(err, ReasonClosed)
 		answer.Close()
@@ -216,6 +229,13 @@
 	return answer, nil
 }
 
+func (client *Client) transport(fresh bool) *http.Transport {
+	if fresh {
+		return client.single
+	}
+	return client.generation.Load()
+}
+
 // hopHeaders concern one connection and are not forwarded.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
--- a/pkg/exchange/control.go
+++ b/pkg/exchange/control.go
@@ -59,44 +59,45 @@
 	return "/v1/attempts/" + url.PathEscape(attempt)
 }
 
-// Cancel stops an attempt and returns its final record. The error is
+// Cancel stops an attempt on a fresh connection and returns its final record. The error is
 // ErrUnknownAttempt when the engine never saw it.
 func (client *Client) Cancel(ctx context.Context, attempt string) (Record, error) {
 	var record Record
-	err := client.control(ctx, http.MethodPost, attemptPath(attempt)+"/cancel", &record)
+	err := client.control(ctx, client.single, http.MethodPost, attemptPath(attempt)+"/cancel", &record)
 	return record, err
 }
 
-// Attempt returns the record of an attempt. The error is ErrUnknownAttempt when
+// Attempt returns the record of an attempt on a fresh connection. The error is ErrUnknownAttempt when
 // the engine never saw it.
 func (client *Client) Attempt(ctx context.Context, attempt string) (Record, error) {
 	var record Record
-	err := client.control(ctx, http.MethodGet, attemptPath(attempt), &record)
+	err := client.control(ctx, client.single, http.MethodGet, attemptPath(attempt), &record)
 	return record, err
 }
 
-// Load returns the upstream's load report.
+// Load returns the upstream's load report. It asks on a pooled connection, so
+// that a time-out tells of connections that have gone silent.
 func (client *Client) Load(ctx context.Context) (LoadReport, error) {
 	var report LoadReport
-	err := client.control(ctx, http.MethodGet, "/v1/load", &report)
+	err := client.control(ctx, client.transport(false), http.MethodGet, "/v1/load", &report)
 	return report, err
 }
 
 // Health returns nil when the upstream says that it is well.
 func (client *Client) Health(ctx context.Context) error {
-	return client.control(ctx, http.MethodGet, "/healthz", nil)
+	return client.control(ctx, client.single, http.MethodGet, "/healthz", nil)
 }
 
 // control makes one small request and decodes its JSON answer into target
 // unless target is nil.
-func (client *Client) control(ctx context.Context, method, path string, target any) error {
+func (client *Client) control(ctx context.Context, transport *http.Transport, method, path string, target any) error {
 	ctx, cancel := context.WithTimeout(ctx, client.config.ControlTimeout)
 	defer cancel()
 	message, err := http.NewRequestWithContext(ctx, method, "http://"+client.config.Address+path, http.NoBody)
 	if err != nil {
 		return err
 	}
-	response, err := client.generation.Load().RoundTrip(message)
+	response, err := transport.RoundTrip(message)
 	if err != nil {
 		return err
 	}
--- a/pkg/upstream/monitor.go
+++ b/pkg/upstream/monitor.go
@@ -155,6 +155,7 @@
 }
 
 // poll reads a member's load report. An upstream that has none isn't at fault.
+// After a time-out no pooled connection is used again.
 func (monitor *Monitor) poll(ctx context.Context, pool *Pool, member *Member) {
 	own := pool.inFlight(member)
 	report, err := member.client.Load(ctx)
@@ -166,6 +167,9 @@
 	if ctx.Err() != nil || errors.Is(err, exchange.ErrUnknownAttempt) || errors.As(err, &status) {
 		return
 	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		member.client.Renew()
+	}
 	pool.mutex.Lock()
 	pool.judge(member, Failure)
 	pool.mutex.Unlock()
