Bound the checks of suspected connections

Cause: an engine that is slow for thousands of streams would have been asked for each of them every 500 ms, on a new connection each time. Conclusion: checks can't add to an overload.

--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -20,6 +20,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // The headers of the engines' protocol.
@@ -75,11 +77,13 @@
 	generation atomic.Pointer[http.Transport]
 	// single opens a connection for each request and keeps none.
 	single *http.Transport
+	// checks bounds the questions about suspected connections.
+	checks *rate.Limiter
 }
 
 // NewClient returns a client without open connections.
 func NewClient(config ClientConfig) *Client {
-	client := &Client{config: config.withDefaults()}
+	client := &Client{config: config.withDefaults(), checks: rate.NewLimiter(suspectRate, suspectBurst)}
 	client.single = client.newTransport()
 	client.single.DisableKeepAlives = true
 	client.generation.Store(client.newTransport())
--- a/pkg/exchange/watch.go
+++ b/pkg/exchange/watch.go
@@ -7,8 +7,14 @@
 	"time"
 )
 
-// suspectGrace is how long a part that the engine has made may be under way.
-const suspectGrace = 100 * time.Millisecond
+const (
+	// suspectGrace is how long a part that the engine has made may be under way.
+	suspectGrace = 100 * time.Millisecond
+	// suspectRate and suspectBurst bound the checks of one upstream, so that a
+	// slow engine isn't burdened with questions. The rate is in checks a second.
+	suspectRate  = 20
+	suspectBurst = 20
+)
 
 // watch bounds the silence while an answer's next part is awaited. It ends the
 // exchange as stalled when the bound has passed. Long before, it asks a model
@@ -24,6 +30,8 @@
 	// turn counts the waits; a check belongs to one of them.
 	turn    uint64
 	waiting bool
+	// next is the time to the next check; it doubles with each one of a wait.
+	next time.Duration
 }
 
 func newWatch(answer *Answer) *watch {
@@ -45,7 +53,8 @@
 	watch.waiting = true
 	watch.stall.Reset(timeout)
 	if watch.suspect != nil {
-		watch.suspect.Reset(watch.answer.client.config.SuspectTimeout)
+		watch.next = watch.answer.client.config.SuspectTimeout
+		watch.suspect.Reset(watch.next)
 	}
 }
 
@@ -78,6 +87,10 @@
 		return
 	}
 	answer := watch.answer
+	if !answer.client.checks.Allow() {
+		watch.again(turn)
+		return
+	}
 	ctx, cancel := context.WithCancel(answer.ctx)
 	defer cancel()
 	record, err := answer.client.Attempt(ctx, answer.opening.attempt)
@@ -96,7 +109,8 @@
 	watch.mutex.Lock()
 	defer watch.mutex.Unlock()
 	if watch.waiting && watch.turn == turn {
-		watch.suspect.Reset(watch.answer.client.config.SuspectTimeout)
+		watch.next *= 2
+		watch.suspect.Reset(watch.next)
 	}
 }
 
