Restart killed routers at their addresses and tell each try's end

Cause: callers kept addresses of routers that came back elsewhere, and a killed router could still answer from connections that were cut too late. Change: a router of a place keeps its settings; a kill freezes outgoing connections first; results keep the end of their first tries; the audit lists results.

--- a/pkg/demo/fleet.go
+++ b/pkg/demo/fleet.go
@@ -116,7 +116,7 @@
 // StartRouter starts the router of a place, again after it has ended or for
 // the first time.
 func (fleet *Fleet) StartRouter(index int) error {
-	config, err := fleet.routerSettings(index)
+	config, err := fleet.settingsOf(index)
 	if err != nil {
 		return err
 	}
@@ -146,6 +146,15 @@
 	return nil
 }
 
+// settingsOf returns the settings of the router of a place, which a later router
+// of the same place keeps.
+func (fleet *Fleet) settingsOf(index int) (settings.Settings, error) {
+	if index < len(fleet.Routers) {
+		return fleet.Routers[index].Settings, nil
+	}
+	return fleet.routerSettings(index)
+}
+
 func (fleet *Fleet) routerSettings(index int) (settings.Settings, error) {
 	host := fmt.Sprintf("127.0.0.%d", index+1)
 	addresses, err := freeAddresses(host, 3)
@@ -175,8 +184,9 @@
 func (fleet *Fleet) KillRouter(index int) {
 	node := fleet.Routers[index]
 	node.ended = true
-	node.Dialer.Kill()
+	node.Dialer.Freeze()
 	node.Abort()
+	node.Dialer.Kill()
 }
 
 // Close shuts the routers down and closes the stand-ins.
--- a/pkg/load/caller.go
+++ b/pkg/load/caller.go
@@ -10,6 +10,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -39,6 +40,7 @@
 	greatestBackoff = 500 * time.Millisecond
 	dialTimeout     = time.Second
 	maxAnswerBytes  = 4 << 20
+	keptHistory     = 4
 )
 
 // finalKinds are the kinds of refusals that a retry cannot help.
@@ -68,6 +70,8 @@
 	Text string
 	// Disorder is set when events of a stream came twice or with a gap.
 	Disorder bool
+	// History tells what each of the first tries ended with.
+	History []string
 	// Tries counts the times the request was sent.
 	Tries int
 	// Resumes counts the tries that continued a stream.
@@ -174,6 +178,9 @@
 	result.Outcome = fault.OutcomeOf(err)
 	result.Refusal = fault.KindOf(err)
 	result.Message = fault.MessageOf(err)
+	if len(result.History) < keptHistory {
+		result.History = append(result.History, fmt.Sprintf("%s %s %s: %s", address, result.Outcome, result.Refusal, result.Message))
+	}
 	if result.Outcome == fault.OutcomeUnknown {
 		result.Unknowns++
 	}
--- a/pkg/standin/dialer.go
+++ b/pkg/standin/dialer.go
@@ -43,6 +43,13 @@
 // Silence makes all open connections silent for good; new ones work.
 func (dialer *Dialer) Silence() { dialer.conns.silence() }
 
+// Freeze makes all open connections silent for good and opens no more, as when
+// the process stops running.
+func (dialer *Dialer) Freeze() {
+	dialer.killed.Store(true)
+	dialer.Silence()
+}
+
 // Kill cuts all open connections and opens no more, as when the process dies.
 func (dialer *Dialer) Kill() {
 	dialer.killed.Store(true)
--- a/pkg/testbed/testbed.go
+++ b/pkg/testbed/testbed.go
@@ -13,7 +13,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/go-kit/log"
 
@@ -26,6 +28,9 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/standin"
 )
 
+// pollInterval keeps publishing of the documents short.
+const pollInterval = 50 * time.Millisecond
+
 // Config configures Start.
 type Config struct {
 	// Zones has the zone of each router.
@@ -66,6 +71,7 @@
 		Platform: config.Platform,
 		Logger:   config.Logger,
 		Adjust: func(_ int, router settings.Settings) settings.Settings {
+			router.PollInterval = pollInterval
 			if config.Adjust == nil {
 				return router
 			}
@@ -162,6 +168,13 @@
 	testbed.results = append(testbed.results, result)
 }
 
+// Results returns what became of all requests so far.
+func (testbed *Testbed) Results() []load.Result {
+	testbed.mutex.Lock()
+	defer testbed.mutex.Unlock()
+	return slices.Clone(testbed.results)
+}
+
 // entries returns the addresses of all routers.
 func (testbed *Testbed) entries() []string {
 	addresses := make([]string, 0, len(testbed.Fleet.Routers))
