--- a/pkg/budget/escrow.go
+++ b/pkg/budget/escrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +19,9 @@
 	// DefaultHorizon is the demand that a grant covers.
 	DefaultHorizon = 10 * time.Second
 	// DefaultSettleInterval is the time between two settlement batches.
-	DefaultSettleInterval = time.Second
+	DefaultSettleInterval = 200 * time.Millisecond
+	// resizeInterval is the time between two looks at the size of the grants.
+	resizeInterval = time.Second
 	// DefaultMaxWait bounds the wait of a reservation for returned grants.
 	DefaultMaxWait = 3 * time.Second
 	// DefaultDrainTimeout bounds the table calls of Close without a deadline.
@@ -82,40 +85,61 @@
 
 	mutex    sync.Mutex
 	accounts map[string]*account
+	// ordered are the accounts in the order in which they were made.
+	ordered  []*account
 	draining bool
 	// pending are settlements in the order of their numbers.
 	pending    []*pendingSettlement
 	settlement uint64
-	kept       map[string][]Settlement
+	// kept are settlements of other routers, by owner and number.
+	kept map[string]map[uint64]Settlement
 
 	// settling admits one settlement at a time; it guards the fields below.
 	settling sync.Mutex
 	sequence uint64
 	batch    *batch
 
-	wake    chan struct{}
+	// resizeParallelism bounds the grants that are resized at once.
+	resizeParallelism int
+
 	stop    chan struct{}
-	stopped chan struct{}
+	running sync.WaitGroup
 }
 
 // NewEscrow returns an Escrow and starts its control goroutine, which settles,
-// refills and returns grants until Close.
+// refills and returns grants until Close, and a second one, which hands
+// settlements to another router while the first waits for the table.
 func NewEscrow(config EscrowConfig) *Escrow {
 	escrow := newEscrow(config)
-	go func() {
-		defer close(escrow.stopped)
-		ticker := time.NewTicker(escrow.config.SettleInterval)
-		defer ticker.Stop()
+	escrow.running.Go(func() {
+		settle := time.NewTicker(escrow.config.SettleInterval)
+		defer settle.Stop()
+		resize := time.NewTicker(resizeInterval)
+		defer resize.Stop()
+		for {
+			select {
+			case <-escrow.stop:
+				return
+			case <-settle.C:
+				escrow.settle(context.Background())
+			case <-resize.C:
+				escrow.settleKept(context.Background())
+				escrow.resize(context.Background())
+			}
+		}
+	})
+	escrow.running.Go(func() {
+		handOver := time.NewTicker(keepAge)
+		defer handOver.Stop()
 		for {
 			select {
 			case <-escrow.stop:
 				return
-			case <-escrow.wake:
-			case <-ticker.C:
+			case <-handOver.C:
+				escrow.handOver(context.Background(), keepAge)
 			}
-			escrow.tick(context.Background())
 		}
-	}()
+	})
 	return escrow
 }
 
@@ -128,18 +152,12 @@
 		sizing:   policies[config.Policy].construct(config),
 		metrics:  newMetrics(config.Registerer),
 		accounts: make(map[string]*account),
-		kept:     make(map[string][]Settlement),
-		wake:     make(chan struct{}, 1),
-		stop:     make(chan struct{}),
-		stopped:  make(chan struct{}),
-	}
-}
+		kept:     make(map[string]map[uint64]Settlement),
+
+		resizeParallelism: defaultResizeParallelism,
 
-// tick is one round of the control goroutine.
-func (escrow *Escrow) tick(ctx context.Context) {
-	escrow.settle(ctx)
-	escrow.settleKept(ctx)
-	escrow.resize(ctx)
+		stop: make(chan struct{}),
+	}
 }
 
 // account returns the account of a profile, made when needed.
@@ -150,6 +168,7 @@
 	if !ok {
 		held = newAccount(profile)
 		escrow.accounts[profile] = held
+		escrow.ordered = append(escrow.ordered, held)
 	}
 	return held
 }
@@ -158,11 +177,7 @@
 func (escrow *Escrow) allAccounts() []*account {
 	escrow.mutex.Lock()
 	defer escrow.mutex.Unlock()
-	accounts := make([]*account, 0, len(escrow.accounts))
-	for _, account := range escrow.accounts {
-		accounts = append(accounts, account)
-	}
-	return accounts
+	return slices.Clone(escrow.ordered)
 }
 
 // Reserve sets the worst case of a request aside. Before it refuses it asks the
@@ -216,18 +231,6 @@
 	return loan, nil
 }
 
-// Keep holds settlements of another router until that router has settled them
-// or is closed.
-func (escrow *Escrow) Keep(_ context.Context, owner string, settlements []Settlement) error {
-	escrow.mutex.Lock()
-	defer escrow.mutex.Unlock()
-	if escrow.draining {
-		return drainingError()
-	}
-	escrow.kept[owner] = append(escrow.kept[owner], settlements...)
-	return nil
-}
-
 // Close refuses new reservations, settles what has ended and returns all
 // grants. What other reservations hold, and loans that no borrower has
 // recorded, become unattributed. The error is fault.Unavailable when the table
@@ -237,7 +240,7 @@
 		return nil
 	}
 	close(escrow.stop)
-	<-escrow.stopped
+	escrow.running.Wait()
 	return escrow.finish(ctx)
 }
 
--- a/pkg/budget/finish.go
+++ b/pkg/budget/finish.go
@@ -21,7 +21,7 @@
 		return escrow.settleAll(ctx)
 	})
 	if err != nil {
-		escrow.handOver(context.WithoutCancel(ctx))
+		escrow.handOver(context.WithoutCancel(ctx), 0)
 		return err
 	}
 	for _, account := range escrow.allAccounts() {
@@ -75,6 +75,7 @@
 	budget.Holders--
 	return []platform.Write{
 		replace(holding.budgetItem, budget),
+		holding.holder.unattributedWrite(0),
 		{Key: holding.holder.item.Key, Action: platform.Delete, Condition: unchanged(holding.holder.item)},
 		{Key: profileKey(holding.holder.incarnation, holding.holder.profile), Action: platform.Delete},
 	}
--- a/pkg/configuration/publication.go
+++ b/pkg/configuration/publication.go
@@ -23,9 +23,12 @@
 	headRow   headRow
 	storedRow documentRow
 
+	// wasRead is set once head and operation id were read.
+	wasRead bool
 	// retry is set when another try can succeed.
 	retry bool
-	// lost is set when the transaction was sent and its answer was lost.
+	// lost is set when the change may have been accepted, or was: the
+	// transaction was sent and its answer was lost, or the operation id exists.
 	lost bool
 }
 
@@ -77,8 +80,11 @@
 	if publication.headRow, err = decodeItem[headRow](publication.head); err != nil {
 		return err
 	}
-	publication.storedRow, err = decodeItem[documentRow](publication.stored)
-	return err
+	if publication.storedRow, err = decodeItem[documentRow](publication.stored); err != nil {
+		return err
+	}
+	publication.wasRead = true
+	return nil
 }
 
 // accepted returns the record that the operation id has made before.
@@ -89,6 +95,7 @@
 	}
 	record, err := publication.readRecord(ctx, row.Revision)
 	if err != nil {
+		publication.lost = true
 		return Record{}, err
 	}
 	if !sameChange(record.Change, publication.change) {
@@ -109,9 +116,11 @@
 	return decodeItem[Record](items[0])
 }
 
+// sameChange leaves out the expected revision: an operator who reads the
+// document again before a retry sees the revision that the first try made.
 func sameChange(a, b Change) bool {
 	return a.Kind == b.Kind && a.Name == b.Name && a.Operator == b.Operator &&
-		a.Expected == b.Expected && a.Reason == b.Reason && bytes.Equal(a.Body, b.Body)
+		a.Reason == b.Reason && bytes.Equal(a.Body, b.Body)
 }
 
 // checkExpected requires that the document is as the operator saw it. A limit
--- a/pkg/demo/fleet.go
+++ b/pkg/demo/fleet.go
@@ -70,7 +70,6 @@
 	Registry *prometheus.Registry
 	// Dialer opens all connections of the router.
 	Dialer *standin.Dialer
-	ended  bool
 }
 
 // StartFleet starts the stand-ins and the routers. Nothing is published yet.
@@ -183,7 +182,6 @@
 // in its place.
 func (fleet *Fleet) KillRouter(index int) {
 	node := fleet.Routers[index]
-	node.ended = true
 	node.Dialer.Freeze()
 	node.Abort()
 	node.Dialer.Kill()
@@ -193,9 +191,6 @@
 func (fleet *Fleet) Close(ctx context.Context) error {
 	var errs []error
 	for _, node := range fleet.Routers {
-		if node.ended {
-			continue
-		}
 		_, err := node.Shutdown(ctx)
 		errs = append(errs, err)
 	}
--- a/pkg/operator/publish.go
+++ b/pkg/operator/publish.go
@@ -9,6 +9,7 @@
 
 	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/fleet"
 	"gitlab.com/wisterialb/wisterialb/pkg/operator/operatorpb"
 
 	"encoding/json"
@@ -60,7 +61,9 @@
 	}
 	_ = level.Info(server.config.Logger).Log("msg", "configuration changed", "revision", record.Revision,
 		"kind", change.Kind, "name", change.Name, "operator", change.Operator, "operation_id", change.OperationID)
-	publication := server.awaitRouters(ctx, record.Revision)
+	server.config.Follower.Offer(ctx, []configuration.Record{record})
+	server.config.Follower.Hint(record.Revision)
+	publication := server.awaitRouters(ctx, record)
 	return publicationMessage(publication), nil
 }
 
@@ -108,9 +111,13 @@
 
 // awaitRouters waits until every live router is on the revision, or until the
 // bound or the context ends.
-func (server *Server) awaitRouters(ctx context.Context, revision uint64) Publication {
+func (server *Server) awaitRouters(ctx context.Context, record configuration.Record) Publication {
 	ctx, cancel := context.WithTimeout(ctx, server.config.Propagation)
 	defer cancel()
+	revision := record.Revision
+	if server.config.Adopter != nil {
+		return publicationFrom(revision, server.askMembers(ctx, revision, []configuration.Record{record}))
+	}
 	ticker := time.NewTicker(propagationPoll)
 	defer ticker.Stop()
 	for {
@@ -128,8 +135,12 @@
 
 // publicationOf tells which members are known to be on the revision.
 func (server *Server) publicationOf(revision uint64) Publication {
+	return publicationFrom(revision, server.members(revision))
+}
+
+func publicationFrom(revision uint64, members []Member) Publication {
 	publication := Publication{Revision: revision}
-	for _, member := range server.members(revision) {
+	for _, member := range members {
 		publication.Routers++
 		if member.Reason != "" {
 			publication.Lagging = append(publication.Lagging, member)
@@ -143,9 +154,10 @@
 func (server *Server) members(revision uint64) []Member {
 	known := server.config.Members()
 	members := make([]Member, 0, len(known))
-	for _, member := range known {
+	for _, reported := range known {
+		member := memberFrom(reported)
 		if member.Incarnation == server.config.Self {
-			member.Revision = server.config.Documents.Revision()
+			member.Revision = server.config.Follower.Revision()
 		}
 		member.Reason = lagReason(member, revision)
 		members = append(members, member)
@@ -153,11 +165,24 @@
 	return members
 }
 
+func memberFrom(member fleet.Member) Member {
+	return Member{
+		Incarnation:     member.Incarnation,
+		Zone:            member.Zone,
+		State:           member.State,
+		Revision:        member.Revision,
+		CallerAddress:   member.CallerAddress,
+		PeerAddress:     member.PeerAddress,
+		OperatorAddress: member.OperatorAddress,
+		Load:            member.Load,
+	}
+}
+
 func lagReason(member Member, revision uint64) string {
 	switch {
 	case member.Revision >= revision:
 		return ""
-	case member.State != MemberLive:
+	case member.State != fleet.Live:
 		return fmt.Sprintf("it is %s; last known on revision %d", member.State, member.Revision)
 	default:
 		return fmt.Sprintf("it still reports revision %d", member.Revision)
--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -27,6 +27,7 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
 	"gitlab.com/wisterialb/wisterialb/pkg/fleet"
 	"gitlab.com/wisterialb/wisterialb/pkg/operator"
+	"gitlab.com/wisterialb/wisterialb/pkg/order"
 	"gitlab.com/wisterialb/wisterialb/pkg/peer"
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 	"gitlab.com/wisterialb/wisterialb/pkg/settings"
@@ -148,6 +149,15 @@
 		OnDead:        build.ledger.CloseIncarnation,
 		OnRevision:    build.follower.Hint,
 	})
+	build.engines = order.NewHTTPEngine()
+	build.orderer = order.NewOrderer(order.Config{
+		Table:   build.table,
+		Self:    build.incarnation,
+		View:    build.follower.View,
+		Members: build.membership.Members,
+		Engine:  build.engines,
+		Logger:  build.logger,
+	})
 	build.background = newBackground(reportInterval, build.report)
 }
 
@@ -182,11 +192,13 @@
 		Retention:   build.settings.ClaimRetention,
 	})
 	build.dispatcher = dispatch.NewDispatcher(dispatch.Config{
-		Upstreams:  func(service string) []configuration.Upstream { return build.follower.View().Upstreams(service) },
-		Leaving:    build.membership.LeavingVM,
-		Policy:     build.settings.Policy,
-		Logger:     build.logger,
-		Registerer: build.given.Registry,
+		Upstreams:   func(service string) []configuration.Upstream { return build.follower.View().Upstreams(service) },
+		Leaving:     build.membership.LeavingVM,
+		Policy:      build.settings.Policy,
+		Logger:      build.logger,
+		Registerer:  build.given.Registry,
+		QueueLength: build.settings.Queue.Length,
+		MaxWait:     build.settings.Queue.Wait,
 		Exchange: exchange.ClientConfig{
 			FirstTimeout:   build.settings.Stall.FirstToken,
 			BetweenTimeout: build.settings.Stall.BetweenTokens,
@@ -249,14 +261,20 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/", operator.NewServer(operator.ServerConfig{
-		Tokens:     tokens,
-		Publisher:  build.publisher,
-		Ledger:     build.ledger,
-		Documents:  documents{follower: build.follower},
-		Members:    build.operatorMembers,
-		Self:       build.incarnation,
-		Logger:     build.logger,
-		Registerer: build.given.Registry,
+		Tokens:    tokens,
+		Publisher: build.publisher,
+		Ledger:    build.ledger,
+		Follower:  build.follower,
+		Members:   build.membership.Members,
+		Adopter:   build.peers,
+		UpstreamStates: upstreamStates{inspector: order.NewInspector(order.InspectorConfig{
+			View:   build.follower.View,
+			Engine: build.engines,
+		})},
+		Propagation: build.settings.PublishTimeout,
+		Self:        build.incarnation,
+		Logger:      build.logger,
+		Registerer:  build.given.Registry,
 	}))
 	mux.Handle("/metrics", promhttp.HandlerFor(build.given.Registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("/healthz", func(writer http.ResponseWriter, _ *http.Request) {
@@ -272,24 +290,6 @@
 	return mux
 }
 
-func (build *assembly) operatorMembers() []operator.Member {
-	members := build.membership.Members()
-	shown := make([]operator.Member, 0, len(members))
-	for _, member := range members {
-		shown = append(shown, operator.Member{
-			Incarnation:     member.Incarnation,
-			Zone:            member.Zone,
-			State:           operator.MemberState(member.State),
-			Revision:        member.Revision,
-			CallerAddress:   member.CallerAddress,
-			PeerAddress:     member.PeerAddress,
-			OperatorAddress: member.OperatorAddress,
-			Load:            member.Load,
-		})
-	}
-	return shown
-}
-
 // report tells the fleet what this router has adopted and how busy it is.
 func (router *Router) report(context.Context) {
 	load := float64(router.running()) / fullLoad
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -21,6 +21,7 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/dispatch"
 	"gitlab.com/wisterialb/wisterialb/pkg/entry"
 	"gitlab.com/wisterialb/wisterialb/pkg/fleet"
+	"gitlab.com/wisterialb/wisterialb/pkg/order"
 )
 
 // limits are the bounds that the handlers keep.
@@ -48,12 +49,15 @@
 	claims      *claim.Registry
 	follower    *configuration.Follower
 	membership  *fleet.Membership
+	orderer     *order.Orderer
+	engines     *order.HTTPEngine
 	ranker      *entry.Ranker
 	dispatcher  *dispatch.UpstreamDispatcher
 	server      atomic.Pointer[Server]
 	control     []*controlServer
 	background  *background
 	draining    atomic.Bool
+	ended       atomic.Bool
 }
 
 // Incarnation returns the name of this run of the router.
@@ -92,8 +96,12 @@
 
 // Shutdown leaves the entry list, refuses new requests, waits for the running
 // ones up to the drain timeout, settles and returns all grants, and ends the
-// incarnation. It returns how many requests it had to cut off.
+// incarnation. It returns how many requests it had to cut off. A second call
+// does nothing.
 func (router *Router) Shutdown(ctx context.Context) (int, error) {
+	if !router.ended.CompareAndSwap(false, true) {
+		return 0, nil
+	}
 	router.draining.Store(true)
 	router.info("event", "shutdown_started", "running", router.running())
 	if err := router.membership.Leave(ctx); err != nil {
@@ -111,6 +119,9 @@
 // settled, returned or handed over on purpose. It is for tests of failures, which
 // also have to cut the router's outgoing connections.
 func (router *Router) Abort() {
+	if !router.ended.CompareAndSwap(false, true) {
+		return
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	router.server.Load().Shutdown(ctx)
@@ -129,6 +140,8 @@
 		err = router.membership.Deregister(ctx)
 	}
 	router.background.stop()
+	router.orderer.Close()
+	router.engines.Close()
 	router.follower.Close()
 	router.membership.Close()
 	for _, control := range router.control {
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -86,7 +86,7 @@
 		exchanges: make(map[*inFlight]struct{}),
 		stop:      make(chan struct{}),
 	}
-	server.engine = nbhttp.NewEngine(nbhttp.Config{
+	engine, err := startEngine(nbhttp.Config{
 		Name:                    "callers",
 		Network:                 "tcp",
 		Addrs:                   []string{config.Address},
@@ -99,14 +99,10 @@
 		KeepaliveTime:           config.LongestDeadline + keepaliveMargin,
 		ReleaseWebsocketPayload: true,
 	})
-	if err := server.engine.Start(); err != nil {
-		return nil, fault.New(fault.Config{
-			Kind:    fault.Unavailable,
-			Message: "cannot listen on " + config.Address + ": " + err.Error(),
-			Remedy:  "free the address or change caller_address in the settings",
-			Cause:   err,
-		})
+	if err != nil {
+		return nil, err
 	}
+	server.engine = engine
 	server.swept.Go(func() {
 		ticker := time.NewTicker(sweepInterval)
 		defer ticker.Stop()
@@ -152,12 +148,19 @@
 // all connections. It returns how many requests were cut off.
 func (server *Server) Shutdown(ctx context.Context) int {
 	left := server.drain(ctx)
-	server.stopOnce.Do(func() { close(server.stop) })
-	server.swept.Wait()
-	server.engine.Stop()
+	server.Abort()
 	return left
 }
 
+// Abort closes all connections at once.
+func (server *Server) Abort() {
+	server.stopOnce.Do(func() {
+		close(server.stop)
+		server.swept.Wait()
+		server.engine.Stop()
+	})
+}
+
 func (server *Server) drain(ctx context.Context) int {
 	for {
 		idle := server.whenIdle()
