Script the escrow, bound its shutdown and calm its grants

Cause: returns and refills alternated, Close waited for a hanging table, and refusals, limits, loans and held bills had no readable cases.

--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -28,8 +28,13 @@
 	received   map[Loan]bool
 	unrecorded []Loan
 	// debits are loans given, by transfer id.
-	debits   map[string]Loan
-	forecast forecast
+	debits map[string]Loan
+	// soon and later forecast demand over a short and a long window.
+	soon  forecast
+	later forecast
+	// surplusSince is when the account last began to hold more than it should;
+	// zero while it does not.
+	surplusSince time.Time
 }
 
 // pendingReturn is a return that was sent on top of a revision of the row.
@@ -48,6 +53,8 @@
 	return &account{
 		profile:  profile,
 		received: make(map[Loan]bool),
+		soon:     forecast{window: shortWindow},
+		later:    forecast{window: longWindow},
 		debits:   make(map[string]Loan),
 	}
 }
@@ -78,10 +85,16 @@
 		return false
 	}
 	account.reservedTokens += tokens
-	account.forecast.add(tokens, now)
+	account.expect(tokens, now)
 	return true
 }
 
+// expect counts demand in the forecasts. The caller holds the lock.
+func (account *account) expect(tokens int64, now time.Time) {
+	account.soon.add(tokens, now)
+	account.later.add(tokens, now)
+}
+
 // wait joins the reservations that wait for tokens.
 func (account *account) wait(tokens int64) *waiter {
 	waiter := &waiter{tokens: tokens, ready: make(chan struct{})}
@@ -142,7 +155,7 @@
 	defer account.mutex.Unlock()
 	account.reservedTokens -= reservedTokens
 	account.chargedTokens += chargedTokens
-	account.forecast.correct(reservedTokens-chargedTokens, now)
+	account.expect(chargedTokens-reservedTokens, now)
 	account.admit()
 }
 
--- a/pkg/budget/account_grant.go
+++ b/pkg/budget/account_grant.go
@@ -44,14 +44,42 @@
 func (account *account) isEmpty() bool {
 	account.mutex.Lock()
 	defer account.mutex.Unlock()
-	return account.spareTokens() == 0 && account.forecast.tokensPerSecond < 1
+	return account.spareTokens() == 0 && account.later.rate(time.Now()) < 1
 }
 
-// wantsRefill reports whether the spare tokens run out well within the horizon.
-func (account *account) wantsRefill(horizon time.Duration) bool {
+// sizingState is what the policy decides on.
+func (account *account) sizingState(budget budgetRow) sizingState {
 	account.mutex.Lock()
 	defer account.mutex.Unlock()
-	return account.spareTokens() < account.forecast.tokens(time.Now(), horizon)/refillDivisor
+	now := time.Now()
+	return sizingState{
+		needTokens:     account.needWithin(budget.freeTokens()),
+		soonPerSecond:  account.soon.rate(now),
+		laterPerSecond: account.later.rate(now),
+		spareTokens:    account.spareTokens(),
+		takenTokens:    account.row.GrantedTokens - account.row.ReturnedTokens,
+		budget:         budget,
+	}
+}
+
+// lastingSurplus returns the surplus once it has lasted, or at once when the
+// budget is short or retired, so that returns and refills do not alternate.
+func (account *account) lastingSurplus(surplus int64, budget budgetRow, patience time.Duration) int64 {
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	now := time.Now()
+	switch {
+	case surplus <= 0:
+		account.surplusSince = time.Time{}
+		return 0
+	case account.surplusSince.IsZero():
+		account.surplusSince = now
+	}
+	if budget.WantedTokens > 0 || budget.Retired || now.Sub(account.surplusSince) >= patience {
+		account.surplusSince = time.Time{}
+		return surplus
+	}
+	return 0
 }
 
 // beginReturn sets tokens aside for a return on top of a revision of the row
--- a/pkg/budget/batch.go
+++ b/pkg/budget/batch.go
@@ -128,8 +128,12 @@
 
 // add plans the lines of a settlement. The second bill of a request becomes
 // waste. A settlement that was handed to a second router may be in the table
-// already; its lines are then left out.
+// already; its lines are then left out. So are those of a holder whose row was
+// removed: all that it held is in the books of the budget.
 func (plan *batchPlan) add(settlement Settlement, kept bool) {
+	if plan.holders[settlement.Reservation.Profile].item.Version == 0 {
+		return
+	}
 	for i, line := range settlement.Lines {
 		key, duplicate := plan.place(settlement, i, kept)
 		if duplicate {
--- a/pkg/budget/change.go
+++ b/pkg/budget/change.go
@@ -10,6 +10,9 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
+// recallTime is how long routers take to return idle tokens of a marked budget.
+const recallTime = 3 * resizeInterval
+
 // ChangeWrites returns the writes that a change of the configuration needs in
 // the budget's rows, to go into the publishing transaction: they open a budget
 // when its profile is first published, add to or lower its limit, and stop
@@ -147,7 +150,7 @@
 		Message: fmt.Sprintf("the limit %d of %q cannot be lowered by %d: %d tokens are spent or granted",
 			budget.LimitTokens, change.Name, -limit.AddTokens, budget.TakenTokens),
 		Remedy: fmt.Sprintf("lower it by at most %d, or retry in %s when routers have returned idle tokens",
-			budget.freeTokens(), 3*DefaultSettleInterval),
+			budget.freeTokens(), recallTime),
 		RetryAfter: 3 * DefaultSettleInterval,
 	})
 }
--- a/pkg/budget/escrow.go
+++ b/pkg/budget/escrow.go
@@ -46,7 +46,7 @@
 	Lender Lender
 	// Keeper holds settlements while the table does not answer; nil keeps none.
 	Keeper Keeper
-	// Policy is the name of the sizing policy; empty means PolicyHorizon.
+	// Policy is the name of the sizing policy; empty means DefaultPolicy.
 	Policy string
 	// Shares is the number of routers, for PolicyEqualShares.
 	Shares int
@@ -68,7 +68,7 @@
 		config.MaxWait = DefaultMaxWait
 	}
 	if _, ok := policies[config.Policy]; !ok {
-		config.Policy = PolicyHorizon
+		config.Policy = DefaultPolicy
 	}
 	return config
 }
@@ -102,7 +102,8 @@
 	// resizeParallelism bounds the grants that are resized at once.
 	resizeParallelism int
 
-	stop    chan struct{}
+	// stop ends the goroutines and the table calls that they wait for.
+	stop    context.CancelFunc
 	running sync.WaitGroup
 }
 
@@ -111,6 +112,8 @@
 // settlements to another router while the first waits for the table.
 func NewEscrow(config EscrowConfig) *Escrow {
 	escrow := newEscrow(config)
+	ctx, cancel := context.WithCancel(context.Background())
+	escrow.stop = cancel
 	escrow.running.Go(func() {
 		settle := time.NewTicker(escrow.config.SettleInterval)
 		defer settle.Stop()
@@ -118,13 +121,13 @@
 		defer resize.Stop()
 		for {
 			select {
-			case <-escrow.stop:
+			case <-ctx.Done():
 				return
 			case <-settle.C:
-				escrow.settle(context.Background())
+				escrow.settle(ctx)
 			case <-resize.C:
-				escrow.settleKept(context.Background())
-				escrow.resize(context.Background())
+				escrow.settleKept(ctx)
+				escrow.resize(ctx)
 			}
 		}
 	})
@@ -133,10 +136,10 @@
 		defer handOver.Stop()
 		for {
 			select {
-			case <-escrow.stop:
+			case <-ctx.Done():
 				return
 			case <-handOver.C:
-				escrow.handOver(context.Background(), keepAge)
+				escrow.handOver(ctx, keepAge)
 			}
 		}
 	})
@@ -156,7 +159,7 @@
 
 		resizeParallelism: defaultResizeParallelism,
 
-		stop: make(chan struct{}),
+		stop: func() {},
 	}
 }
 
@@ -239,7 +242,7 @@
 	if !escrow.drain() {
 		return nil
 	}
-	close(escrow.stop)
+	escrow.stop()
 	escrow.running.Wait()
 	return escrow.finish(ctx)
 }
--- a/pkg/budget/finish.go
+++ b/pkg/budget/finish.go
@@ -7,8 +7,12 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
-// finish settles what is pending, returns what is spare and closes all holder
-// rows of this incarnation.
+// The flow of a shutdown: settle what is pending, return what is spare, close
+// the holder rows, pass on what is held for other routers, and remove the
+// sequence row. A late batch cannot be applied then, because it is conditional
+// on holder rows that have changed.
+
+// finish ends the books of this incarnation.
 func (escrow *Escrow) finish(ctx context.Context) error {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
@@ -24,13 +28,29 @@
 		escrow.handOver(context.WithoutCancel(ctx), 0)
 		return err
 	}
+	escrow.passOnKept(ctx)
 	for _, account := range escrow.allAccounts() {
 		err = escrow.untilDone(ctx, func(ctx context.Context) error { return escrow.finishAccount(ctx, account) })
 		if err != nil {
 			return err
 		}
 	}
-	return nil
+	sequence := platform.Write{Key: sequenceKey(escrow.config.Incarnation), Action: platform.Delete}
+	return escrow.untilDone(ctx, func(ctx context.Context) error {
+		return escrow.table.Transact(ctx, platform.Transaction{Writes: []platform.Write{sequence}})
+	})
+}
+
+// passOnKept hands the settlements of other routers to a third one.
+func (escrow *Escrow) passOnKept(ctx context.Context) {
+	if escrow.config.Keeper == nil {
+		return
+	}
+	for owner, settlements := range escrow.keptByOwner() {
+		if err := escrow.config.Keeper.Keep(ctx, owner, settlements); err != nil {
+			_ = escrow.config.Logger.Log("level", "warn", "message", "held settlements are not passed on", "owner", owner, "error", err)
+		}
+	}
 }
 
 // untilDone repeats a step that the retrier gave up, until ctx ends.
--- a/pkg/budget/grant.go
+++ b/pkg/budget/grant.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -72,7 +71,7 @@
 
 func (escrow *Escrow) takeFrom(ctx context.Context, account *account, holding holding) (standing, error) {
 	free := holding.budget.freeTokens()
-	state := account.sizingState(holding.budget, escrow.config.Horizon)
+	state := account.sizingState(holding.budget)
 	tokens := escrow.grantTokens(state, free)
 	if tokens <= 0 {
 		return escrow.shortage(ctx, account, holding)
@@ -143,22 +142,22 @@
 }
 
 func (escrow *Escrow) resizeAccount(ctx context.Context, account *account) {
+	refill := false
 	err := escrow.retrier.Run(ctx, func(ctx context.Context) error {
 		holding, err := escrow.readHolding(ctx, account)
 		if err != nil {
 			return err
 		}
-		state := account.sizingState(holding.budget, escrow.config.Horizon)
-		if surplus := state.spareTokens - escrow.sizing.keep(state); surplus > 0 {
-			return escrow.giveBack(ctx, account, holding, surplus)
-		}
-		return nil
+		state := account.sizingState(holding.budget)
+		refill = escrow.sizing.refill(state)
+		surplus := account.lastingSurplus(state.spareTokens-escrow.sizing.keep(state), holding.budget, escrow.config.Horizon)
+		return escrow.giveBack(ctx, account, holding, surplus)
 	})
 	if err != nil {
 		_ = escrow.config.Logger.Log("level", "warn", "message", "grant not resized", "profile", account.profile, "error", err)
 		return
 	}
-	if account.wantsRefill(escrow.config.Horizon) {
+	if refill {
 		_, _ = escrow.replenish(ctx, account)
 	}
 }
@@ -183,16 +182,3 @@
 	account.adopt(changed)
 	return nil
 }
-
-// sizingState is what the policy decides on.
-func (account *account) sizingState(budget budgetRow, horizon time.Duration) sizingState {
-	account.mutex.Lock()
-	defer account.mutex.Unlock()
-	return sizingState{
-		needTokens:     account.needWithin(budget.freeTokens()),
-		forecastTokens: account.forecast.tokens(time.Now(), horizon),
-		spareTokens:    account.spareTokens(),
-		takenTokens:    account.row.GrantedTokens - account.row.ReturnedTokens,
-		budget:         budget,
-	}
-}
--- a/pkg/budget/kept.go
+++ b/pkg/budget/kept.go
@@ -152,8 +152,12 @@
 		profile := settlement.Reservation.Profile
 		holder := plan.holders[profile]
 		done = holder.item.Version == 0 || len(plan.lines) == 0 || holder.row.Closed
-		charge := plan.charges[profile]
-		if !done || len(plan.lines) == 0 || !holder.row.Closed || charge.total() > holder.row.Settled.UnattributedTokens {
+		if !done || len(plan.lines) == 0 {
+			return nil
+		}
+		if charge := plan.charges[profile]; charge.total() > holder.row.Settled.UnattributedTokens {
+			_ = escrow.config.Logger.Log("level", "error", "message", "held settlement exceeds what its owner held",
+				"owner", owner, "profile", profile, "request_id", settlement.Reservation.RequestID)
 			return nil
 		}
 		return escrow.table.Transact(ctx, platform.Transaction{Writes: plan.writes()})
--- a/pkg/budget/policy.go
+++ b/pkg/budget/policy.go
@@ -5,56 +5,62 @@
 	"time"
 )
 
-// forecastWindow is the time constant of the demand's moving average.
-const forecastWindow = 10 * time.Second
+const (
+	// shortWindow and longWindow are the time constants of the averages of
+	// demand: one for what is needed soon, one for what is taken in advance.
+	shortWindow = 10 * time.Second
+	longWindow  = 60 * time.Second
+)
 
-// forecast is an exponentially weighted average of demand in tokens a second.
+// forecast is an exponentially weighted average of demand.
 type forecast struct {
+	window          time.Duration
 	tokensPerSecond float64
 	at              time.Time
 }
 
+// add counts reserved tokens, and with a negative amount those not used.
 func (forecast *forecast) add(tokens int64, now time.Time) {
 	forecast.decay(now)
-	forecast.tokensPerSecond += float64(tokens) / forecastWindow.Seconds()
-}
-
-// correct takes out tokens that were reserved and not used.
-func (forecast *forecast) correct(tokens int64, now time.Time) {
-	forecast.decay(now)
-	corrected := forecast.tokensPerSecond - float64(tokens)/forecastWindow.Seconds()
-	forecast.tokensPerSecond = math.Max(0, corrected)
+	changed := forecast.tokensPerSecond + float64(tokens)/forecast.window.Seconds()
+	forecast.tokensPerSecond = math.Max(0, changed)
 }
 
 func (forecast *forecast) decay(now time.Time) {
 	if elapsed := now.Sub(forecast.at); !forecast.at.IsZero() && elapsed > 0 {
-		forecast.tokensPerSecond *= math.Exp(-elapsed.Seconds() / forecastWindow.Seconds())
+		forecast.tokensPerSecond *= math.Exp(-elapsed.Seconds() / forecast.window.Seconds())
 	}
 	if now.After(forecast.at) {
 		forecast.at = now
 	}
 }
 
-// tokens is the demand expected within the horizon.
-func (forecast *forecast) tokens(now time.Time, horizon time.Duration) int64 {
+// rate returns the demand in tokens a second.
+func (forecast *forecast) rate(now time.Time) float64 {
 	forecast.decay(now)
-	return int64(math.Ceil(forecast.tokensPerSecond * horizon.Seconds()))
+	return forecast.tokensPerSecond
 }
 
 // The names of the sizing policies.
 const (
 	// PolicyHorizon sizes grants to the demand expected within a horizon.
 	PolicyHorizon = "horizon"
+	// PolicyRunway is PolicyHorizon with longer horizons while much is free.
+	PolicyRunway = "runway"
 	// PolicyEqualShares gives every router a fixed equal share.
 	PolicyEqualShares = "equal_shares"
+	// DefaultPolicy is the policy of an EscrowConfig without one.
+	DefaultPolicy = PolicyRunway
 )
 
 // sizingState is what a policy decides on. All amounts are in tokens.
 type sizingState struct {
 	// needTokens are lacking for reservations that wait now.
 	needTokens int64
-	// forecastTokens is the demand expected within the horizon.
-	forecastTokens int64
+	// soonPerSecond and laterPerSecond are the short and the long average of
+	// demand in tokens a second.
+	soonPerSecond  float64
+	laterPerSecond float64
 	// spareTokens are held and set aside for nothing.
 	spareTokens int64
 	// takenTokens is what the router has taken and not returned.
@@ -68,6 +74,8 @@
 	take(state sizingState) int64
 	// keep returns what may stay idle; the rest is returned.
 	keep(state sizingState) int64
+	// refill reports whether to take a grant before a reservation waits.
+	refill(state sizingState) bool
 }
 
 // policyRow describes one sizing policy.
@@ -80,7 +88,13 @@
 var policies = map[string]policyRow{
 	PolicyHorizon: {
 		usage:     "take what the forecast demands within the horizon, less near exhaustion, and return idle tokens",
-		construct: func(EscrowConfig) sizing { return horizonSizing{} },
+		construct: func(config EscrowConfig) sizing { return horizonSizing{horizon: config.Horizon} },
+	},
+	PolicyRunway: {
+		usage: "as horizon, and take up to 5 minutes of demand in advance while that is a small part of what is free",
+		construct: func(config EscrowConfig) sizing {
+			return horizonSizing{horizon: config.Horizon, runway: maxRunway}
+		},
 	},
 	PolicyEqualShares: {
 		usage:     "take a fixed equal share of the limit once and keep it",
@@ -98,29 +112,50 @@
 }
 
 const (
+	// maxRunway is the demand that PolicyRunway takes in advance.
+	maxRunway = 5 * time.Minute
+	// runwayDivisor bounds what all holders take in advance to a part of what
+	// is free.
+	runwayDivisor = 4
 	// firstGrantRequests sizes a grant without a forecast, in requests.
-	firstGrantRequests = 2
+	firstGrantRequests = 4
 	// shareDivisor leaves the larger part of what is free to other holders.
 	shareDivisor = 2
-	// keepHorizons is how many horizons of demand may stay idle.
-	keepHorizons = 2
+	// keepFactor is how much more than the target may stay idle.
+	keepFactor = 2
 	// tightDivisor divides the horizon near exhaustion.
 	tightDivisor = 2
-	// refillDivisor is the part of the horizon below which a grant is refilled.
+	// refillDivisor is the part of the target below which a grant is refilled.
 	refillDivisor = 4
 )
 
-// horizonSizing follows the forecast.
-type horizonSizing struct{}
+// horizonSizing follows the forecast. It covers the horizon, and the runway as
+// long as that is a small part of what is free.
+type horizonSizing struct {
+	horizon time.Duration
+	runway  time.Duration
+}
 
+// share is the most that one holder takes in advance.
 func (horizonSizing) share(state sizingState) int64 {
 	return state.budget.freeTokens() / (shareDivisor * max(1, state.budget.Holders))
 }
 
+// soon is the demand within the horizon.
+func (sizing horizonSizing) soon(state sizingState) int64 {
+	return int64(math.Ceil(state.soonPerSecond * sizing.horizon.Seconds()))
+}
+
+// target is what a router should hold.
+func (sizing horizonSizing) target(state sizingState) int64 {
+	allowance := state.budget.freeTokens() / (runwayDivisor * max(1, state.budget.Holders))
+	ahead := min(allowance, int64(state.laterPerSecond*sizing.runway.Seconds()))
+	return max(ahead, sizing.soon(state))
+}
+
 func (sizing horizonSizing) take(state sizingState) int64 {
-	want := max(firstGrantRequests*state.needTokens, state.needTokens+state.forecastTokens-state.spareTokens)
-	want = min(want, sizing.share(state))
-	return max(want, state.needTokens)
+	want := max(firstGrantRequests*state.needTokens, state.needTokens+sizing.target(state)-state.spareTokens)
+	return max(state.needTokens, min(want, sizing.share(state)))
 }
 
 // keep lets idle tokens shrink with what is free, and keeps none while another
@@ -129,7 +164,12 @@
 	if state.budget.WantedTokens > 0 || state.budget.Retired {
 		return 0
 	}
-	return min(keepHorizons*state.forecastTokens, max(state.forecastTokens/tightDivisor, sizing.share(state)))
+	return min(keepFactor*sizing.target(state), max(sizing.soon(state)/tightDivisor, sizing.share(state)))
+}
+
+func (sizing horizonSizing) refill(state sizingState) bool {
+	low := min(sizing.target(state), sizing.share(state)) / refillDivisor
+	return state.spareTokens < low
 }
 
 // equalShares divides the limit by the number of routers.
@@ -142,6 +182,10 @@
 	return max(0, share-state.takenTokens)
 }
 
+func (equalShares) refill(sizingState) bool {
+	return false
+}
+
 func (equalShares) keep(state sizingState) int64 {
 	return state.spareTokens
 }
--- /dev/null
+++ b/pkg/budget/script_test.go
@@ -0,0 +1,158 @@
+package budget
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
+	"gitlab.com/wisterialb/wisterialb/pkg/standin"
+)
+
+// script drives escrows and the ledger as testdata/escrow says.
+type script struct {
+	table   *standin.Table
+	ledger  *Ledger
+	tables  map[string]*standin.FaultyTable
+	escrows map[string]*Escrow
+	running map[string]Reservation
+}
+
+// Keep hands settlements to the router named keeper.
+func (script *script) Keep(ctx context.Context, owner string, settlements []Settlement) error {
+	return script.escrow("keeper").Keep(ctx, owner, settlements)
+}
+
+func (script *script) escrow(name string) *Escrow {
+	if _, ok := script.escrows[name]; !ok {
+		script.tables[name] = standin.NewFaultyTable(standin.FaultyTableConfig{Table: script.table})
+		script.escrows[name] = newEscrow(EscrowConfig{Table: script.tables[name], Incarnation: name, Policy: PolicyHorizon, Keeper: script})
+	}
+	return script.escrows[name]
+}
+
+func (script *script) change(kind configuration.Kind, name, operation string, body any) string {
+	encoded, _ := json.Marshal(body)
+	change := configuration.Change{Kind: kind, Name: name, OperationID: operation, Body: encoded}
+	writes, err := script.ledger.ChangeWrites(context.Background(), change)
+	if err == nil {
+		err = script.table.Transact(context.Background(), platform.Transaction{Writes: writes})
+	}
+	return outcome(err)
+}
+
+func outcome(err error) string {
+	if err == nil {
+		return "ok\n"
+	}
+	return fmt.Sprintf("%s: %s\nremedy: %s\noutcome: %s\n", fault.KindOf(err), fault.MessageOf(err), fault.RemedyOf(err), fault.OutcomeOf(err))
+}
+
+func (script *script) settle(data *datadriven.TestData, name, request string, bill, waste int64) string {
+	reservation := script.running[name+"/"+request]
+	settlement := Settlement{Reservation: reservation}
+	if data.HasArg("bill") {
+		settlement.Lines = append(settlement.Lines, Line{Kind: LineBill, Tokens: bill})
+	}
+	if data.HasArg("waste") {
+		settlement.Lines = append(settlement.Lines, Line{Kind: LineWaste, Tokens: waste})
+	}
+	script.escrow(name).Settle(settlement)
+	return "ok\n"
+}
+
+func (script *script) statement(profile string) string {
+	statement, err := script.ledger.Statement(context.Background(), profile)
+	if err != nil {
+		return outcome(err)
+	}
+	encoded, _ := json.MarshalIndent(statement, "", " ")
+	return string(encoded) + "\n"
+}
+
+func (script *script) lines(profile string) string {
+	var output strings.Builder
+	after := ""
+	for {
+		lines, next, err := script.ledger.Lines(context.Background(), profile, after, 2)
+		if err != nil {
+			return outcome(err)
+		}
+		for _, line := range lines {
+			fmt.Fprintf(&output, "%s %q %s %d\n", line.Kind, line.RequestID, line.Router, line.Tokens)
+		}
+		if next == "" {
+			return output.String()
+		}
+		after = next
+	}
+}
+
+func (script *script) run(t *testing.T, data *datadriven.TestData) string {
+	t.Helper()
+	ctx := context.Background()
+	var router, profile, request, operation string
+	var tokens, bill, waste int64
+	for name, target := range map[string]any{
+		"router": &router, "profile": &profile, "request": &request, "operation": &operation,
+		"tokens": &tokens, "bill": &bill, "waste": &waste,
+	} {
+		data.MaybeScanArgs(t, name, target)
+	}
+	switch data.Cmd {
+	case "publish":
+		body := configuration.Profile{Name: profile, LimitTokens: tokens, Retired: data.HasArg("retired")}
+		return script.change(configuration.KindProfile, profile, "", body)
+	case "limit":
+		return script.change(configuration.KindLimit, profile, operation, configuration.Limit{AddTokens: tokens})
+	case "reserve":
+		reservation, err := script.escrow(router).Reserve(ctx, Demand{Profile: profile, RequestID: request, Tokens: tokens})
+		script.running[router+"/"+request] = reservation
+		return outcome(err)
+	case "settle":
+		return script.settle(data, router, request, bill, waste)
+	case "lend":
+		loan, err := script.escrow(router).Lend(ctx, LoanRequest{TransferID: operation, Profile: profile, Tokens: tokens})
+		return fmt.Sprintf("%d tokens, %s", loan.Tokens, outcome(err))
+	case "down", "up":
+		script.escrow(router)
+		script.tables[router].SetFaults(standin.TableFaults{Down: data.Cmd == "down"})
+	case "tick":
+		(&node{escrow: script.escrow(router)}).tick()
+	case "sleep":
+		time.Sleep(time.Minute)
+	case "expire":
+		return outcome(script.ledger.CloseIncarnation(ctx, router))
+	case "close":
+		script.escrow(router).drain()
+		return outcome(script.escrow(router).finish(ctx))
+	case "statement":
+		return script.statement(profile)
+	case "lines":
+		return script.lines(profile)
+	default:
+		t.Fatalf("unknown command %q", data.Cmd)
+	}
+	return "ok\n"
+}
+
+func TestScripts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		script := &script{
+			table:   standin.NewTable(),
+			tables:  make(map[string]*standin.FaultyTable),
+			escrows: make(map[string]*Escrow),
+			running: make(map[string]Reservation),
+		}
+		script.ledger = NewLedger(LedgerConfig{Table: script.table})
+		datadriven.RunTest(t, "testdata/escrow", script.run)
+	})
+}
