--- a/pkg/budget/escrow.go
+++ b/pkg/budget/escrow.go
@@ -99,8 +99,8 @@
 	sequence uint64
 	batch    *batch
 
-	// resizeParallelism bounds the grants that are resized at once.
-	resizeParallelism int
+	// refillParallelism bounds the grants that are refilled at once.
+	refillParallelism int
 
 	// stop ends the goroutines and the table calls that they wait for.
 	stop    context.CancelFunc
@@ -157,7 +157,7 @@
 		accounts: make(map[string]*account),
 		kept:     make(map[string]map[uint64]Settlement),
 
-		resizeParallelism: defaultResizeParallelism,
+		refillParallelism: defaultRefillParallelism,
 
 		stop: func() {},
 	}
--- a/pkg/budget/grant.go
+++ b/pkg/budget/grant.go
@@ -3,15 +3,13 @@
 import (
 	"context"
 
-	"golang.org/x/sync/errgroup"
-
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
 // The flow of a grant: read the budget row and the own holder row, adopt the
 // latter, let the policy size the grant, and write both rows on the condition
 // that neither has changed. After a lost answer the next read shows what was
-// applied. Returns go the same way.
+// applied.
 
 // holding is a consistent read of a budget and of the own part of it.
 type holding struct {
@@ -121,64 +119,3 @@
 	}
 	return found, err
 }
-
-// defaultResizeParallelism bounds the grants that are resized at once.
-const defaultResizeParallelism = 8
-
-// resize returns idle tokens and refills running grants of all accounts.
-func (escrow *Escrow) resize(ctx context.Context) {
-	group := errgroup.Group{}
-	group.SetLimit(escrow.resizeParallelism)
-	for _, account := range escrow.allAccounts() {
-		if account.isEmpty() {
-			continue
-		}
-		group.Go(func() error {
-			escrow.resizeAccount(ctx, account)
-			return nil
-		})
-	}
-	_ = group.Wait()
-}
-
-func (escrow *Escrow) resizeAccount(ctx context.Context, account *account) {
-	refill := false
-	err := escrow.retrier.Run(ctx, func(ctx context.Context) error {
-		holding, err := escrow.readHolding(ctx, account)
-		if err != nil {
-			return err
-		}
-		state := account.sizingState(holding.budget)
-		refill = escrow.sizing.refill(state)
-		surplus := account.lastingSurplus(state.spareTokens-escrow.sizing.keep(state), holding.budget, escrow.config.Horizon)
-		return escrow.giveBack(ctx, account, holding, surplus)
-	})
-	if err != nil {
-		_ = escrow.config.Logger.Log("level", "warn", "message", "grant not resized", "profile", account.profile, "error", err)
-		return
-	}
-	if refill {
-		_, _ = escrow.replenish(ctx, account)
-	}
-}
-
-// giveBack returns tokens to the budget. They are set aside before the write
-// and stay so until the holder row shows whether it was applied.
-func (escrow *Escrow) giveBack(ctx context.Context, account *account, holding holding, tokens int64) error {
-	tokens = account.beginReturn(tokens, holding.holder.row.Revision)
-	if tokens <= 0 {
-		return nil
-	}
-	budget := holding.budget
-	budget.TakenTokens -= tokens
-	budget.WantedTokens = max(0, budget.WantedTokens-tokens)
-	changed := holding.holder.row.WithReturn(tokens)
-	writes := append(holding.holder.writes(changed), replace(holding.budgetItem, budget))
-	if err := escrow.table.Transact(ctx, platform.Transaction{Writes: writes}); err != nil {
-		account.failReturn(err)
-		return err
-	}
-	escrow.metrics.returned.Add(float64(tokens))
-	account.adopt(changed)
-	return nil
-}
--- a/pkg/budget/machine_test.go
+++ b/pkg/budget/machine_test.go
@@ -84,7 +84,7 @@
 		MaxWait: 100 * time.Millisecond,
 		Retry:   platform.RetryConfig{MaxTries: uint(1 + len(machine.nodes)%2*2), RetriesPerSecond: 1e6, RetryBurst: 1e6},
 	})
-	node.escrow.resizeParallelism = 1
+	node.escrow.refillParallelism = 1
 	machine.nodes = append(machine.nodes, node)
 }
 
