Test the peer protocol with failures and fuzzing, and bound the roster

Cause: a loan whose answer was lost was not told apart from a refusal, and the inner messages had no fuzz tests. Tests for relays without the table, changed and replayed answers, bounds of messages; fuzzing of every method and of errors; a bound on the routers that one knows.

--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -23,6 +23,8 @@
 	newsPerMessage = 6
 	// leavingPerMessage bounds the VM addresses of a message.
 	leavingPerMessage = 16
+	// maxMembers bounds the routers that one knows.
+	maxMembers = 8192
 	// maxVerify bounds the members waiting to be probed out of turn.
 	maxVerify = 64
 	// deadKept is how long a dead member is remembered, so that late news of
@@ -108,8 +110,7 @@
 	}
 	entry, ok := roster.entries[member.Incarnation]
 	if !ok {
-		roster.entries[member.Incarnation] = &rosterEntry{member: member}
-		roster.news.add(member.Incarnation, member)
+		roster.welcome(member)
 		return
 	}
 	if entry.member.State == Dead || member.Sequence < entry.member.Sequence {
@@ -138,8 +139,7 @@
 	}
 	entry, ok := roster.entries[member.Incarnation]
 	if !ok {
-		roster.entries[member.Incarnation] = &rosterEntry{member: member}
-		roster.news.add(member.Incarnation, member)
+		roster.welcome(member)
 		roster.askNext(member.Incarnation)
 		return
 	}
@@ -156,6 +156,15 @@
 	roster.learnNewer(entry, member)
 }
 
+// welcome adds a member that was not known.
+func (roster *roster) welcome(member Member) {
+	if len(roster.entries) >= maxMembers {
+		return
+	}
+	roster.entries[member.Incarnation] = &rosterEntry{member: member}
+	roster.news.add(member.Incarnation, member)
+}
+
 // learnNewer takes in a newer statement that a member made of itself.
 func (roster *roster) learnNewer(entry *rosterEntry, member Member) {
 	if member.Sequence <= entry.member.Sequence {
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -1,11 +1,13 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/budget"
@@ -101,7 +103,7 @@
 		return boolOrder(b.Revision > after) - boolOrder(a.Revision > after)
 	})
 	var records []configuration.Record
-	err := client.ask(ctx, peers, func(ctx context.Context, peer fleet.Member) (bool, error) {
+	outcome := client.ask(ctx, peers, func(ctx context.Context, peer fleet.Member) (bool, error) {
 		response, err := client.stub(peer.PeerAddress).Relay(ctx, &peerpb.RelayRequest{After: after})
 		if err != nil {
 			return false, errorFromWire(err)
@@ -109,13 +111,13 @@
 		records = convert(response.GetRecords(), recordFromWire)
 		return len(records) > 0, nil
 	})
-	return records, err
+	return records, outcome.err()
 }
 
 // Profile asks the routers that are most likely to hold a profile.
 func (client *Client) Profile(ctx context.Context, name string) (*configuration.ProfileCopy, error) {
 	var copied *configuration.ProfileCopy
-	err := client.ask(ctx, entry.Order(name, client.peers()), func(ctx context.Context, peer fleet.Member) (bool, error) {
+	outcome := client.ask(ctx, entry.Order(name, client.peers()), func(ctx context.Context, peer fleet.Member) (bool, error) {
 		response, err := client.stub(peer.PeerAddress).Profile(ctx, &peerpb.ProfileRequest{Name: name})
 		if err != nil {
 			return false, errorFromWire(err)
@@ -130,7 +132,7 @@
 		}
 		return true, nil
 	})
-	return copied, err
+	return copied, outcome.err()
 }
 
 // Adopt passes records to the router at an address and waits, until shortly
@@ -166,11 +168,12 @@
 // Borrow asks the routers that are most likely to hold a grant of the profile,
 // in turn, until one lends. A loan whose answer is lost stays charged at the
 // lender; the next router is asked under the same transfer id.
+//
+// Errors: fault.BudgetExhausted if no router that was asked can lend;
+// fault.Unavailable if one may have lent and its answer was lost.
 func (client *Client) Borrow(ctx context.Context, request budget.LoanRequest) (budget.Loan, error) {
-	peers := entry.Order(request.Profile, client.peers())
 	var loan budget.Loan
-	lent := false
-	err := client.ask(ctx, peers, func(ctx context.Context, peer fleet.Member) (bool, error) {
+	outcome := client.ask(ctx, entry.Order(request.Profile, client.peers()), func(ctx context.Context, peer fleet.Member) (bool, error) {
 		response, err := client.stub(peer.PeerAddress).Borrow(ctx, &peerpb.BorrowRequest{
 			TransferId: request.TransferID,
 			Profile:    request.Profile,
@@ -186,16 +189,25 @@
 			Tokens:     response.GetTokens(),
 			Lender:     response.GetLender(),
 		}
-		lent = loan.Tokens > 0
-		return lent, nil
+		return loan.Tokens > 0, nil
 	})
-	if err != nil {
-		return budget.Loan{}, err
-	}
-	if !lent {
-		return budget.Loan{}, nobody("lent")
+	switch {
+	case outcome.satisfied:
+		return loan, nil
+	case outcome.lost != nil:
+		return budget.Loan{}, outcome.lost
+	default:
+		return budget.Loan{}, noLoan(request.Profile, outcome)
 	}
-	return loan, nil
+}
+
+func noLoan(profile string, outcome askOutcome) error {
+	return fault.New(fault.Config{
+		Kind:    fault.BudgetExhausted,
+		Message: "no other router can lend tokens of " + profile + "; routers asked: " + strconv.Itoa(outcome.asked),
+		Remedy:  "top up the profile, or retry when running requests have settled",
+		Cause:   outcome.refused,
+	})
 }
 
 // Keep hands settlements to another router, one in another zone if there is
@@ -203,21 +215,19 @@
 func (client *Client) Keep(ctx context.Context, owner string, settlements []budget.Settlement) error {
 	peers := client.peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	kept := false
-	err := client.ask(ctx, peers, func(ctx context.Context, peer fleet.Member) (bool, error) {
+	outcome := client.ask(ctx, peers, func(ctx context.Context, peer fleet.Member) (bool, error) {
 		for part := range slices.Chunk(settlements, settlementsPerMessage) {
 			request := &peerpb.KeepRequest{Owner: owner, Settlements: convert(part, settlementToWire)}
 			if _, err := client.stub(peer.PeerAddress).Keep(ctx, request); err != nil {
 				return false, errorFromWire(err)
 			}
 		}
-		kept = true
 		return true, nil
 	})
-	if err == nil && !kept {
-		return nobody("kept settlements")
+	if outcome.satisfied {
+		return nil
 	}
-	return err
+	return cmp.Or(outcome.lost, outcome.refused, nobody("kept settlements"))
 }
 
 func nobody(did string) error {
@@ -239,29 +249,48 @@
 	return peers
 }
 
-// ask calls routers in turn until one is satisfied. The error is that of the
-// last router if none answered, else nil.
-func (client *Client) ask(ctx context.Context, peers []fleet.Member, call func(ctx context.Context, peer fleet.Member) (bool, error)) error {
-	var last error
-	answered := false
+// askOutcome is what came of asking routers in turn.
+type askOutcome struct {
+	// satisfied is set when one router gave what was wanted.
+	satisfied bool
+	asked     int
+	// answered is set when a router answered without an error.
+	answered bool
+	// refused is the last error of a router that answered.
+	refused error
+	// lost is the last error of a call that may have taken effect.
+	lost error
+}
+
+// err is the outcome of a read: no error if any router answered it.
+func (askOutcome askOutcome) err() error {
+	if askOutcome.answered {
+		return nil
+	}
+	return cmp.Or(askOutcome.lost, askOutcome.refused)
+}
+
+// ask calls routers in turn until one is satisfied.
+func (client *Client) ask(ctx context.Context, peers []fleet.Member, call func(ctx context.Context, peer fleet.Member) (bool, error)) askOutcome {
+	var outcome askOutcome
 	for _, peer := range peers[:min(peersPerCall, len(peers))] {
 		done, err := client.one(ctx, peer, call)
-		if done {
-			return nil
-		}
-		if err == nil {
-			answered = true
-		} else {
-			last = err
+		outcome.asked++
+		outcome.answered = outcome.answered || err == nil
+		switch {
+		case done:
+			outcome.satisfied = true
+			return outcome
+		case err != nil && fault.OutcomeOf(err) == fault.OutcomeUnknown:
+			outcome.lost = err
+		case err != nil:
+			outcome.refused = err
 		}
 		if ctx.Err() != nil {
-			break
+			return outcome
 		}
 	}
-	if answered {
-		return nil
-	}
-	return last
+	return outcome
 }
 
 func (client *Client) one(ctx context.Context, peer fleet.Member, call func(ctx context.Context, peer fleet.Member) (bool, error)) (bool, error) {
--- /dev/null
+++ b/pkg/peer/relay_test.go
@@ -0,0 +1,201 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/fleet"
+	"gitlab.com/wisterialb/wisterialb/pkg/peer/peerpb"
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
+	"gitlab.com/wisterialb/wisterialb/pkg/standin"
+)
+
+// switchTable is a table that can go out of reach.
+type switchTable struct {
+	platform.Table
+	down bool
+}
+
+func (table *switchTable) Get(ctx context.Context, keys ...platform.Key) ([]platform.Item, error) {
+	if table.down {
+		return nil, fault.New(fault.Config{Kind: fault.Unavailable, Message: "table out of reach"})
+	}
+	return table.Table.Get(ctx, keys...)
+}
+
+func publishService(t *testing.T, publisher *configuration.Publisher, name string) configuration.Record {
+	t.Helper()
+	body, err := json.Marshal(configuration.Service{Name: name, Protocol: configuration.ProtocolPlain})
+	require.NoError(t, err)
+	record, err := publisher.Publish(context.Background(), configuration.Change{
+		OperationID: name, Operator: "o", Reason: "r", Kind: configuration.KindService, Name: name, Body: body,
+	})
+	require.NoError(t, err)
+	return record
+}
+
+func startFollower(t *testing.T, table platform.Table, relay configuration.Relay) *configuration.Follower {
+	t.Helper()
+	follower := configuration.NewFollower(configuration.FollowerConfig{Table: table, Relay: relay, Interval: time.Hour})
+	t.Cleanup(follower.Close)
+	return follower
+}
+
+func TestChangesReachARouterWithoutTheTable(t *testing.T) {
+	ctx := context.Background()
+	table := standin.NewTable()
+	publisher := configuration.NewPublisher(configuration.PublisherConfig{Table: table})
+	first := publishService(t, publisher, "s1")
+	near := startFollower(t, table, nil)
+	near.Await(ctx, first.Revision)
+	member := startServer(t, "near", ServerConfig{Key: []byte("key"), Follower: near})
+	cut := &switchTable{Table: table}
+	far := startFollower(t, cut, clientOf(t, "key", member))
+	far.Await(ctx, first.Revision)
+	farMember := startServer(t, "far", ServerConfig{Key: []byte("key"), Follower: far})
+	client := clientOf(t, "key")
+	targets := []configuration.Target{{Incarnation: "near", Address: member.PeerAddress}, {Incarnation: "far", Address: farMember.PeerAddress}, {Incarnation: "gone", Address: "127.0.0.1:1"}}
+
+	cut.down = true
+	record := publishService(t, publisher, "s2")
+	adoptions := configuration.Confirm(ctx, configuration.ConfirmConfig{Adopter: client, Targets: targets, Records: []configuration.Record{record}, Revision: 2})
+	require.True(t, adoptions[0].Adopted)
+	require.True(t, adoptions[1].Adopted)
+	require.Contains(t, adoptions[2].Reason, "not reached")
+
+	publishService(t, publisher, "s3")
+	near.Hint(3)
+	near.Await(ctx, 3)
+	far.Hint(3)
+	far.Await(ctx, 3)
+	_, found := far.View().Service("s3")
+	require.True(t, found)
+
+	waiting, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	late := configuration.Confirm(waiting, configuration.ConfirmConfig{Adopter: client, Targets: targets[:1], Revision: 9})
+	require.False(t, late[0].Adopted)
+	require.NotEmpty(t, late[0].Reason)
+}
+
+// tamperingTransport changes answers on their way.
+type tamperingTransport struct {
+	base   *http.Transport
+	change func(*http.Response)
+}
+
+func (transport tamperingTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := transport.base.RoundTrip(request)
+	if err == nil {
+		transport.change(response)
+	}
+	return response, err
+}
+
+func TestAnswersAreTakenOnlyWithTheKeyAndTheCallsNonce(t *testing.T) {
+	member := startServer(t, "a", ServerConfig{Key: []byte("key")})
+	base := &http.Transport{}
+	defer base.CloseIdleConnections()
+	post := func(change func(*http.Response)) error {
+		client := &http.Client{Transport: &signingTransport{key: []byte("key"), base: tamperingTransport{base, change}}}
+		response, err := client.Post("http://"+member.PeerAddress+PathPrefix+"Probe", "application/protobuf", bytes.NewReader(nil))
+		if err != nil {
+			return err
+		}
+		return response.Body.Close()
+	}
+	require.NoError(t, post(func(*http.Response) {}))
+	require.ErrorContains(t, post(func(response *http.Response) { response.StatusCode = http.StatusOK }), "not signed")
+	require.ErrorContains(t, post(func(response *http.Response) { response.Header.Del(headerSignature) }), "not signed")
+	old := ""
+	require.NoError(t, post(func(response *http.Response) { old = response.Header.Get(headerSignature) }))
+	require.ErrorContains(t, post(func(response *http.Response) { response.Header.Set(headerSignature, old) }), "not signed")
+}
+
+func TestMessagesAreBounded(t *testing.T) {
+	_, err := readBody(http.MaxBytesReader(nil, readCloser{bytes.NewReader(make([]byte, maxMessageBytes+1))}, 2*maxMessageBytes))
+	require.True(t, fault.Is(err, fault.TooLarge))
+	record := configuration.Record{Change: configuration.Change{Body: make([]byte, maxRelayBytes/2)}}
+	require.Len(t, bounded([]configuration.Record{record, record, record}), 2)
+	record.Change.Body = make([]byte, 2*maxRelayBytes)
+	require.Len(t, bounded([]configuration.Record{record, record}), 1)
+}
+
+type readCloser struct{ *bytes.Reader }
+
+func (readCloser) Close() error { return nil }
+
+// FuzzPeerServer sends any signed body to any method. The server must sign an
+// answer, and neither its revision nor its state may go back.
+func FuzzPeerServer(f *testing.F) {
+	table := standin.NewTable()
+	follower := configuration.NewFollower(configuration.FollowerConfig{Table: table, Interval: time.Hour})
+	membership := fleet.NewMembership(fleet.MembershipConfig{Table: table, Self: fleet.Member{Incarnation: "self"}})
+	f.Cleanup(func() { membership.Close(); follower.Close() })
+	key := []byte("key")
+	handler := NewServer(ServerConfig{Key: key, Follower: follower, Membership: membership})
+	methods := []string{"Probe", "Relay", "Profile", "Adopt", "Borrow", "Keep", "None"}
+	message, err := proto.Marshal(&peerpb.ProbeRequest{Message: messageToWire(fleet.Message{
+		Sender: fleet.Member{Incarnation: "a", State: fleet.Live}, Members: []fleet.Member{{Incarnation: "self", State: fleet.Suspect}},
+	})})
+	require.NoError(f, err)
+	adopt, err := proto.Marshal(&peerpb.AdoptRequest{Revision: 1 << 63, Records: []*peerpb.Record{{Revision: 2}}})
+	require.NoError(f, err)
+	f.Add(0, message)
+	f.Add(3, adopt)
+	f.Add(5, []byte{0xff})
+	f.Fuzz(func(t *testing.T, method int, body []byte) {
+		path := PathPrefix + methods[uint(method)%uint(len(methods))]
+		request := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(body))
+		request.Header.Set("Content-Type", "application/protobuf")
+		request.Header.Set(headerNonce, "n")
+		request.Header.Set(headerSignature, signRequest(key, path, "n", body))
+		recorder := httptest.NewRecorder()
+		revision := follower.Revision()
+		handler.ServeHTTP(recorder, request)
+		expected := signResponse(key, recorder.Code, "n", recorder.Body.Bytes())
+		require.Equal(t, expected, recorder.Header().Get(headerSignature))
+		require.NotEqual(t, fleet.Suspect, membership.Self().State)
+		require.GreaterOrEqual(t, follower.Revision(), revision)
+	})
+}
+
+// FuzzErrorFromWire reads any body as an error: its outcome is one of three.
+func FuzzErrorFromWire(f *testing.F) {
+	f.Add(500, `{"code":"unavailable","msg":"m","meta":{"kind":"conflict","outcome":"not_run","retry_after_ms":"5"}}`)
+	f.Add(409, `{"code":"x","meta":{"kind":"nonsense","outcome":"maybe","retry_after_ms":"-"}}`)
+	f.Add(200, `junk`)
+	f.Fuzz(func(t *testing.T, status int, body string) {
+		base := roundTripFunc(func(*http.Request) (*http.Response, error) {
+			recorder := httptest.NewRecorder()
+			recorder.Code = 100 + int(uint(status)%500)
+			_, _ = recorder.WriteString(body)
+			return recorder.Result(), nil
+		})
+		stub := peerpb.NewPeerProtobufClient("http://127.0.0.1:1", &http.Client{Transport: base})
+		_, err := stub.Keep(context.Background(), &peerpb.KeepRequest{})
+		if err == nil {
+			return
+		}
+		typed := errorFromWire(err)
+		require.Contains(t, []fault.Outcome{fault.Answered, fault.NotRun, fault.OutcomeUnknown}, fault.OutcomeOf(typed))
+		require.NotEmpty(t, strings.TrimSpace(string(fault.KindOf(typed))))
+	})
+}
+
+type roundTripFunc func(request *http.Request) (*http.Response, error)
+
+func (roundTripFunc roundTripFunc) RoundTrip(request *http.Request) (*http.Response, error) {
+	return roundTripFunc(request)
+}
