Rank routers in one pass without copying members

Change: one pass keeps the best few by score; member and key are hashed apart and mixed. Tests for the share of profiles that move, the spread, the width and a fleet without live routers.

--- a/pkg/entry/ranker.go
+++ b/pkg/entry/ranker.go
@@ -7,7 +7,6 @@
 package entry
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -64,67 +63,33 @@
 // or empty zone has no addresses of its own, so the best of all are returned.
 func (ranker *Ranker) Rank(profile, zone string) Answer {
 	width := max(ranker.config.Width(profile), 1)
-	ordered := Order(profile, taking(ranker.config.Members()))
-	var own, other []string
-	for _, member := range ordered {
-		if member.Zone == zone {
-			own = append(own, member.CallerAddress)
-		} else {
-			other = append(other, member.CallerAddress)
-		}
+	members := ranker.config.Members()
+	addresses := rank(profile, zone, members, fleet.Live, width)
+	if len(addresses) == 0 {
+		addresses = rank(profile, zone, members, fleet.Overloaded, width)
 	}
-	own = own[:min(width, len(own))]
-	wanted := width + fallbacks - len(own)
-	addresses := slices.Concat(own, other[:min(wanted, len(other))])
 	return Answer{Addresses: addresses, LifetimeMS: ranker.config.Lifetime.Milliseconds()}
 }
 
-// taking returns the members that take new requests. When none does, overloaded
-// members are better than no address.
-func taking(members []fleet.Member) []fleet.Member {
-	var live, overloaded []fleet.Member
-	for _, member := range members {
-		switch member.State {
-		case fleet.Live:
-			live = append(live, member)
-		case fleet.Overloaded:
-			overloaded = append(overloaded, member)
+// rank returns the addresses of the members in one state.
+func rank(profile, zone string, members []fleet.Member, state fleet.State, width int) []string {
+	wanted := width + fallbacks
+	key := xxhash.Sum64String(profile)
+	own, other := newBest(width), newBest(wanted)
+	for i := range members {
+		member := &members[i]
+		switch {
+		case member.State != state:
+		case member.Zone == zone:
+			own.add(member, key)
 		default:
+			other.add(member, key)
 		}
 	}
-	if len(live) == 0 {
-		return overloaded
-	}
-	return live
-}
-
-// Order returns the members by their rendezvous score for a key, best first.
-func Order(key string, members []fleet.Member) []fleet.Member {
-	type scored struct {
-		member fleet.Member
-		score  uint64
-	}
-	list := make([]scored, len(members))
-	for i, member := range members {
-		list[i] = scored{member: member, score: score(key, member)}
-	}
-	slices.SortFunc(list, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.Incarnation, b.member.Incarnation))
-	})
-	ordered := make([]fleet.Member, len(list))
-	for i, entry := range list {
-		ordered[i] = entry.member
+	others := other.members[:min(wanted-len(own.members), len(other.members))]
+	addresses := make([]string, 0, wanted)
+	for _, member := range slices.Concat(own.members, others) {
+		addresses = append(addresses, member.CallerAddress)
 	}
-	return ordered
-}
-
-// score hashes key and caller address, not incarnation: a router that starts
-// again at its address keeps its profiles.
-func score(key string, member fleet.Member) uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	_, _ = digest.WriteString(member.CallerAddress)
-	_, _ = digest.WriteString("\x00")
-	_, _ = digest.WriteString(key)
-	return digest.Sum64()
+	return addresses
 }
--- a/pkg/entry/ranker_test.go
+++ b/pkg/entry/ranker_test.go
@@ -43,3 +43,89 @@
 	require.NotContains(t, after.Addresses, before.Addresses[0])
 	require.Equal(t, before.Addresses[1], after.Addresses[0])
 }
+
+// movedShare is the share of profiles whose first address changes.
+func movedShare(before, after []fleet.Member, profiles int) float64 {
+	rank := func(members []fleet.Member) *Ranker {
+		return NewRanker(RankerConfig{Members: func() []fleet.Member { return members }})
+	}
+	old, current := rank(before), rank(after)
+	moved := 0
+	for i := range profiles {
+		profile := fmt.Sprintf("profile-%d", i)
+		zone := fmt.Sprintf("zone-%d", i%3)
+		if old.Rank(profile, zone).Addresses[0] != current.Rank(profile, zone).Addresses[0] {
+			moved++
+		}
+	}
+	return float64(moved) / float64(profiles)
+}
+
+func TestARouterThatLeavesMovesOnlyItsOwnProfiles(t *testing.T) {
+	const profiles = 20000
+	for _, count := range []int{9, 30, 90, 360} {
+		before := testMembers(count, 3)
+		after := append([]fleet.Member(nil), before...)
+		after[1] = after[1].WithState(fleet.Leaving)
+		share := movedShare(before, after, profiles)
+		t.Logf("%d routers: %.4f of the profiles moved when one left, 1/%d is %.4f", count, share, count, 1/float64(count))
+		require.InDelta(t, 1/float64(count), share, 0.5/float64(count))
+	}
+}
+
+func TestProfilesSpreadEvenlyOverRouters(t *testing.T) {
+	members := testMembers(9, 3)
+	ranker := NewRanker(RankerConfig{Members: func() []fleet.Member { return members }})
+	counts := make(map[string]int)
+	for i := range 9000 {
+		counts[ranker.Rank(fmt.Sprintf("profile-%d", i), fmt.Sprintf("zone-%d", i%3)).Addresses[0]]++
+	}
+	require.Len(t, counts, 9)
+	for address, count := range counts {
+		require.InDelta(t, 1000, count, 120, address)
+	}
+}
+
+func TestWidthWidensWithoutMovingTheFirstAddresses(t *testing.T) {
+	members := testMembers(30, 3)
+	width := 2
+	ranker := NewRanker(RankerConfig{Members: func() []fleet.Member { return members }, Width: func(string) int { return width }})
+	narrow := ranker.Rank("busy", "zone-0").Addresses
+	width = 6
+	wide := ranker.Rank("busy", "zone-0").Addresses
+	require.Len(t, wide, 8)
+	require.Equal(t, narrow[:2], wide[:2])
+}
+
+func TestRankWithoutLiveRouters(t *testing.T) {
+	members := []fleet.Member{{CallerAddress: "a", State: fleet.Overloaded}, {CallerAddress: "b", State: fleet.Suspect}}
+	ranker := NewRanker(RankerConfig{Members: func() []fleet.Member { return members }})
+	require.Equal(t, []string{"a"}, ranker.Rank("p", "").Addresses)
+	members = members[1:]
+	require.Empty(t, ranker.Rank("p", "").Addresses)
+}
+
+func BenchmarkRank(b *testing.B) {
+	for _, count := range []int{3, 9, 30, 90, 360} {
+		members := testMembers(count, 14)
+		ranker := NewRanker(RankerConfig{Members: func() []fleet.Member { return members }})
+		b.Run(fmt.Sprint("members_", count), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				ranker.Rank("warranty", "zone-1")
+			}
+		})
+	}
+}
+
+func ExampleRanker_Rank() {
+	members := []fleet.Member{
+		{Incarnation: "a", CallerAddress: "10.0.1.1:8080", Zone: "varnamo", State: fleet.Live},
+		{Incarnation: "b", CallerAddress: "10.0.2.1:8080", Zone: "gislaved", State: fleet.Live},
+		{Incarnation: "c", CallerAddress: "10.0.3.1:8080", Zone: "jonkoping", State: fleet.Leaving},
+	}
+	ranker := NewRanker(RankerConfig{Members: func() []fleet.Member { return members }})
+	answer := ranker.Rank("warranty", "gislaved")
+	fmt.Println(answer.Addresses, answer.LifetimeMS)
+	// Output: [10.0.2.1:8080 10.0.1.1:8080] 10000
+}
--- a/pkg/order/orderer.go
+++ b/pkg/order/orderer.go
@@ -204,7 +204,7 @@
 		if _, wanted := targetOf(upstream); !wanted || upstream.Draining {
 			continue
 		}
-		best := entry.Order(upstream.Name, live)
+		best := entry.Best(upstream.Name, live, 1)
 		if len(best) > 0 && best[0].Incarnation == orderer.config.Self {
 			own = append(own, upstream)
 		}
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -117,7 +117,7 @@
 // Profile asks the routers that are most likely to hold a profile.
 func (client *Client) Profile(ctx context.Context, name string) (*configuration.ProfileCopy, error) {
 	var copied *configuration.ProfileCopy
-	outcome := client.ask(ctx, entry.Order(name, client.peers()), func(ctx context.Context, peer fleet.Member) (bool, error) {
+	outcome := client.ask(ctx, entry.Best(name, client.peers(), peersPerCall), func(ctx context.Context, peer fleet.Member) (bool, error) {
 		response, err := client.stub(peer.PeerAddress).Profile(ctx, &peerpb.ProfileRequest{Name: name})
 		if err != nil {
 			return false, errorFromWire(err)
@@ -173,7 +173,7 @@
 // fault.Unavailable if one may have lent and its answer was lost.
 func (client *Client) Borrow(ctx context.Context, request budget.LoanRequest) (budget.Loan, error) {
 	var loan budget.Loan
-	outcome := client.ask(ctx, entry.Order(request.Profile, client.peers()), func(ctx context.Context, peer fleet.Member) (bool, error) {
+	outcome := client.ask(ctx, entry.Best(request.Profile, client.peers(), peersPerCall), func(ctx context.Context, peer fleet.Member) (bool, error) {
 		response, err := client.stub(peer.PeerAddress).Borrow(ctx, &peerpb.BorrowRequest{
 			TransferId: request.TransferID,
 			Profile:    request.Profile,
