Widen busy profiles over more routers

Cause: every profile was sent to the same number of routers, however busy. Change: entry.Tracker counts running requests by profile; a router on which a profile exceeds what is comfortable reports a greater width, which spreads with the probes and lapses a minute after the last report. pkg/router counts its requests in and passes the reports on (smallest change there). Conclusion: grants stay few for calm profiles and spread for busy ones.

--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -66,6 +66,8 @@
 	Members []Member
 	// LeavingVMs are addresses that the platform's list marks as leaving.
 	LeavingVMs []string
+	// Busy are profiles that need more routers than others do.
+	Busy []Busy
 }
 
 // Prober exchanges messages with another router.
--- a/pkg/fleet/membership.go
+++ b/pkg/fleet/membership.go
@@ -79,6 +79,7 @@
 	self       Member
 	members    []Member
 	leavingVMs map[string]time.Time
+	busy       map[string]busyEntry
 }
 
 // Membership is one router's part in the fleet and its knowledge of it. The
@@ -255,6 +256,7 @@
 		self:       membership.roster.self,
 		members:    membership.roster.members(),
 		leavingVMs: maps.Clone(membership.roster.leavingVMs),
+		busy:       maps.Clone(membership.roster.busy),
 	})
 }
 
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -48,6 +48,9 @@
 
 	leavingVMs  map[string]time.Time
 	leavingNews *newsQueue[string]
+
+	busy     map[string]busyEntry
+	busyNews *newsQueue[Busy]
 }
 
 type rosterEntry struct {
@@ -70,6 +73,8 @@
 		random:      random,
 		leavingVMs:  make(map[string]time.Time),
 		leavingNews: newNewsQueue[string](),
+		busy:        make(map[string]busyEntry),
+		busyNews:    newNewsQueue[Busy](),
 	}
 }
 
@@ -89,6 +94,7 @@
 		Sender:     roster.self,
 		Members:    roster.news.take(newsPerMessage, size),
 		LeavingVMs: roster.leavingNews.take(leavingPerMessage, size),
+		Busy:       roster.busyNews.take(busyPerMessage, size),
 	}
 }
 
@@ -101,6 +107,9 @@
 	for _, address := range message.LeavingVMs {
 		roster.learnLeavingVM(address, now)
 	}
+	for _, busy := range message.Busy {
+		roster.learnBusy(busy, now)
+	}
 }
 
 // contact notes that a member spoke for itself.
@@ -255,6 +264,7 @@
 
 // expire forgets what is only kept for a while.
 func (roster *roster) expire(now time.Time) {
+	roster.expireBusy(now)
 	for incarnation, entry := range roster.entries {
 		if entry.member.State == Dead && now.Sub(entry.diedAt) > deadKept {
 			delete(roster.entries, incarnation)
--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -54,6 +54,7 @@
 		Sender:     memberToWire(message.Sender),
 		Members:    convert(message.Members, memberToWire),
 		LeavingVms: message.LeavingVMs,
+		Busy:       convert(message.Busy, busyToWire),
 	}
 }
 
@@ -62,9 +63,18 @@
 		Sender:     memberFromWire(message.GetSender()),
 		Members:    convert(message.GetMembers(), memberFromWire),
 		LeavingVMs: message.GetLeavingVms(),
+		Busy:       convert(message.GetBusy(), busyFromWire),
 	}
 }
 
+func busyToWire(busy fleet.Busy) *peerpb.Busy {
+	return &peerpb.Busy{Profile: busy.Profile, Width: int32(busy.Width)}
+}
+
+func busyFromWire(busy *peerpb.Busy) fleet.Busy {
+	return fleet.Busy{Profile: busy.GetProfile(), Width: int(busy.GetWidth())}
+}
+
 func recordToWire(record configuration.Record) *peerpb.Record {
 	change := record.Change
 	return &peerpb.Record{
--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -205,10 +205,14 @@
 			Dial:           build.given.Dial,
 		},
 	})
+	build.tracker = entry.NewTracker(entry.TrackerConfig{
+		Width:     build.settings.Entry.Width,
+		BusyWidth: build.membership.BusyWidth,
+	})
 	build.ranker = entry.NewRanker(entry.RankerConfig{
 		Members:  build.membership.Members,
 		Lifetime: build.settings.Entry.Lifetime,
-		Width:    func(string) int { return build.settings.Entry.Width },
+		Width:    build.tracker.Width,
 	})
 	build.metrics = newMetrics(build.given.Registry, func() float64 { return float64(build.running()) })
 }
@@ -292,6 +296,7 @@
 
 // report tells the fleet what this router has adopted and how busy it is.
 func (router *Router) report(context.Context) {
+	router.membership.ReportBusy(router.tracker.Busy())
 	load := float64(router.running()) / fullLoad
 	router.membership.Report(fleet.Report{
 		Revision:   router.follower.Revision(),
--- a/pkg/router/pipeline.go
+++ b/pkg/router/pipeline.go
@@ -25,6 +25,8 @@
 // run takes work through the pipeline. It returns the error that the caller
 // was told, or nil for a whole answer.
 func (router *Router) run(ctx context.Context, current ticket, work dispatch.Work, sink answerSink) error {
+	router.tracker.Begin(current.profile.Name)
+	defer router.tracker.End(current.profile.Name)
 	ctx, cancel := context.WithDeadline(ctx, current.deadline)
 	defer cancel()
 	reservation, err := router.escrow.Reserve(ctx, budget.Demand{
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -52,6 +52,7 @@
 	orderer     *order.Orderer
 	engines     *order.HTTPEngine
 	ranker      *entry.Ranker
+	tracker     *entry.Tracker
 	dispatcher  *dispatch.UpstreamDispatcher
 	server      atomic.Pointer[Server]
 	control     []*controlServer
