Find a dead router dead though another answers at its address

Cause: a router that was killed and replaced at its address was never closed: the probe of the dead incarnation was answered by its replacement. Change: a probe proves life only if the answer comes from the incarnation that was asked.

--- a/pkg/fleet/loops.go
+++ b/pkg/fleet/loops.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
@@ -229,9 +230,22 @@
 	}
 	membership.do(func() { membership.roster.hear(answer, time.Now()) })
 	membership.config.OnRevision(answer.Sender.Revision)
+	if answer.Sender.Incarnation != member.Incarnation {
+		return replacedError(member, answer.Sender)
+	}
 	return nil
 }
 
+// replacedError tells that another incarnation answers at a member's address,
+// which proves nothing about the member.
+func replacedError(member, answering Member) error {
+	return fault.New(fault.Config{
+		Kind:    fault.Unavailable,
+		Message: "incarnation " + answering.Incarnation + " answers at the address of " + member.Incarnation,
+		Remedy:  "the earlier one is closed when its lease has lapsed",
+	})
+}
+
 // tellPeers speaks to some members at once.
 func (membership *Membership) tellPeers(ctx context.Context) {
 	if membership.config.Prober == nil {
