Tell operators plainly when the table is down

Cause: with the table down, a refused change and a mere question were told as "may have been applied", with exit code 1. Change: a change that was never sent says so and names the retry (smallest change to configuration.publishError); questions say that the table does not answer; a scripted case with the table down and with lost answers. Cases count runs over all engines, since the choice of an engine depends on its port.

--- a/pkg/configuration/publisher.go
+++ b/pkg/configuration/publisher.go
@@ -126,6 +126,9 @@
 
 // publishError states the outcome of a publication that was given up.
 func publishError(err error, uncertain bool) error {
+	if !uncertain && fault.Is(err, fault.Unavailable) {
+		return tableSilent(err)
+	}
 	if !uncertain {
 		return fault.WithOutcome(err, fault.NotRun)
 	}
@@ -139,6 +142,17 @@
 	})
 }
 
+// tableSilent is the fault of a change that was never sent to the table.
+func tableSilent(cause error) error {
+	return fault.New(fault.Config{
+		Kind:       fault.Unavailable,
+		Message:    "the platform's table does not answer; the change was not made",
+		Remedy:     "publish it again when the table answers, with the same operation id",
+		RetryAfter: retryAfterConflict,
+		Cause:      cause,
+	})
+}
+
 // Audit returns accepted changes behind a revision, the oldest first. A limit
 // of zero means 100; the greatest is 1000.
 func (publisher *Publisher) Audit(ctx context.Context, after uint64, limit int) ([]Record, error) {
--- a/pkg/operator/read.go
+++ b/pkg/operator/read.go
@@ -7,9 +7,24 @@
 	"encoding/json"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/operator/operatorpb"
 )
 
+// readError explains a table that does not answer. A read changes nothing, so it
+// leaves nothing unknown.
+func readError(err error) error {
+	if !fault.Is(err, fault.Unavailable) {
+		return err
+	}
+	return fault.New(fault.Config{
+		Kind:    fault.Unavailable,
+		Message: "the platform's table does not answer",
+		Remedy:  "ask again when it does; `wisterialb config status` needs no table",
+		Cause:   err,
+	})
+}
+
 // headTimeout bounds how long GetStatus waits for the table. Without its answer
 // the newest revision is the one that the routers know.
 const headTimeout = time.Second
@@ -61,7 +76,7 @@
 	}
 	documents, next, err := server.config.Publisher.Documents(ctx, kind, request.GetAfter(), pageSize(request.GetLimit()))
 	if err != nil {
-		return nil, err
+		return nil, readError(err)
 	}
 	return &operatorpb.ListDocumentsResponse{Documents: convert(documents, documentMessage), Next: next}, nil
 }
@@ -74,7 +89,7 @@
 	}
 	document, err := server.config.Publisher.Document(ctx, kind, request.GetName())
 	if err != nil {
-		return nil, err
+		return nil, readError(err)
 	}
 	return &operatorpb.GetDocumentResponse{Document: documentMessage(document)}, nil
 }
@@ -83,7 +98,7 @@
 func (server *Server) GetBudget(ctx context.Context, request *operatorpb.GetBudgetRequest) (*operatorpb.GetBudgetResponse, error) {
 	statement, err := server.config.Ledger.Statement(ctx, request.GetProfile())
 	if err != nil {
-		return nil, err
+		return nil, readError(err)
 	}
 	return statementMessage(statement), nil
 }
@@ -92,7 +107,7 @@
 func (server *Server) ListBills(ctx context.Context, request *operatorpb.ListBillsRequest) (*operatorpb.ListBillsResponse, error) {
 	lines, next, err := server.config.Ledger.Lines(ctx, request.GetProfile(), request.GetAfter(), pageSize(request.GetLimit()))
 	if err != nil {
-		return nil, err
+		return nil, readError(err)
 	}
 	return &operatorpb.ListBillsResponse{Lines: convert(lines, lineMessage), Next: next}, nil
 }
@@ -102,7 +117,7 @@
 	size := pageSize(request.GetLimit())
 	records, err := server.config.Publisher.Audit(ctx, request.GetAfter(), size)
 	if err != nil {
-		return nil, err
+		return nil, readError(err)
 	}
 	response := &operatorpb.ListAuditResponse{Records: convert(records, recordMessage)}
 	if len(records) == size {
@@ -115,7 +130,7 @@
 func (server *Server) ListUpstreamStates(ctx context.Context, _ *operatorpb.ListUpstreamStatesRequest) (*operatorpb.ListUpstreamStatesResponse, error) {
 	states, err := server.upstreamStates(ctx)
 	if err != nil {
-		return nil, err
+		return nil, readError(err)
 	}
 	return &operatorpb.ListUpstreamStatesResponse{States: convert(states, stateMessage)}, nil
 }
--- a/test/session_test.go
+++ b/test/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -44,6 +45,7 @@
 func (session *session) commands() map[string]func(*testscript.TestScript, bool, []string) {
 	return map[string]func(*testscript.TestScript, bool, []string){
 		"fleet":      session.startFleet,
+		"platform":   session.setFaults,
 		"silence":    session.listenSilently,
 		"wisterialb": session.runCommand,
 		"call":       session.call,
@@ -99,6 +101,13 @@
 	script.Setenv(args[0], listener.Addr().String())
 }
 
+// setFaults switches faults of the platform; {} switches all off: platform JSON.
+func (session *session) setFaults(script *testscript.TestScript, _ bool, args []string) {
+	var faults standin.PlatformFaults
+	script.Check(json.Unmarshal([]byte(args[0]), &faults))
+	script.Check(session.fleet.Platform.SetFaults(faults))
+}
+
 // runCommand runs the command line with its exit code: wisterialb ARGS...
 func (session *session) runCommand(script *testscript.TestScript, _ bool, args []string) {
 	var out, errOut bytes.Buffer
@@ -157,15 +166,21 @@
 	session.record(script, "call", args, printed)
 }
 
-// printRuns prints how often each upstream has run a request: runs.
+// printRuns prints how many requests have run, on all engines and services or on
+// each: runs [each].
 func (session *session) printRuns(script *testscript.TestScript, _ bool, args []string) {
 	var out strings.Builder
+	engineRuns, serviceRuns := 0, 0
 	for _, engine := range session.fleet.Engines {
-		fmt.Fprintf(&out, "%s %d\n", engine.Name(), len(engine.Runs()))
+		engineRuns += len(engine.Runs())
+		if len(args) > 0 {
+			fmt.Fprintf(&out, "%s %d\n", engine.Name(), len(engine.Runs()))
+		}
 	}
 	for _, service := range session.fleet.Services {
-		fmt.Fprintf(&out, "%s %d\n", service.Name(), len(service.Runs().Runs))
+		serviceRuns += len(service.Runs().Runs)
 	}
+	fmt.Fprintf(&out, "engines %d, services %d\n", engineRuns, serviceRuns)
 	session.record(script, "runs", args, out.String())
 }
 
