--- a/pkg/fleet/loops.go
+++ b/pkg/fleet/loops.go
@@ -102,7 +102,7 @@
 			for _, item := range items {
 				row, err := decodeLease(item)
 				if err == nil && row.Member.Incarnation != "" {
-					membership.roster.learn(row.Member, time.Now())
+					membership.roster.list(row.Member)
 				}
 			}
 		})
@@ -205,7 +205,7 @@
 	for membership.pause(membership.config.ProbeInterval, nil) {
 		var member Member
 		var ok bool
-		membership.do(func() { member, ok = membership.roster.target() })
+		membership.run(func() { member, ok = membership.roster.target() })
 		if !ok {
 			continue
 		}
@@ -222,7 +222,7 @@
 	ctx, cancel := context.WithTimeout(ctx, membership.config.ProbeTimeout)
 	defer cancel()
 	var message Message
-	membership.do(func() { message = membership.roster.message() })
+	membership.run(func() { message = membership.roster.message() })
 	answer, err := membership.config.Prober.Probe(ctx, member.PeerAddress, message)
 	if err != nil {
 		return err
--- a/pkg/fleet/membership.go
+++ b/pkg/fleet/membership.go
@@ -121,7 +121,6 @@
 				return
 			case command := <-membership.commands:
 				command()
-				membership.publishSnapshot()
 			}
 		}
 	})
@@ -235,9 +234,17 @@
 	membership.running.Wait()
 }
 
-// do runs a command on the control goroutine and waits for it. It does nothing
-// after Close.
+// do runs a command that changes what traffic reads.
 func (membership *Membership) do(command func()) {
+	membership.run(func() {
+		command()
+		membership.publishSnapshot()
+	})
+}
+
+// run runs a command on the control goroutine and waits for it. It does nothing
+// after Close.
+func (membership *Membership) run(command func()) {
 	done := make(chan struct{})
 	wrapped := func() {
 		defer close(done)
--- a/pkg/fleet/news.go
+++ b/pkg/fleet/news.go
@@ -54,7 +54,7 @@
 }
 
 // transmissionFactor multiplies the logarithm of the fleet's size.
-const transmissionFactor = 3
+const transmissionFactor = 2
 
 // transmissions is how often one router passes an item on.
 func transmissions(size int) int {
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -174,6 +174,16 @@
 	roster.news.add(member.Incarnation, member)
 }
 
+// list takes in a row of the table. It is not news: the others read the same
+// rows.
+func (roster *roster) list(member Member) {
+	_, known := roster.entries[member.Incarnation]
+	if known || member.Incarnation == roster.self.Incarnation || len(roster.entries) >= maxMembers {
+		return
+	}
+	roster.entries[member.Incarnation] = &rosterEntry{member: member}
+}
+
 // learnNewer takes in a newer statement that a member made of itself.
 func (roster *roster) learnNewer(entry *rosterEntry, member Member) {
 	if member.Sequence <= entry.member.Sequence {
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -24,8 +24,9 @@
 	callTimeout = time.Second
 	dialTimeout = 500 * time.Millisecond
 	// idleTimeout is short, so that a connection that went silent while idle
-	// is seldom used again.
-	idleTimeout = 30 * time.Second
+	// is seldom used again, and that a large fleet, in which each router speaks
+	// to another one each time, holds few connections.
+	idleTimeout = 10 * time.Second
 	// peersPerCall is how many routers are asked in turn.
 	peersPerCall = 3
 	// settlementsPerMessage keeps a message of settlements within its bound.
