--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -23,6 +23,8 @@
 	newsPerMessage = 6
 	// leavingPerMessage bounds the VM addresses of a message.
 	leavingPerMessage = 16
+	// maxMembers bounds the routers that one knows.
+	maxMembers = 8192
 	// maxVerify bounds the members waiting to be probed out of turn.
 	maxVerify = 64
 	// deadKept is how long a dead member is remembered, so that late news of
@@ -46,6 +48,9 @@
 
 	leavingVMs  map[string]time.Time
 	leavingNews *newsQueue[string]
+
+	busy     map[string]busyEntry
+	busyNews *newsQueue[Busy]
 }
 
 type rosterEntry struct {
@@ -68,6 +73,8 @@
 		random:      random,
 		leavingVMs:  make(map[string]time.Time),
 		leavingNews: newNewsQueue[string](),
+		busy:        make(map[string]busyEntry),
+		busyNews:    newNewsQueue[Busy](),
 	}
 }
 
@@ -87,6 +94,7 @@
 		Sender:     roster.self,
 		Members:    roster.news.take(newsPerMessage, size),
 		LeavingVMs: roster.leavingNews.take(leavingPerMessage, size),
+		Busy:       roster.busyNews.take(busyPerMessage, size),
 	}
 }
 
@@ -99,6 +107,9 @@
 	for _, address := range message.LeavingVMs {
 		roster.learnLeavingVM(address, now)
 	}
+	for _, busy := range message.Busy {
+		roster.learnBusy(busy, now)
+	}
 }
 
 // contact notes that a member spoke for itself.
@@ -108,8 +119,7 @@
 	}
 	entry, ok := roster.entries[member.Incarnation]
 	if !ok {
-		roster.entries[member.Incarnation] = &rosterEntry{member: member}
-		roster.news.add(member.Incarnation, member)
+		roster.welcome(member)
 		return
 	}
 	if entry.member.State == Dead || member.Sequence < entry.member.Sequence {
@@ -138,8 +148,7 @@
 	}
 	entry, ok := roster.entries[member.Incarnation]
 	if !ok {
-		roster.entries[member.Incarnation] = &rosterEntry{member: member}
-		roster.news.add(member.Incarnation, member)
+		roster.welcome(member)
 		roster.askNext(member.Incarnation)
 		return
 	}
@@ -156,6 +165,15 @@
 	roster.learnNewer(entry, member)
 }
 
+// welcome adds a member that was not known.
+func (roster *roster) welcome(member Member) {
+	if len(roster.entries) >= maxMembers {
+		return
+	}
+	roster.entries[member.Incarnation] = &rosterEntry{member: member}
+	roster.news.add(member.Incarnation, member)
+}
+
 // learnNewer takes in a newer statement that a member made of itself.
 func (roster *roster) learnNewer(entry *rosterEntry, member Member) {
 	if member.Sequence <= entry.member.Sequence {
@@ -246,6 +264,7 @@
 
 // expire forgets what is only kept for a while.
 func (roster *roster) expire(now time.Time) {
+	roster.expireBusy(now)
 	for incarnation, entry := range roster.entries {
 		if entry.member.State == Dead && now.Sub(entry.diedAt) > deadKept {
 			delete(roster.entries, incarnation)
