Tell the lines of answered requests without a bill

Cause: the run with failures under the race detector shows answered requests without a bill. Change: the audit gives each with its router, time and other lines; the run notes its disturbances.

--- a/pkg/load/caller.go
+++ b/pkg/load/caller.go
@@ -70,6 +70,10 @@
 	Text string
 	// Disorder is set when events of a stream came twice or with a gap.
 	Disorder bool
+	// Address is the router of the last try.
+	Address string
+	// EndedAt is when the caller had its answer or gave up.
+	EndedAt time.Time
 	// History tells what each of the first tries ended with.
 	History []string
 	// Tries counts the times the request was sent.
@@ -140,7 +144,8 @@
 		}
 		backoff = min(2*backoff, greatestBackoff)
 	}
-	conversation.result.Total = time.Since(started)
+	conversation.result.EndedAt = time.Now()
+	conversation.result.Total = conversation.result.EndedAt.Sub(started)
 	return conversation.result
 }
 
@@ -171,6 +176,7 @@
 	result := &conversation.result
 	address := caller.address(ctx, conversation)
 	result.Tries++
+	result.Address = address
 	err := caller.exchange(ctx, address, conversation)
 	if err == nil {
 		return nil
--- a/pkg/testbed/audit.go
+++ b/pkg/testbed/audit.go
@@ -19,11 +19,25 @@
 	// Answered counts the answered requests that cost tokens.
 	Answered int `json:"answered"`
 	// Unbilled are answered requests without a bill.
-	Unbilled []string `json:"unbilled"`
+	Unbilled []Unbilled `json:"unbilled"`
 	// Doubled are requests with more than one bill.
 	Doubled []string `json:"doubled"`
 }
 
+// Unbilled is an answered request without a bill.
+type Unbilled struct {
+	Key     string    `json:"key"`
+	Kind    load.Kind `json:"kind"`
+	Tries   int       `json:"tries"`
+	Resumes int       `json:"resumes"`
+	// Address is the router that answered.
+	Address string `json:"address"`
+	// At is when the answer was whole.
+	At time.Time `json:"at"`
+	// Lines are the other lines of the request.
+	Lines []budget.Line `json:"lines"`
+}
+
 // ChargedTokens returns what the budget counts as spent or granted, of which
 // nothing can be spent again.
 func (audit Audit) ChargedTokens() int64 {
@@ -47,7 +61,7 @@
 		return broken(fmt.Sprintf("profile %s: %d requests billed twice, first %s", audit.Profile, len(audit.Doubled), audit.Doubled[0]))
 	case len(audit.Unbilled) > 0:
 		return broken(fmt.Sprintf("profile %s: %d of %d answered requests not billed, first %s", audit.Profile,
-			len(audit.Unbilled), audit.Answered, audit.Unbilled[0]))
+			len(audit.Unbilled), audit.Answered, audit.Unbilled[0].Key))
 	default:
 		return nil
 	}
@@ -115,7 +129,7 @@
 	if err != nil {
 		return Audit{}, err
 	}
-	bills, err := countBills(ctx, ledger, team.Profile)
+	lines, err := readLines(ctx, ledger, team.Profile)
 	if err != nil {
 		return Audit{}, err
 	}
@@ -125,21 +139,44 @@
 			continue
 		}
 		audit.Answered++
-		if bills[callerOf(team)+":"+result.Key] == 0 {
-			audit.Unbilled = append(audit.Unbilled, result.Key)
+		own := lines[callerOf(team)+":"+result.Key]
+		if countBills(own) == 0 {
+			audit.Unbilled = append(audit.Unbilled, unbilled(result, own))
 		}
 	}
-	for request, count := range bills {
-		if count > 1 {
+	for request, own := range lines {
+		if countBills(own) > 1 {
 			audit.Doubled = append(audit.Doubled, request)
 		}
 	}
 	return audit, nil
 }
 
-// countBills counts the bills of each request.
-func countBills(ctx context.Context, ledger *budget.Ledger, profile string) (map[string]int, error) {
-	bills := make(map[string]int)
+func unbilled(result load.Result, lines []budget.Line) Unbilled {
+	return Unbilled{
+		Key:     result.Key,
+		Kind:    result.Request.Kind,
+		Tries:   result.Tries,
+		Resumes: result.Resumes,
+		Address: result.Address,
+		At:      result.EndedAt,
+		Lines:   lines,
+	}
+}
+
+func countBills(lines []budget.Line) int {
+	bills := 0
+	for _, line := range lines {
+		if line.Kind == budget.LineBill {
+			bills++
+		}
+	}
+	return bills
+}
+
+// readLines reads the ledger lines of each request.
+func readLines(ctx context.Context, ledger *budget.Ledger, profile string) (map[string][]budget.Line, error) {
+	found := make(map[string][]budget.Line)
 	after := ""
 	for {
 		lines, next, err := ledger.Lines(ctx, profile, after, 0)
@@ -147,12 +184,10 @@
 			return nil, err
 		}
 		for _, line := range lines {
-			if line.Kind == budget.LineBill {
-				bills[line.RequestID]++
-			}
+			found[line.RequestID] = append(found[line.RequestID], line)
 		}
 		if next == "" {
-			return bills, nil
+			return found, nil
 		}
 		after = next
 	}
--- a/pkg/testbed/disturbance.go
+++ b/pkg/testbed/disturbance.go
@@ -82,6 +82,25 @@
 	return parts[random.IntN(len(parts))]
 }
 
+// Disturbance is one that was brought about.
+type Disturbance struct {
+	Kind DisturbanceKind
+	At   time.Time
+}
+
+func (testbed *Testbed) note(kind DisturbanceKind) {
+	testbed.mutex.Lock()
+	defer testbed.mutex.Unlock()
+	testbed.disturbances = append(testbed.disturbances, Disturbance{Kind: kind, At: time.Now()})
+}
+
+// Disturbances returns those brought about so far.
+func (testbed *Testbed) Disturbances() []Disturbance {
+	testbed.mutex.Lock()
+	defer testbed.mutex.Unlock()
+	return slices.Clone(testbed.disturbances)
+}
+
 // AllDisturbances returns the kinds in the order of their names.
 func AllDisturbances() []DisturbanceKind {
 	return slices.Sorted(maps.Keys(disturbances))
@@ -107,6 +126,7 @@
 				return counts, fmt.Errorf("disturbance %s: %w", kind, err)
 			}
 			counts[kind]++
+			testbed.note(kind)
 		}
 	}
 }
--- a/pkg/testbed/testbed.go
+++ b/pkg/testbed/testbed.go
@@ -59,6 +59,8 @@
 	callers *standin.Dialer
 	mutex   sync.Mutex
 	results []load.Result
+	// disturbances are in the order of their times.
+	disturbances []Disturbance
 }
 
 // Start runs a fleet and publishes its documents. Its errors are those of the
--- a/pkg/testbed/testbed_test.go
+++ b/pkg/testbed/testbed_test.go
@@ -76,12 +76,18 @@
 	require.NoError(t, bed.Close(closing))
 	t.Log("\n" + out.String())
 	logLost(t, bed)
+	for _, disturbance := range bed.Disturbances() {
+		t.Log(disturbance.At.Format(time.StampMilli), disturbance.Kind)
+	}
 	assert.False(t, report.Broken(), "violations %v", report.Violations)
 	audits, err := bed.Audit(closing)
 	require.NoError(t, err)
 	for _, audit := range audits {
 		t.Logf("%s: limit %d, charged %d, settled %d, used %d, answered %d", audit.Profile, audit.Statement.LimitTokens, audit.ChargedTokens(), audit.Statement.SettledTokens, audit.UsedTokens, audit.Answered)
 		assert.NoError(t, audit.Err())
+		for _, unbilled := range audit.Unbilled[:min(len(audit.Unbilled), loggedLost)] {
+			t.Logf("unbilled %+v", unbilled)
+		}
 	}
 	return report
 }
