Wait for grants in flight at shutdown and cache refusals briefly

Cause: a grant that was still being taken when the escrow closed stayed granted to a router that was gone; each refusal of an exhausted budget read the table. Change: Close waits for grants, cancels their calls, and stops a first grant in transit by a new version of the budget row; an answer that the budget is short is used for 250 ms; rows are coded by goccy/go-json.

--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -35,6 +35,11 @@
 	// surplusSince is when the account last began to hold more than it should;
 	// zero while it does not.
 	surplusSince time.Time
+	// grantInTransit is set once the answer to a grant was lost.
+	grantInTransit bool
+	// short is the last answer of the table that the budget was short.
+	short   standing
+	shortAt time.Time
 }
 
 // pendingReturn is a return that was sent on top of a revision of the row.
--- a/pkg/budget/account_grant.go
+++ b/pkg/budget/account_grant.go
@@ -33,6 +33,25 @@
 	return smallest
 }
 
+// shortAge is how long a router relies on the answer that a budget is short.
+const shortAge = 250 * time.Millisecond
+
+func (account *account) noteShort(found standing) {
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	account.short = found
+	account.shortAt = time.Now()
+}
+
+// knownShort returns the table's last answer when it is recent and says that
+// the tokens cannot come back.
+func (account *account) knownShort(tokens int64) (standing, bool) {
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	recent := account.short.known && time.Since(account.shortAt) < shortAge
+	return account.short, recent && account.short.recoverableTokens < tokens
+}
+
 // lackingTokens is what the balance lacks for a reservation.
 func (account *account) lackingTokens(tokens int64) int64 {
 	account.mutex.Lock()
@@ -100,7 +119,7 @@
 // failReturn frees the tokens that were set aside when the table stated that it
 // applied nothing.
 func (account *account) failReturn(err error) {
-	if !fault.Is(err, fault.Conflict) && !fault.Is(err, fault.Overloaded) {
+	if !isDefinite(err) {
 		return
 	}
 	account.mutex.Lock()
@@ -109,6 +128,21 @@
 	account.admit()
 }
 
+// isDefinite reports whether an error says that nothing was applied.
+func isDefinite(err error) bool {
+	return fault.Is(err, fault.Conflict) || fault.Is(err, fault.Overloaded)
+}
+
+// noteGrantError remembers that a grant may arrive late.
+func (account *account) noteGrantError(err error) {
+	if isDefinite(err) {
+		return
+	}
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	account.grantInTransit = true
+}
+
 // unrecordedLoans are received loans that the table's books do not have yet.
 func (account *account) unrecordedLoans() []Loan {
 	account.mutex.Lock()
--- a/pkg/budget/escrow.go
+++ b/pkg/budget/escrow.go
@@ -104,7 +104,10 @@
 
 	// stop ends the goroutines and the table calls that they wait for.
 	stop    context.CancelFunc
+	stopped <-chan struct{}
 	running sync.WaitGroup
+	// granting counts the grants that are being taken.
+	granting sync.WaitGroup
 }
 
 // NewEscrow returns an Escrow and starts its control goroutine, which settles,
@@ -114,6 +117,7 @@
 	escrow := newEscrow(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	escrow.stop = cancel
+	escrow.stopped = ctx.Done()
 	escrow.running.Go(func() {
 		settle := time.NewTicker(escrow.config.SettleInterval)
 		defer settle.Stop()
@@ -244,6 +248,7 @@
 	}
 	escrow.stop()
 	escrow.running.Wait()
+	escrow.granting.Wait()
 	return escrow.finish(ctx)
 }
 
--- a/pkg/budget/finish.go
+++ b/pkg/budget/finish.go
@@ -69,20 +69,35 @@
 }
 
 // finishAccount returns the spare tokens. A holder row that holds nothing more
-// is removed and its sums are added to the budget row; another one is closed.
+// is removed and its sums are added to the budget row; another one is closed. A
+// first grant that may still be in transit is stopped by a new version of the
+// budget row.
 func (escrow *Escrow) finishAccount(ctx context.Context, account *account) error {
 	return escrow.retrier.Run(ctx, func(ctx context.Context) error {
 		holding, err := escrow.readHolding(ctx, account)
-		if err != nil || holding.holder.item.Version == 0 {
+		if err != nil {
 			return err
 		}
-		account.mutex.Lock()
-		spare := account.spareTokens() + account.returning.tokens
-		account.mutex.Unlock()
-		return escrow.table.Transact(ctx, platform.Transaction{Writes: holding.finalWrites(spare)})
+		spare, grantInTransit := account.finalState()
+		writes := holding.finalWrites(spare)
+		if holding.holder.item.Version == 0 {
+			if !grantInTransit || holding.budgetItem.Version == 0 {
+				return nil
+			}
+			writes = []platform.Write{replace(holding.budgetItem, holding.budget)}
+		}
+		return escrow.table.Transact(ctx, platform.Transaction{Writes: writes})
 	})
 }
 
+// finalState returns what is returned at the end, and whether a grant may still
+// be in transit.
+func (account *account) finalState() (int64, bool) {
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	return account.spareTokens() + account.returning.tokens, account.grantInTransit
+}
+
 func (holding holding) finalWrites(spareTokens int64) []platform.Write {
 	budget := holding.budget
 	budget.TakenTokens -= spareTokens
--- a/pkg/budget/grant.go
+++ b/pkg/budget/grant.go
@@ -39,8 +39,39 @@
 	return holding{budgetItem: budgetItem, budget: budget, holder: holder}, nil
 }
 
+// beginGrant counts a grant that is being taken. It returns false when the
+// escrow is shutting down.
+func (escrow *Escrow) beginGrant() bool {
+	escrow.mutex.Lock()
+	defer escrow.mutex.Unlock()
+	if escrow.draining {
+		return false
+	}
+	escrow.granting.Add(1)
+	return true
+}
+
+// untilStopped returns a context that ends when the escrow is closed.
+func (escrow *Escrow) untilStopped(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	escrow.granting.Go(func() {
+		select {
+		case <-escrow.stopped:
+		case <-ctx.Done():
+		}
+		cancel()
+	})
+	return ctx, cancel
+}
+
 // take takes one grant, sized by the policy.
 func (escrow *Escrow) take(ctx context.Context, account *account) (standing, error) {
+	if !escrow.beginGrant() {
+		return standing{}, drainingError()
+	}
+	defer escrow.granting.Done()
+	ctx, cancel := escrow.untilStopped(ctx)
+	defer cancel()
 	var found standing
 	err := escrow.retrier.Run(ctx, func(ctx context.Context) error {
 		holding, err := escrow.readHolding(ctx, account)
@@ -96,6 +127,7 @@
 	changed := holding.holder.row.WithGrant(tokens)
 	writes := append(holding.holder.writes(changed), replace(holding.budgetItem, budget))
 	if err := escrow.table.Transact(ctx, platform.Transaction{Writes: writes}); err != nil {
+		account.noteGrantError(err)
 		return err
 	}
 	escrow.metrics.granted.Add(float64(tokens))
@@ -111,6 +143,7 @@
 		return standing{}, err
 	}
 	found := statement.standing()
+	account.noteShort(found)
 	wanted := account.smallestWait()
 	if wanted > holding.budget.WantedTokens && wanted <= found.recoverableTokens {
 		budget := holding.budget
--- a/pkg/budget/obtain.go
+++ b/pkg/budget/obtain.go
@@ -58,7 +58,10 @@
 		Multiplier:          backoff.DefaultMultiplier,
 		MaxInterval:         maxPause,
 	}
-	var known standing
+	known, short := account.knownShort(demand.Tokens)
+	if short {
+		return known, nil
+	}
 	for {
 		latest, err := escrow.replenish(ctx, account)
 		if latest.known {
@@ -107,7 +110,7 @@
 
 // isFinal reports whether asking the table again is in vain.
 func isFinal(err error) bool {
-	return fault.Is(err, fault.Forbidden) || fault.Is(err, fault.NotFound)
+	return fault.Is(err, fault.Forbidden) || fault.Is(err, fault.NotFound) || fault.Is(err, fault.Draining)
 }
 
 func refusal(demand Demand, standing standing, err error) error {
--- a/pkg/budget/rows.go
+++ b/pkg/budget/rows.go
@@ -1,9 +1,10 @@
 package budget
 
 import (
-	"encoding/json"
 	"fmt"
 
+	"github.com/goccy/go-json"
+
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
--- a/pkg/claim/rows.go
+++ b/pkg/claim/rows.go
@@ -1,10 +1,11 @@
 package claim
 
 import (
-	"encoding/json"
 	"net/url"
 	"time"
 
+	"github.com/goccy/go-json"
+
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
