--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -27,6 +27,7 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
 	"gitlab.com/wisterialb/wisterialb/pkg/fleet"
 	"gitlab.com/wisterialb/wisterialb/pkg/operator"
+	"gitlab.com/wisterialb/wisterialb/pkg/order"
 	"gitlab.com/wisterialb/wisterialb/pkg/peer"
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 	"gitlab.com/wisterialb/wisterialb/pkg/settings"
@@ -148,6 +149,15 @@
 		OnDead:        build.ledger.CloseIncarnation,
 		OnRevision:    build.follower.Hint,
 	})
+	build.engines = order.NewHTTPEngine()
+	build.orderer = order.NewOrderer(order.Config{
+		Table:   build.table,
+		Self:    build.incarnation,
+		View:    build.follower.View,
+		Members: build.membership.Members,
+		Engine:  build.engines,
+		Logger:  build.logger,
+	})
 	build.background = newBackground(reportInterval, build.report)
 }
 
@@ -182,21 +192,27 @@
 		Retention:   build.settings.ClaimRetention,
 	})
 	build.dispatcher = dispatch.NewDispatcher(dispatch.Config{
-		Upstreams:  func(service string) []configuration.Upstream { return build.follower.View().Upstreams(service) },
-		Leaving:    build.membership.LeavingVM,
-		Policy:     build.settings.Policy,
-		Logger:     build.logger,
-		Registerer: build.given.Registry,
+		Upstreams:   func(service string) []configuration.Upstream { return build.follower.View().Upstreams(service) },
+		Leaving:     build.membership.LeavingVM,
+		Policy:      build.settings.Policy,
+		Logger:      build.logger,
+		Registerer:  build.given.Registry,
+		QueueLength: build.settings.Queue.Length,
+		MaxWait:     build.settings.Queue.Wait,
 		Exchange: exchange.ClientConfig{
 			FirstTimeout:   build.settings.Stall.FirstToken,
 			BetweenTimeout: build.settings.Stall.BetweenTokens,
 			Dial:           build.given.Dial,
 		},
 	})
+	build.tracker = entry.NewTracker(entry.TrackerConfig{
+		Width:     build.settings.Entry.Width,
+		BusyWidth: build.membership.BusyWidth,
+	})
 	build.ranker = entry.NewRanker(entry.RankerConfig{
 		Members:  build.membership.Members,
 		Lifetime: build.settings.Entry.Lifetime,
-		Width:    func(string) int { return build.settings.Entry.Width },
+		Width:    build.tracker.Width,
 	})
 	build.metrics = newMetrics(build.given.Registry, func() float64 { return float64(build.running()) })
 }
@@ -249,11 +265,16 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/", operator.NewServer(operator.ServerConfig{
-		Tokens:      tokens,
-		Publisher:   build.publisher,
-		Ledger:      build.ledger,
-		Follower:    build.follower,
-		Members:     build.membership.Members,
+		Tokens:    tokens,
+		Publisher: build.publisher,
+		Ledger:    build.ledger,
+		Follower:  build.follower,
+		Members:   build.membership.Members,
+		Adopter:   build.peers,
+		UpstreamStates: upstreamStates{inspector: order.NewInspector(order.InspectorConfig{
+			View:   build.follower.View,
+			Engine: build.engines,
+		})},
 		Propagation: build.settings.PublishTimeout,
 		Self:        build.incarnation,
 		Logger:      build.logger,
@@ -275,6 +296,7 @@
 
 // report tells the fleet what this router has adopted and how busy it is.
 func (router *Router) report(context.Context) {
+	router.membership.ReportBusy(router.tracker.Busy())
 	load := float64(router.running()) / fullLoad
 	router.membership.Report(fleet.Report{
 		Revision:   router.follower.Revision(),
--- a/pkg/standin/stream.go
+++ b/pkg/standin/stream.go
@@ -13,10 +13,10 @@
 	"slices"
 )
 
-// streamFaultError ends a stream for a switched fault.
+// streamFaultError ends a stream without its end marker.
 type streamFaultError struct{ abort bool }
 
-func (err streamFaultError) Error() string { return "stream ended by a switched fault" }
+func (err streamFaultError) Error() string { return "stream ended without its end marker" }
 
 // streamFaultFunc writes an event under a fault, from its trigger position on.
 type streamFaultFunc func(stream *stream, position int, data []byte) error
@@ -90,13 +90,16 @@
 	return err
 }
 
-// finish sends the end marker.
-func (stream *stream) finish() error {
+// finish sends the end marker, which only an answer that was not cancelled has.
+func (stream *stream) finish(whole bool) error {
 	if stream.held != nil && stream.fault != "" {
 		if err := stream.send(stream.heldPosition, stream.held); err != nil {
 			return err
 		}
 	}
+	if !whole {
+		return streamFaultError{}
+	}
 	if _, err := fmt.Fprint(stream.writer, sseDone); err != nil {
 		return err
 	}
@@ -120,7 +123,7 @@
 			return err
 		}
 		if ended {
-			return stream.finish()
+			return stream.finish(engine.recordOf(attempt).State == AttemptFinished)
 		}
 		select {
 		case <-stream.ctx.Done():
