Start a router's reports after all its parts are made

Cause: the 5,000-request run reported a data race under -race: the goroutine that reports load started before the traffic parts, which it reads, were set. Change: the goroutine starts after them.

--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -93,6 +93,7 @@
 	build.signer = resumeSigner{key: []byte(config.Settings.PeerKey)}
 	build.control()
 	build.traffic()
+	build.background = newBackground(reportInterval, build.report)
 	if err := build.serve(); err != nil {
 		_ = build.closeParts(context.Background())
 		return nil, err
@@ -158,7 +159,6 @@
 		Engine:  build.engines,
 		Logger:  build.logger,
 	})
-	build.background = newBackground(reportInterval, build.report)
 }
 
 func (build *assembly) self() fleet.Member {
