--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -172,7 +172,8 @@
 	if earlier, ok := account.debits[loan.TransferID]; ok {
 		return earlier, true
 	}
-	loan.Tokens = min(loan.Tokens, account.spareTokens())
+	spare := account.spareTokens()
+	loan.Tokens = min(loan.Tokens, max(spare/2, min(spare, loan.Tokens/loanFactor)))
 	if loan.Tokens <= 0 {
 		return Loan{}, false
 	}
--- a/pkg/budget/account_grant.go
+++ b/pkg/budget/account_grant.go
@@ -52,10 +52,14 @@
 	return account.short, recent && account.short.recoverableTokens < tokens
 }
 
-// lackingTokens is what the balance lacks for a reservation.
-func (account *account) lackingTokens(tokens int64) int64 {
+// lackingTokens is what the balance lacks for all waiting reservations.
+func (account *account) lackingTokens() int64 {
 	account.mutex.Lock()
 	defer account.mutex.Unlock()
+	var tokens int64
+	for _, waiter := range account.waiters {
+		tokens += waiter.tokens
+	}
 	return max(0, tokens-account.balanceTokens())
 }
 
--- a/pkg/budget/escrow.go
+++ b/pkg/budget/escrow.go
@@ -82,6 +82,7 @@
 	sizing  sizing
 	metrics metrics
 	grants  singleflight.Group
+	loans   singleflight.Group
 
 	mutex    sync.Mutex
 	accounts map[string]*account
--- a/pkg/budget/loan.go
+++ b/pkg/budget/loan.go
@@ -10,7 +10,7 @@
 	Profile    string `json:"profile"`
 	// Borrower is the incarnation that asks.
 	Borrower string `json:"borrower"`
-	// Tokens is what the borrower lacks; a loan may be smaller.
+	// Tokens is what the borrower would like; a loan may be smaller.
 	Tokens int64 `json:"tokens"`
 }
 
--- a/pkg/budget/obtain.go
+++ b/pkg/budget/obtain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -24,6 +23,12 @@
 	// grantPatience is how long a reservation waits for the table before it
 	// asks other routers. The call to the table goes on.
 	grantPatience = 300 * time.Millisecond
+	// loanTimeout bounds the calls for one loan.
+	loanTimeout = 2 * time.Second
+	// loanFactor is how many times what it lacks a router asks for. A lender
+	// gives what the borrower lacks, and beyond it at most half of what it can
+	// spare.
+	loanFactor = 4
 )
 
 // obtain waits until the demand is reserved, or returns why it is refused.
@@ -74,7 +79,7 @@
 		if isFinal(err) || latest.known && latest.recoverableTokens < demand.Tokens {
 			return known, err
 		}
-		escrow.borrow(ctx, account, demand)
+		escrow.borrow(ctx, account)
 		if waiter.pause(ctx, pauses.NextBackOff()) {
 			escrow.metrics.reserved("waited")
 			return known, nil
@@ -143,25 +148,42 @@
 	}
 }
 
-// borrow asks other routers for what the account lacks.
-func (escrow *Escrow) borrow(ctx context.Context, account *account, demand Demand) {
+// borrow takes one loan for all that wait on the account.
+func (escrow *Escrow) borrow(ctx context.Context, account *account) {
 	if escrow.config.Lender == nil {
 		return
 	}
-	lacking := account.lackingTokens(demand.Tokens)
-	if lacking <= 0 {
-		return
+	result := escrow.loans.DoChan(account.profile, func() (any, error) {
+		return nil, escrow.borrowOnce(context.WithoutCancel(ctx), account)
+	})
+	select {
+	case <-ctx.Done():
+	case <-result:
+	}
+}
+
+// borrowOnce asks other routers for what the account lacks, and for more, so
+// that the next requests need no loan.
+func (escrow *Escrow) borrowOnce(ctx context.Context, account *account) error {
+	lacking := account.lackingTokens()
+	if lacking <= 0 || !escrow.beginGrant() {
+		return nil
 	}
+	defer escrow.granting.Done()
+	ctx, cancel := context.WithTimeout(ctx, loanTimeout)
+	defer cancel()
 	loan, err := escrow.config.Lender.Borrow(ctx, LoanRequest{
 		TransferID: uuid.NewString(),
 		Profile:    account.profile,
 		Borrower:   escrow.config.Incarnation,
-		Tokens:     lacking,
+		Tokens:     loanFactor * lacking,
 	})
-	if err == nil && loan.Profile == account.profile && loan.Lender != escrow.config.Incarnation {
-		account.receive(loan)
-	}
-	if err != nil && !errors.Is(err, context.Canceled) {
+	if err != nil {
 		_ = escrow.config.Logger.Log("level", "debug", "message", "no loan", "profile", account.profile, "error", err)
+		return err
+	}
+	if loan.Profile == account.profile && loan.Lender != escrow.config.Incarnation {
+		account.receive(loan)
 	}
+	return nil
 }
