Measure policies, hurt engines, old load reports and the router's own cost

Cause: the decisions under load have to be measured, and 5,000 requests under failures take more than a test's minute with the race detector.

--- a/pkg/testbed/disturbance.go
+++ b/pkg/testbed/disturbance.go
@@ -107,25 +107,23 @@
 }
 
 // Disturb brings about one disturbance after the other, in rounds through the
-// kinds in an order that the seed decides, until the context ends. It returns how
-// many there were of each kind.
-func (testbed *Testbed) Disturb(ctx context.Context, seed uint64, interval time.Duration, kinds ...DisturbanceKind) (map[DisturbanceKind]int, error) {
+// kinds in an order that the seed decides, until the context ends. The error is
+// that of a router that could not be started.
+func (testbed *Testbed) Disturb(ctx context.Context, seed uint64, interval time.Duration, kinds ...DisturbanceKind) error {
 	random := rand.New(rand.NewPCG(seed, uint64(len(kinds))))
-	counts := make(map[DisturbanceKind]int)
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		for _, next := range random.Perm(len(kinds)) {
 			select {
 			case <-ctx.Done():
-				return counts, nil
+				return nil
 			case <-ticker.C:
 			}
 			kind := kinds[next]
 			if err := disturbances[kind](testbed, random); err != nil {
-				return counts, fmt.Errorf("disturbance %s: %w", kind, err)
+				return fmt.Errorf("disturbance %s: %w", kind, err)
 			}
-			counts[kind]++
 			testbed.note(kind)
 		}
 	}
--- a/pkg/testbed/testbed.go
+++ b/pkg/testbed/testbed.go
@@ -155,6 +155,9 @@
 // recorder of the configuration are filled in.
 func (testbed *Testbed) Run(ctx context.Context, config load.Config, out io.Writer) (load.Report, error) {
 	config.Entries = testbed.entries()
+	if config.Direct {
+		config.Entries = testbed.engines()
+	}
 	config.Teams = testbed.Teams
 	config.Model = demo.ModelName
 	config.Service = demo.OrderService
@@ -186,6 +189,15 @@
 	return addresses
 }
 
+// engines returns the addresses of all engines.
+func (testbed *Testbed) engines() []string {
+	addresses := make([]string, 0, len(testbed.Fleet.Engines))
+	for _, engine := range testbed.Fleet.Engines {
+		addresses = append(addresses, engine.Address())
+	}
+	return addresses
+}
+
 // Close shuts the fleet down.
 func (testbed *Testbed) Close(ctx context.Context) error {
 	http.DefaultClient.CloseIdleConnections()
--- /dev/null
+++ b/test/measure/plot.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+// figure is one plot of a series over the load.
+type figure struct {
+	name  string
+	label string
+	value func(row row) float64
+}
+
+var figures = []figure{
+	{"goodput", "right answers per second", func(row row) float64 { return row.report.GoodputPerSecond }},
+	{"first-token", "first token, p95 in ms", func(row row) float64 { return row.report.FirstToken.P95MS }},
+}
+
+// draw writes one PNG for each figure.
+func draw(arguments arguments, rows []row) error {
+	for _, figure := range figures {
+		if err := figure.draw(arguments, rows); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (figure figure) draw(arguments arguments, rows []row) error {
+	chart := plot.New()
+	chart.Title.Text = arguments.Series
+	chart.X.Label.Text = "load as a share of capacity"
+	chart.Y.Label.Text = figure.label
+	chart.Y.Min = 0
+	chart.Legend.Top = true
+	chart.Legend.Left = true
+	var lines []any
+	for _, policy := range policies {
+		if points := figure.points(policy, rows); len(points) > 0 {
+			lines = append(lines, policy, points)
+		}
+	}
+	if err := plotutil.AddLinePoints(chart, lines...); err != nil {
+		return err
+	}
+	return chart.Save(plotWidth, plotHeight, filepath.Join(arguments.Plots, arguments.Series+"-"+figure.name+".png"))
+}
+
+func (figure figure) points(policy string, rows []row) plotter.XYs {
+	var points plotter.XYs
+	for _, row := range rows {
+		if row.trial.policy == policy {
+			points = append(points, plotter.XY{X: row.trial.share, Y: figure.value(row)})
+		}
+	}
+	return points
+}
