Hand a waiting settlement over again, as the router that holds it may be gone

Cause: a settlement that waits for the table was handed to one router only. Change: a settlement that still waits after two seconds goes to a further router as well.

Conclusion: a bill is lost only if all routers that hold it die before they can settle it.

--- a/pkg/budget/kept.go
+++ b/pkg/budget/kept.go
@@ -11,13 +11,17 @@
 )
 
 // The flow of a held bill: a settlement that has waited longer than keepAge for
-// the table goes to a second router as well. That router settles it once the
-// owner is closed, and drops it once the owner has settled it. Both write the
-// same keys, and the owner's holder row orders them, so the bill stands once.
+// the table goes to a second router as well, and to another one as long as it
+// waits. Each of them settles it once the owner is closed, and drops it once the
+// owner has settled it. All write the same keys, and the owner's holder row
+// orders them, so the bill stands once.
 
 const (
 	// keepAge is how long a settlement waits for the table alone.
 	keepAge = 250 * time.Millisecond
+	// keepAgain is the time between two routers that are sent a settlement which
+	// still waits: the first of them may be gone.
+	keepAgain = 2 * time.Second
 	// maxKept bounds the settlements that are held for one other router.
 	maxKept = 50000
 )
@@ -76,20 +80,22 @@
 )
 
 // markKept marks the settlements from before a time that no second router holds
-// yet. The mark comes before the call, because its answer can be lost.
+// yet, or that one has held for longer than keepAgain. The mark comes before the call, because its answer can be lost.
 func (escrow *Escrow) markKept(before time.Time) ([]*pendingSettlement, []Settlement) {
 	escrow.mutex.Lock()
 	defer escrow.mutex.Unlock()
+	now := time.Now()
 	var handed []*pendingSettlement
 	var settlements []Settlement
 	for _, pending := range escrow.pending {
 		if pending.at.After(before) || len(handed) == maxHandOver {
 			break
 		}
-		if isClosed(pending.receipt.held) {
+		if isClosed(pending.receipt.held) && now.Sub(pending.keptAt) < keepAgain {
 			continue
 		}
 		pending.kept = true
+		pending.keptAt = now
 		handed = append(handed, pending)
 		settlements = append(settlements, pending.settlement)
 	}
--- a/pkg/budget/settle.go
+++ b/pkg/budget/settle.go
@@ -30,6 +30,8 @@
 	at         time.Time
 	// kept is set before the settlement is sent to a second router.
 	kept bool
+	// keptAt is when it was last sent to one.
+	keptAt time.Time
 }
 
 // batch is a set of settlements that is written in one transaction.
