Name receivers after their types in command and settings

Cause: receivers of command, settings were named by role, not by type, against the house list; settings.Fault could not have its own name beside package fault. Measured: lint clean; go test -race ./pkg/command ./pkg/settings ./pkg/operator ./test passes. Conclusion: no behaviour changed.

--- a/pkg/command/audit.go
+++ b/pkg/command/audit.go
@@ -55,16 +55,16 @@
 }
 
 // Run runs the command.
-func (list AuditListCommand) Run(environment Environment) error {
-	after, err := list.revision()
+func (auditListCommand AuditListCommand) Run(environment Environment) error {
+	after, err := auditListCommand.revision()
 	if err != nil {
 		return err
 	}
-	client, err := list.client(environment)
+	client, err := auditListCommand.client(environment)
 	if err != nil {
 		return err
 	}
-	records, next, err := client.Audit(environment.Context, after, list.Limit)
+	records, next, err := client.Audit(environment.Context, after, auditListCommand.Limit)
 	if err != nil {
 		return err
 	}
@@ -76,7 +76,7 @@
 		output.Next = formatRevision(next)
 	}
 	columns := []string{"REVISION", "AT", "OPERATOR", "CHANGE", "NAME", "REASON", "FROM", "TO"}
-	return printList(environment, list.JSON, output, columns, func(entry auditEntry) []string {
+	return printList(environment, auditListCommand.JSON, output, columns, func(entry auditEntry) []string {
 		return []string{
 			formatRevision(entry.Revision),
 			entry.At.Format(timeFormat),
@@ -91,15 +91,15 @@
 }
 
 // revision returns the revision behind which the list begins.
-func (list AuditListCommand) revision() (uint64, error) {
-	if list.After == "" {
+func (auditListCommand AuditListCommand) revision() (uint64, error) {
+	if auditListCommand.After == "" {
 		return 0, nil
 	}
-	revision, err := strconv.ParseUint(list.After, 10, 64)
+	revision, err := strconv.ParseUint(auditListCommand.After, 10, 64)
 	if err != nil {
 		return 0, usageError{cause: fault.New(fault.Config{
 			Kind:    fault.Invalid,
-			Message: list.After + " is no revision",
+			Message: auditListCommand.After + " is no revision",
 			Remedy:  "give a revision, a whole number, to --after",
 			Cause:   err,
 		})}
--- a/pkg/command/budget.go
+++ b/pkg/command/budget.go
@@ -21,16 +21,16 @@
 }
 
 // Run runs the command.
-func (show BudgetShowCommand) Run(environment Environment) error {
-	client, err := show.client(environment)
+func (budgetShowCommand BudgetShowCommand) Run(environment Environment) error {
+	client, err := budgetShowCommand.client(environment)
 	if err != nil {
 		return err
 	}
-	statement, err := client.Budget(environment.Context, show.Profile)
+	statement, err := client.Budget(environment.Context, budgetShowCommand.Profile)
 	if err != nil {
 		return err
 	}
-	if show.JSON {
+	if budgetShowCommand.JSON {
 		return printJSON(environment, statement)
 	}
 	return printStatement(environment, statement)
@@ -102,16 +102,16 @@
 }
 
 // Run runs the command.
-func (list BillListCommand) Run(environment Environment) error {
-	client, err := list.client(environment)
+func (billListCommand BillListCommand) Run(environment Environment) error {
+	client, err := billListCommand.client(environment)
 	if err != nil {
 		return err
 	}
-	lines, next, err := client.Bills(environment.Context, list.Profile, list.page())
+	lines, next, err := client.Bills(environment.Context, billListCommand.Profile, billListCommand.page())
 	if err != nil {
 		return err
 	}
-	return printList(environment, list.JSON, listOutput[budget.Line]{Entries: lines, Next: next}, lineColumns, lineRow)
+	return printList(environment, billListCommand.JSON, listOutput[budget.Line]{Entries: lines, Next: next}, lineColumns, lineRow)
 }
 
 // BillShowCommand shows the lines of one request.
@@ -123,36 +123,36 @@
 }
 
 // Run runs the command.
-func (show BillShowCommand) Run(environment Environment) error {
-	client, err := show.client(environment)
+func (billShowCommand BillShowCommand) Run(environment Environment) error {
+	client, err := billShowCommand.client(environment)
 	if err != nil {
 		return err
 	}
-	lines, err := show.find(environment, client)
+	lines, err := billShowCommand.find(environment, client)
 	if err != nil {
 		return err
 	}
 	if len(lines) == 0 {
 		return fault.New(fault.Config{
 			Kind:    fault.NotFound,
-			Message: fmt.Sprintf("no line of profile %q is for request %q", show.Profile, show.RequestID),
+			Message: fmt.Sprintf("no line of profile %q is for request %q", billShowCommand.Profile, billShowCommand.RequestID),
 			Remedy:  "check both names; a bill is in the ledger about a second after the answer",
 		})
 	}
-	return printList(environment, show.JSON, listOutput[budget.Line]{Entries: lines}, lineColumns, lineRow)
+	return printList(environment, billShowCommand.JSON, listOutput[budget.Line]{Entries: lines}, lineColumns, lineRow)
 }
 
 // find reads the ledger page by page and keeps the lines of the request.
-func (show BillShowCommand) find(environment Environment, client *operator.Client) ([]budget.Line, error) {
+func (billShowCommand BillShowCommand) find(environment Environment, client *operator.Client) ([]budget.Line, error) {
 	var found []budget.Line
 	page := operator.Page{Limit: searchPageSize}
 	for {
-		lines, next, err := client.Bills(environment.Context, show.Profile, page)
+		lines, next, err := client.Bills(environment.Context, billShowCommand.Profile, page)
 		if err != nil {
 			return nil, err
 		}
 		for _, line := range lines {
-			if line.RequestID == show.RequestID {
+			if line.RequestID == billShowCommand.RequestID {
 				found = append(found, line)
 			}
 		}
--- a/pkg/command/caller.go
+++ b/pkg/command/caller.go
@@ -27,24 +27,24 @@
 }
 
 // Run runs the command.
-func (publish CallerPublishCommand) Run(environment Environment) error {
-	hash, err := publish.hash()
+func (callerPublishCommand CallerPublishCommand) Run(environment Environment) error {
+	hash, err := callerPublishCommand.hash()
 	if err != nil {
 		return usageError{cause: err}
 	}
-	described := configuration.Caller{Name: publish.Name, Team: publish.Team, Weight: publish.Weight, TokenHash: hash}
-	callers, err := callerKind.choose(publish.File, described)
+	described := configuration.Caller{Name: callerPublishCommand.Name, Team: callerPublishCommand.Team, Weight: callerPublishCommand.Weight, TokenHash: hash}
+	callers, err := callerKind.choose(callerPublishCommand.File, described)
 	if err != nil {
 		return err
 	}
-	return publishNew(environment, publish.Change, callerKind, callers)
+	return publishNew(environment, callerPublishCommand.Change, callerKind, callers)
 }
 
-func (publish CallerPublishCommand) hash() (string, error) {
-	if publish.CallerTokenFile == "" {
-		return publish.TokenHash, nil
+func (callerPublishCommand CallerPublishCommand) hash() (string, error) {
+	if callerPublishCommand.CallerTokenFile == "" {
+		return callerPublishCommand.TokenHash, nil
 	}
-	content, err := os.ReadFile(publish.CallerTokenFile)
+	content, err := os.ReadFile(callerPublishCommand.CallerTokenFile)
 	if err != nil {
 		return "", fault.New(fault.Config{
 			Kind:    fault.Invalid,
@@ -64,8 +64,8 @@
 }
 
 // Run runs the command.
-func (remove CallerRemoveCommand) Run(environment Environment) error {
-	return removeDocument(environment, remove.Change, callerKind, remove.Name)
+func (callerRemoveCommand CallerRemoveCommand) Run(environment Environment) error {
+	return removeDocument(environment, callerRemoveCommand.Change, callerKind, callerRemoveCommand.Name)
 }
 
 // CallerListCommand lists calling services.
@@ -74,6 +74,6 @@
 }
 
 // Run runs the command.
-func (list CallerListCommand) Run(environment Environment) error {
-	return listDocuments(environment, list.List, callerKind)
+func (callerListCommand CallerListCommand) Run(environment Environment) error {
+	return listDocuments(environment, callerListCommand.List, callerKind)
 }
--- a/pkg/command/config.go
+++ b/pkg/command/config.go
@@ -19,13 +19,13 @@
 }
 
 // Run runs the command.
-func (check ConfigCheckCommand) Run(environment Environment) error {
-	loaded, err := settings.Load(check.File)
+func (configCheckCommand ConfigCheckCommand) Run(environment Environment) error {
+	loaded, err := settings.Load(configCheckCommand.File)
 	if err != nil {
 		return usageError{cause: err}
 	}
 	_, err = fmt.Fprintf(environment.Out, "%s is valid: zone %s, callers %s, peers %s, operators %s\n",
-		check.File, loaded.Zone, loaded.CallerAddress, loaded.PeerAddress, loaded.OperatorAddress)
+		configCheckCommand.File, loaded.Zone, loaded.CallerAddress, loaded.PeerAddress, loaded.OperatorAddress)
 	return err
 }
 
@@ -36,8 +36,8 @@
 }
 
 // Run runs the command.
-func (status ConfigStatusCommand) Run(environment Environment) error {
-	client, err := status.client(environment)
+func (configStatusCommand ConfigStatusCommand) Run(environment Environment) error {
+	client, err := configStatusCommand.client(environment)
 	if err != nil {
 		return err
 	}
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	if status.JSON {
+	if configStatusCommand.JSON {
 		return printJSON(environment, answer)
 	}
 	if _, err := fmt.Fprintf(environment.Out, "newest revision: %d, as router %s knows\n", answer.Revision, answer.Router); err != nil {
--- a/pkg/command/demo.go
+++ b/pkg/command/demo.go
@@ -13,9 +13,9 @@
 }
 
 // Run runs the command.
-func (command DemoCommand) Run(environment Environment) error {
-	config := demo.RunConfig{Keep: command.Keep, Out: environment.Out}
-	if command.Logs {
+func (demoCommand DemoCommand) Run(environment Environment) error {
+	config := demo.RunConfig{Keep: demoCommand.Keep, Out: environment.Out}
+	if demoCommand.Logs {
 		config.Fleet.Logger = log.NewLogfmtLogger(log.NewSyncWriter(environment.ErrOut))
 	}
 	return demo.Run(environment.Context, config)
--- a/pkg/command/document.go
+++ b/pkg/command/document.go
@@ -67,22 +67,22 @@
 )
 
 // document checks a body and returns it as a new document.
-func (kind documentKind[Body]) document(body Body) (configuration.Stored, error) {
-	if err := kind.check(body); err != nil {
+func (documentKind documentKind[Body]) document(body Body) (configuration.Stored, error) {
+	if err := documentKind.check(body); err != nil {
 		return configuration.Stored{}, usageError{cause: err}
 	}
 	content, err := json.Marshal(body)
 	if err != nil {
 		return configuration.Stored{}, err
 	}
-	return configuration.Stored{Kind: kind.kind, Name: kind.name(body), Body: content}, nil
+	return configuration.Stored{Kind: documentKind.kind, Name: documentKind.name(body), Body: content}, nil
 }
 
 // documents checks bodies and returns them as new documents.
-func (kind documentKind[Body]) documents(bodies []Body) ([]configuration.Stored, error) {
+func (documentKind documentKind[Body]) documents(bodies []Body) ([]configuration.Stored, error) {
 	documents := make([]configuration.Stored, 0, len(bodies))
 	for _, body := range bodies {
-		document, err := kind.document(body)
+		document, err := documentKind.document(body)
 		if err != nil {
 			return nil, err
 		}
@@ -92,7 +92,7 @@
 }
 
 // check names every field of the body that breaks its validate tag.
-func (kind documentKind[Body]) check(body Body) error {
+func (documentKind documentKind[Body]) check(body Body) error {
 	validate := validator.New(validator.WithRequiredStructEnabled())
 	validate.RegisterTagNameFunc(func(field reflect.StructField) string {
 		return strings.Split(field.Tag.Get("yaml"), ",")[0]
@@ -109,16 +109,16 @@
 	}
 	return fault.New(fault.Config{
 		Kind:    fault.Invalid,
-		Message: fmt.Sprintf("the %s %q is not valid:\n%s", kind.kind, kind.name(body), strings.Join(lines, "\n")),
+		Message: fmt.Sprintf("the %s %q is not valid:\n%s", documentKind.kind, documentKind.name(body), strings.Join(lines, "\n")),
 		Remedy:  "correct the fields named above; nothing was sent",
 	})
 }
 
 // read reads documents of the kind out of a YAML file, which may hold several.
-func (kind documentKind[Body]) read(path string) ([]Body, error) {
+func (documentKind documentKind[Body]) read(path string) ([]Body, error) {
 	file, err := os.Open(path)
 	if err != nil {
-		return nil, usageError{cause: kind.fileFault(path, err)}
+		return nil, usageError{cause: documentKind.fileFault(path, err)}
 	}
 	defer file.Close()
 	decoder := yaml.NewDecoder(file)
@@ -131,36 +131,36 @@
 			break
 		}
 		if err != nil {
-			return nil, usageError{cause: kind.fileFault(path, err)}
+			return nil, usageError{cause: documentKind.fileFault(path, err)}
 		}
 		bodies = append(bodies, body)
 	}
 	if len(bodies) == 0 {
-		return nil, usageError{cause: kind.fileFault(path, errors.New("no document in the file"))}
+		return nil, usageError{cause: documentKind.fileFault(path, errors.New("no document in the file"))}
 	}
 	return bodies, nil
 }
 
-func (kind documentKind[Body]) fileFault(path string, err error) error {
+func (documentKind documentKind[Body]) fileFault(path string, err error) error {
 	return fault.New(fault.Config{
 		Kind:    fault.Invalid,
 		Message: fmt.Sprintf("%s: %v", path, err),
-		Remedy:  fmt.Sprintf("name a YAML file with documents of the kind %s; nothing was sent", kind.kind),
+		Remedy:  fmt.Sprintf("name a YAML file with documents of the kind %s; nothing was sent", documentKind.kind),
 		Cause:   err,
 	})
 }
 
 // choose returns the documents of the file, or the one that flags describe.
-func (kind documentKind[Body]) choose(file string, described Body) ([]Body, error) {
+func (documentKind documentKind[Body]) choose(file string, described Body) ([]Body, error) {
 	if file == "" {
 		return []Body{described}, nil
 	}
-	if kind.name(described) != "" {
+	if documentKind.name(described) != "" {
 		return nil, usageError{cause: fault.New(fault.Config{
 			Kind:    fault.Invalid,
 			Message: "both a name and a file are given",
 			Remedy:  "give one of the two",
 		})}
 	}
-	return kind.read(file)
+	return documentKind.read(file)
 }
--- a/pkg/command/exit.go
+++ b/pkg/command/exit.go
@@ -28,13 +28,13 @@
 }
 
 // Error returns the message of the cause.
-func (usage usageError) Error() string {
-	return usage.cause.Error()
+func (usageError usageError) Error() string {
+	return usageError.cause.Error()
 }
 
 // Unwrap returns the cause.
-func (usage usageError) Unwrap() error {
-	return usage.cause
+func (usageError usageError) Unwrap() error {
+	return usageError.cause
 }
 
 // printError prints the error with its remedy and returns the exit code.
--- a/pkg/command/load.go
+++ b/pkg/command/load.go
@@ -36,27 +36,27 @@
 }
 
 // Run runs the command. Broken promises end it with an error.
-func (command LoadCommand) Run(environment Environment) error {
-	teams, err := command.teams(environment)
+func (loadCommand LoadCommand) Run(environment Environment) error {
+	teams, err := loadCommand.teams(environment)
 	if err != nil {
 		return usageError{cause: err}
 	}
 	config := load.Config{
-		Entries:   command.Entry,
-		Zone:      command.Zone,
+		Entries:   loadCommand.Entry,
+		Zone:      loadCommand.Zone,
 		Teams:     teams,
-		Seed:      command.Seed,
-		Requests:  command.Requests,
-		Rate:      command.Rate,
-		Mix:       command.Mix,
-		Model:     command.Model,
-		Service:   command.Service,
-		MaxTokens: command.MaxTokens,
-		Deadline:  command.Deadline,
-		JSON:      command.JSON,
+		Seed:      loadCommand.Seed,
+		Requests:  loadCommand.Requests,
+		Rate:      loadCommand.Rate,
+		Mix:       loadCommand.Mix,
+		Model:     loadCommand.Model,
+		Service:   loadCommand.Service,
+		MaxTokens: loadCommand.MaxTokens,
+		Deadline:  loadCommand.Deadline,
+		JSON:      loadCommand.JSON,
 	}
-	if len(command.RecordEngine)+len(command.RecordService) > 0 {
-		config.Recorder = load.RemoteRecorder{Engines: command.RecordEngine, Services: command.RecordService}
+	if len(loadCommand.RecordEngine)+len(loadCommand.RecordService) > 0 {
+		config.Recorder = load.RemoteRecorder{Engines: loadCommand.RecordEngine, Services: loadCommand.RecordService}
 	}
 	report, err := load.Run(environment.Context, config, environment.Out)
 	if fault.Is(err, fault.Invalid) {
@@ -85,19 +85,19 @@
 	Share     float64 `yaml:"share"`
 }
 
-func (command LoadCommand) teams(environment Environment) ([]load.Team, error) {
-	if command.Teams != "" {
-		return readTeams(command.Teams)
+func (loadCommand LoadCommand) teams(environment Environment) ([]load.Team, error) {
+	if loadCommand.Teams != "" {
+		return readTeams(loadCommand.Teams)
 	}
 	token, err := tokenOf(environment.Getenv(callerVariable))
-	if err != nil || command.Profile == "" {
+	if err != nil || loadCommand.Profile == "" {
 		return nil, fault.New(fault.Config{
 			Kind:    fault.Invalid,
 			Message: "no team to send requests for",
 			Remedy:  fmt.Sprintf("give --profile and set %s, or name a file with --teams", callerVariable),
 		})
 	}
-	return []load.Team{{Name: command.Team, Token: token, Profile: command.Profile, Weight: 1, Share: 1}}, nil
+	return []load.Team{{Name: loadCommand.Team, Token: token, Profile: loadCommand.Profile, Weight: 1, Share: 1}}, nil
 }
 
 func readTeams(path string) ([]load.Team, error) {
@@ -129,11 +129,11 @@
 	return teams, nil
 }
 
-func (entry teamSettings) token(directory string) (string, error) {
-	if entry.TokenFile == "" {
-		return entry.Token, nil
+func (teamSettings teamSettings) token(directory string) (string, error) {
+	if teamSettings.TokenFile == "" {
+		return teamSettings.Token, nil
 	}
-	path := entry.TokenFile
+	path := teamSettings.TokenFile
 	if !filepath.IsAbs(path) {
 		path = filepath.Join(directory, path)
 	}
--- a/pkg/command/profile.go
+++ b/pkg/command/profile.go
@@ -31,18 +31,18 @@
 }
 
 // Run runs the command.
-func (publish ProfilePublishCommand) Run(environment Environment) error {
-	profiles, err := profileKind.choose(publish.File, configuration.Profile{
-		Name:        publish.Name,
-		LimitTokens: publish.LimitTokens,
-		Priority:    publish.Priority,
-		Callers:     publish.Caller,
-		Services:    publish.Service,
+func (profilePublishCommand ProfilePublishCommand) Run(environment Environment) error {
+	profiles, err := profileKind.choose(profilePublishCommand.File, configuration.Profile{
+		Name:        profilePublishCommand.Name,
+		LimitTokens: profilePublishCommand.LimitTokens,
+		Priority:    profilePublishCommand.Priority,
+		Callers:     profilePublishCommand.Caller,
+		Services:    profilePublishCommand.Service,
 	})
 	if err != nil {
 		return err
 	}
-	return publishNew(environment, publish.Change, profileKind, profiles)
+	return publishNew(environment, profilePublishCommand.Change, profileKind, profiles)
 }
 
 // ProfileChangeCommand changes a profile.
@@ -55,26 +55,26 @@
 }
 
 // Run runs the command.
-func (change ProfileChangeCommand) Run(environment Environment) error {
-	if change.Priority == nil && len(change.Caller) == 0 && len(change.Service) == 0 {
+func (profileChangeCommand ProfileChangeCommand) Run(environment Environment) error {
+	if profileChangeCommand.Priority == nil && len(profileChangeCommand.Caller) == 0 && len(profileChangeCommand.Service) == 0 {
 		return usageError{cause: fault.New(fault.Config{
 			Kind:    fault.Invalid,
 			Message: "nothing to change",
 			Remedy:  "give --priority, --caller or --service; a limit changes by `profile top-up`",
 		})}
 	}
-	return replaceDocument(environment, change.Change, profileKind, change.Name, change.edit)
+	return replaceDocument(environment, profileChangeCommand.Change, profileKind, profileChangeCommand.Name, profileChangeCommand.edit)
 }
 
-func (change ProfileChangeCommand) edit(profile configuration.Profile) configuration.Profile {
-	if change.Priority != nil {
-		profile.Priority = *change.Priority
+func (profileChangeCommand ProfileChangeCommand) edit(profile configuration.Profile) configuration.Profile {
+	if profileChangeCommand.Priority != nil {
+		profile.Priority = *profileChangeCommand.Priority
 	}
-	if len(change.Caller) > 0 {
-		profile.Callers = change.Caller
+	if len(profileChangeCommand.Caller) > 0 {
+		profile.Callers = profileChangeCommand.Caller
 	}
-	if len(change.Service) > 0 {
-		profile.Services = change.Service
+	if len(profileChangeCommand.Service) > 0 {
+		profile.Services = profileChangeCommand.Service
 	}
 	return profile
 }
@@ -86,8 +86,8 @@
 }
 
 // Run runs the command.
-func (retire ProfileRetireCommand) Run(environment Environment) error {
-	return replaceDocument(environment, retire.Change, profileKind, retire.Name, func(profile configuration.Profile) configuration.Profile {
+func (profileRetireCommand ProfileRetireCommand) Run(environment Environment) error {
+	return replaceDocument(environment, profileRetireCommand.Change, profileKind, profileRetireCommand.Name, func(profile configuration.Profile) configuration.Profile {
 		profile.Retired = true
 		return profile
 	})
@@ -101,11 +101,11 @@
 }
 
 // Run runs the command.
-func (topUp ProfileTopUpCommand) Run(environment Environment) error {
-	if err := checkTokens(topUp.Tokens); err != nil {
+func (profileTopUpCommand ProfileTopUpCommand) Run(environment Environment) error {
+	if err := checkTokens(profileTopUpCommand.Tokens); err != nil {
 		return err
 	}
-	return topUp.limit(environment, topUp.Name, topUp.Tokens)
+	return profileTopUpCommand.limit(environment, profileTopUpCommand.Name, profileTopUpCommand.Tokens)
 }
 
 // ProfileLowerCommand lowers a limit.
@@ -116,11 +116,11 @@
 }
 
 // Run runs the command.
-func (lower ProfileLowerCommand) Run(environment Environment) error {
-	if err := checkTokens(lower.Tokens); err != nil {
+func (profileLowerCommand ProfileLowerCommand) Run(environment Environment) error {
+	if err := checkTokens(profileLowerCommand.Tokens); err != nil {
 		return err
 	}
-	return lower.limit(environment, lower.Name, -lower.Tokens)
+	return profileLowerCommand.limit(environment, profileLowerCommand.Name, -profileLowerCommand.Tokens)
 }
 
 func checkTokens(tokens int64) error {
@@ -140,8 +140,8 @@
 }
 
 // Run runs the command.
-func (list ProfileListCommand) Run(environment Environment) error {
-	return listDocuments(environment, list.List, profileKind)
+func (profileListCommand ProfileListCommand) Run(environment Environment) error {
+	return listDocuments(environment, profileListCommand.List, profileKind)
 }
 
 // ProfileShowCommand shows a profile with its budget.
@@ -158,12 +158,12 @@
 }
 
 // Run runs the command.
-func (show ProfileShowCommand) Run(environment Environment) error {
-	client, err := show.client(environment)
+func (profileShowCommand ProfileShowCommand) Run(environment Environment) error {
+	client, err := profileShowCommand.client(environment)
 	if err != nil {
 		return err
 	}
-	document, err := client.Document(environment.Context, configuration.KindProfile, show.Name)
+	document, err := client.Document(environment.Context, configuration.KindProfile, profileShowCommand.Name)
 	if err != nil {
 		return err
 	}
@@ -171,10 +171,10 @@
 	if output.documentOutput, err = documentOutputOf[configuration.Profile](document); err != nil {
 		return err
 	}
-	if output.Budget, err = client.Budget(environment.Context, show.Name); err != nil {
+	if output.Budget, err = client.Budget(environment.Context, profileShowCommand.Name); err != nil {
 		return err
 	}
-	if show.JSON {
+	if profileShowCommand.JSON {
 		return printJSON(environment, output)
 	}
 	table := table{
--- a/pkg/command/router.go
+++ b/pkg/command/router.go
@@ -18,8 +18,8 @@
 }
 
 // Run runs the command. It ends with the graceful shutdown of the router.
-func (command RouterCommand) Run(environment Environment) error {
-	loaded, err := settings.Load(command.Config)
+func (routerCommand RouterCommand) Run(environment Environment) error {
+	loaded, err := settings.Load(routerCommand.Config)
 	if err != nil {
 		return usageError{cause: err}
 	}
--- a/pkg/command/service.go
+++ b/pkg/command/service.go
@@ -20,17 +20,17 @@
 }
 
 // Run runs the command.
-func (publish ServicePublishCommand) Run(environment Environment) error {
-	services, err := serviceKind.choose(publish.File, configuration.Service{
-		Name:       publish.Name,
-		Protocol:   configuration.Protocol(publish.Protocol),
-		Model:      publish.Model,
-		CallTokens: publish.CallTokens,
+func (servicePublishCommand ServicePublishCommand) Run(environment Environment) error {
+	services, err := serviceKind.choose(servicePublishCommand.File, configuration.Service{
+		Name:       servicePublishCommand.Name,
+		Protocol:   configuration.Protocol(servicePublishCommand.Protocol),
+		Model:      servicePublishCommand.Model,
+		CallTokens: servicePublishCommand.CallTokens,
 	})
 	if err != nil {
 		return err
 	}
-	return publishNew(environment, publish.Change, serviceKind, services)
+	return publishNew(environment, servicePublishCommand.Change, serviceKind, services)
 }
 
 // ServiceRemoveCommand removes a service.
@@ -40,8 +40,8 @@
 }
 
 // Run runs the command.
-func (remove ServiceRemoveCommand) Run(environment Environment) error {
-	return removeDocument(environment, remove.Change, serviceKind, remove.Name)
+func (serviceRemoveCommand ServiceRemoveCommand) Run(environment Environment) error {
+	return removeDocument(environment, serviceRemoveCommand.Change, serviceKind, serviceRemoveCommand.Name)
 }
 
 // ServiceListCommand lists services.
@@ -50,6 +50,6 @@
 }
 
 // Run runs the command.
-func (list ServiceListCommand) Run(environment Environment) error {
-	return listDocuments(environment, list.List, serviceKind)
+func (serviceListCommand ServiceListCommand) Run(environment Environment) error {
+	return listDocuments(environment, serviceListCommand.List, serviceKind)
 }
--- a/pkg/command/standin.go
+++ b/pkg/command/standin.go
@@ -44,13 +44,13 @@
 }
 
 // Run runs the command.
-func (platform StandinPlatformCommand) Run(environment Environment) error {
+func (standinPlatformCommand StandinPlatformCommand) Run(environment Environment) error {
 	started, err := standin.NewPlatform(standin.PlatformConfig{
-		Address:         platform.Address,
-		WritesPerSecond: platform.WritesPerSecond,
-		ReadsPerSecond:  platform.ReadsPerSecond,
-		VMLag:           platform.VMLag,
-		Seed:            platform.Seed,
+		Address:         standinPlatformCommand.Address,
+		WritesPerSecond: standinPlatformCommand.WritesPerSecond,
+		ReadsPerSecond:  standinPlatformCommand.ReadsPerSecond,
+		VMLag:           standinPlatformCommand.VMLag,
+		Seed:            standinPlatformCommand.Seed,
 	})
 	return serve(environment, "platform", started, err)
 }
@@ -69,17 +69,17 @@
 }
 
 // Run runs the command.
-func (engine StandinEngineCommand) Run(environment Environment) error {
+func (standinEngineCommand StandinEngineCommand) Run(environment Environment) error {
 	started, err := standin.NewEngine(standin.EngineConfig{
-		Name:            engine.Name,
-		Address:         engine.Address,
-		Model:           engine.Model,
-		Slots:           engine.Slots,
-		TokenInterval:   engine.TokenInterval,
-		PrefillPerToken: engine.PrefillPerToken,
-		LoadLag:         engine.LoadLag,
-		IgnoresFencing:  engine.IgnoresFencing,
-		Seed:            engine.Seed,
+		Name:            standinEngineCommand.Name,
+		Address:         standinEngineCommand.Address,
+		Model:           standinEngineCommand.Model,
+		Slots:           standinEngineCommand.Slots,
+		TokenInterval:   standinEngineCommand.TokenInterval,
+		PrefillPerToken: standinEngineCommand.PrefillPerToken,
+		LoadLag:         standinEngineCommand.LoadLag,
+		IgnoresFencing:  standinEngineCommand.IgnoresFencing,
+		Seed:            standinEngineCommand.Seed,
 	})
 	return serve(environment, "engine", started, err)
 }
@@ -93,12 +93,12 @@
 }
 
 // Run runs the command.
-func (service StandinServiceCommand) Run(environment Environment) error {
+func (standinServiceCommand StandinServiceCommand) Run(environment Environment) error {
 	started, err := standin.NewService(standin.ServiceConfig{
-		Name:     service.Name,
-		Address:  service.Address,
-		Delay:    service.Delay,
-		Capacity: service.Capacity,
+		Name:     standinServiceCommand.Name,
+		Address:  standinServiceCommand.Address,
+		Delay:    standinServiceCommand.Delay,
+		Capacity: standinServiceCommand.Capacity,
 	})
 	return serve(environment, "service", started, err)
 }
--- a/pkg/command/upstream.go
+++ b/pkg/command/upstream.go
@@ -32,22 +32,22 @@
 }
 
 // Run runs the command.
-func (add UpstreamAddCommand) Run(environment Environment) error {
-	upstreams, err := upstreamKind.choose(add.File, configuration.Upstream{
-		Name:          add.Name,
-		Service:       add.Service,
-		Address:       add.Upstream,
-		Zone:          add.Zone,
-		ChecksFencing: add.ChecksFencing,
-		Model:         add.Model,
-		Adapter:       add.Adapter,
-		Version:       add.Version,
-		Role:          add.Role,
+func (upstreamAddCommand UpstreamAddCommand) Run(environment Environment) error {
+	upstreams, err := upstreamKind.choose(upstreamAddCommand.File, configuration.Upstream{
+		Name:          upstreamAddCommand.Name,
+		Service:       upstreamAddCommand.Service,
+		Address:       upstreamAddCommand.Upstream,
+		Zone:          upstreamAddCommand.Zone,
+		ChecksFencing: upstreamAddCommand.ChecksFencing,
+		Model:         upstreamAddCommand.Model,
+		Adapter:       upstreamAddCommand.Adapter,
+		Version:       upstreamAddCommand.Version,
+		Role:          upstreamAddCommand.Role,
 	})
 	if err != nil {
 		return err
 	}
-	return publishNew(environment, add.Change, upstreamKind, upstreams)
+	return publishNew(environment, upstreamAddCommand.Change, upstreamKind, upstreams)
 }
 
 // UpstreamDrainCommand drains an upstream.
@@ -58,9 +58,9 @@
 }
 
 // Run runs the command.
-func (drain UpstreamDrainCommand) Run(environment Environment) error {
-	return replaceDocument(environment, drain.Change, upstreamKind, drain.Name, func(upstream configuration.Upstream) configuration.Upstream {
-		upstream.Draining = !drain.Undo
+func (upstreamDrainCommand UpstreamDrainCommand) Run(environment Environment) error {
+	return replaceDocument(environment, upstreamDrainCommand.Change, upstreamKind, upstreamDrainCommand.Name, func(upstream configuration.Upstream) configuration.Upstream {
+		upstream.Draining = !upstreamDrainCommand.Undo
 		return upstream
 	})
 }
@@ -72,8 +72,8 @@
 }
 
 // Run runs the command.
-func (remove UpstreamRemoveCommand) Run(environment Environment) error {
-	return removeDocument(environment, remove.Change, upstreamKind, remove.Name)
+func (upstreamRemoveCommand UpstreamRemoveCommand) Run(environment Environment) error {
+	return removeDocument(environment, upstreamRemoveCommand.Change, upstreamKind, upstreamRemoveCommand.Name)
 }
 
 // UpstreamListCommand lists upstreams.
@@ -82,8 +82,8 @@
 }
 
 // Run runs the command.
-func (list UpstreamListCommand) Run(environment Environment) error {
-	return listDocuments(environment, list.List, upstreamKind)
+func (upstreamListCommand UpstreamListCommand) Run(environment Environment) error {
+	return listDocuments(environment, upstreamListCommand.List, upstreamKind)
 }
 
 // UpstreamStatesCommand lists wanted and actual states.
@@ -93,8 +93,8 @@
 }
 
 // Run runs the command.
-func (states UpstreamStatesCommand) Run(environment Environment) error {
-	client, err := states.client(environment)
+func (upstreamStatesCommand UpstreamStatesCommand) Run(environment Environment) error {
+	client, err := upstreamStatesCommand.client(environment)
 	if err != nil {
 		return err
 	}
@@ -104,7 +104,7 @@
 	}
 	columns := []string{"NAME", "SERVICE", "WANTED", "ACTUAL", "REASON"}
 	output := listOutput[operator.UpstreamState]{Entries: entries}
-	return printList(environment, states.JSON, output, columns, func(state operator.UpstreamState) []string {
+	return printList(environment, upstreamStatesCommand.JSON, output, columns, func(state operator.UpstreamState) []string {
 		return []string{state.Name, state.Service, formatModel(state.Wanted), formatModel(state.Actual), state.Reason}
 	})
 }
--- a/pkg/settings/line.go
+++ b/pkg/settings/line.go
@@ -68,32 +68,32 @@
 	return faults
 }
 
-func (index *lineIndex) collect(path string, node *yaml.Node, depth int) {
+func (lineIndex *lineIndex) collect(path string, node *yaml.Node, depth int) {
 	if depth > maxIndexDepth {
 		return
 	}
 	switch node.Kind {
 	case yaml.MappingNode:
 		for i := 0; i+1 < len(node.Content); i += 2 {
-			index.enter(join(path, node.Content[i].Value), node.Content[i], node.Content[i+1], depth)
+			lineIndex.enter(join(path, node.Content[i].Value), node.Content[i], node.Content[i+1], depth)
 		}
 	case yaml.SequenceNode:
 		for i, item := range node.Content {
-			index.enter(fmt.Sprintf("%s[%d]", path, i), item, item, depth)
+			lineIndex.enter(fmt.Sprintf("%s[%d]", path, i), item, item, depth)
 		}
 	default:
 	}
 }
 
-func (index *lineIndex) enter(path string, key, value *yaml.Node, depth int) {
-	index.entries = append(index.entries, lineEntry{
+func (lineIndex *lineIndex) enter(path string, key, value *yaml.Node, depth int) {
+	lineIndex.entries = append(lineIndex.entries, lineEntry{
 		path:      path,
 		line:      key.Line,
 		valueLine: value.Line,
 		tag:       value.ShortTag(),
 		value:     value.Value,
 	})
-	index.collect(path, value, depth+1)
+	lineIndex.collect(path, value, depth+1)
 }
 
 func join(path, key string) string {
@@ -104,9 +104,9 @@
 }
 
 // lineOf returns the line of the key, or of its nearest parent in the file.
-func (index lineIndex) lineOf(path string) int {
+func (lineIndex lineIndex) lineOf(path string) int {
 	for path != "" {
-		for _, entry := range index.entries {
+		for _, entry := range lineIndex.entries {
 			if entry.path == path {
 				return entry.line
 			}
@@ -125,8 +125,8 @@
 }
 
 // pathOfKey returns the path of the named key in the line.
-func (index lineIndex) pathOfKey(line int, key string) string {
-	for _, entry := range index.entries {
+func (lineIndex lineIndex) pathOfKey(line int, key string) string {
+	for _, entry := range lineIndex.entries {
 		if entry.line == line && (entry.path == key || strings.HasSuffix(entry.path, "."+key)) {
 			return entry.path
 		}
@@ -136,9 +136,9 @@
 
 // pathOfValue returns the path of the value in the line that has the tag and the
 // beginning; when there is none, the path of the last value in the line.
-func (index lineIndex) pathOfValue(line int, tag, beginning string) string {
+func (lineIndex lineIndex) pathOfValue(line int, tag, beginning string) string {
 	path := ""
-	for _, entry := range index.entries {
+	for _, entry := range lineIndex.entries {
 		if entry.valueLine != line {
 			continue
 		}
--- a/pkg/settings/report.go
+++ b/pkg/settings/report.go
@@ -3,9 +3,6 @@
 import (
 	"fmt"
 	"sort"
-	"strings"
-
-	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 )
 
 // Fault is one thing that is wrong with a settings file.
@@ -22,15 +19,15 @@
 }
 
 // String returns the fault in one line.
-func (found Fault) String() string {
-	place := found.Path
+func (fault Fault) String() string {
+	place := fault.Path
 	if place == "" {
 		place = "file"
 	}
-	if found.Line > 0 {
-		place = fmt.Sprintf("line %d: %s", found.Line, place)
+	if fault.Line > 0 {
+		place = fmt.Sprintf("line %d: %s", fault.Line, place)
 	}
-	return fmt.Sprintf("%s: %s; %s", place, found.Message, found.Remedy)
+	return fmt.Sprintf("%s: %s; %s", place, fault.Message, fault.Remedy)
 }
 
 // report collects faults. The first fault of a path hides the later ones, which
@@ -44,12 +41,12 @@
 	return &report{paths: make(map[string]bool)}
 }
 
-func (report *report) add(found Fault) {
-	if report.paths[found.Path] && found.Path != "" {
+func (report *report) add(fault Fault) {
+	if report.paths[fault.Path] && fault.Path != "" {
 		return
 	}
-	report.paths[found.Path] = true
-	report.faults = append(report.faults, found)
+	report.paths[fault.Path] = true
+	report.faults = append(report.faults, fault)
 }
 
 // hide keeps later faults of the path out of the report.
@@ -64,26 +61,3 @@
 	})
 	return report.faults
 }
-
-// errorOf joins faults into one error; nil when there are none.
-func errorOf(path string, faults []Fault) error {
-	if len(faults) == 0 {
-		return nil
-	}
-	lines := make([]string, 0, len(faults))
-	for _, found := range faults {
-		lines = append(lines, "  "+found.String())
-	}
-	return fault.New(fault.Config{
-		Kind:    fault.Invalid,
-		Message: fmt.Sprintf("%s has %s:\n%s", path, count(len(faults)), strings.Join(lines, "\n")),
-		Remedy:  "mend each line named above and run `wisterialb config check` again",
-	})
-}
-
-func count(faults int) string {
-	if faults == 1 {
-		return "1 fault"
-	}
-	return fmt.Sprintf("%d faults", faults)
-}
