--- a/pkg/budget/account.go
+++ b/pkg/budget/account.go
@@ -28,8 +28,18 @@
 	received   map[Loan]bool
 	unrecorded []Loan
 	// debits are loans given, by transfer id.
-	debits   map[string]Loan
-	forecast forecast
+	debits map[string]Loan
+	// soon and later forecast demand over a short and a long window.
+	soon  forecast
+	later forecast
+	// surplusSince is when the account last began to hold more than it should;
+	// zero while it does not.
+	surplusSince time.Time
+	// grantInTransit is set once the answer to a grant was lost.
+	grantInTransit bool
+	// short is the last answer of the table that the budget was short.
+	short   standing
+	shortAt time.Time
 }
 
 // pendingReturn is a return that was sent on top of a revision of the row.
@@ -48,6 +58,8 @@
 	return &account{
 		profile:  profile,
 		received: make(map[Loan]bool),
+		soon:     forecast{window: shortWindow},
+		later:    forecast{window: longWindow},
 		debits:   make(map[string]Loan),
 	}
 }
@@ -78,10 +90,16 @@
 		return false
 	}
 	account.reservedTokens += tokens
-	account.forecast.add(tokens, now)
+	account.expect(tokens, now)
 	return true
 }
 
+// expect counts demand in the forecasts. The caller holds the lock.
+func (account *account) expect(tokens int64, now time.Time) {
+	account.soon.add(tokens, now)
+	account.later.add(tokens, now)
+}
+
 // wait joins the reservations that wait for tokens.
 func (account *account) wait(tokens int64) *waiter {
 	waiter := &waiter{tokens: tokens, ready: make(chan struct{})}
@@ -142,7 +160,7 @@
 	defer account.mutex.Unlock()
 	account.reservedTokens -= reservedTokens
 	account.chargedTokens += chargedTokens
-	account.forecast.correct(reservedTokens-chargedTokens, now)
+	account.expect(chargedTokens-reservedTokens, now)
 	account.admit()
 }
 
@@ -154,7 +172,8 @@
 	if earlier, ok := account.debits[loan.TransferID]; ok {
 		return earlier, true
 	}
-	loan.Tokens = min(loan.Tokens, account.spareTokens())
+	spare := account.spareTokens()
+	loan.Tokens = min(loan.Tokens, max(spare/2, min(spare, loan.Tokens/loanFactor)))
 	if loan.Tokens <= 0 {
 		return Loan{}, false
 	}
--- a/pkg/fleet/loops.go
+++ b/pkg/fleet/loops.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
@@ -102,7 +103,7 @@
 			for _, item := range items {
 				row, err := decodeLease(item)
 				if err == nil && row.Member.Incarnation != "" {
-					membership.roster.learn(row.Member, time.Now())
+					membership.roster.list(row.Member)
 				}
 			}
 		})
@@ -205,7 +206,7 @@
 	for membership.pause(membership.config.ProbeInterval, nil) {
 		var member Member
 		var ok bool
-		membership.do(func() { member, ok = membership.roster.target() })
+		membership.run(func() { member, ok = membership.roster.target() })
 		if !ok {
 			continue
 		}
@@ -222,16 +223,29 @@
 	ctx, cancel := context.WithTimeout(ctx, membership.config.ProbeTimeout)
 	defer cancel()
 	var message Message
-	membership.do(func() { message = membership.roster.message() })
+	membership.run(func() { message = membership.roster.message() })
 	answer, err := membership.config.Prober.Probe(ctx, member.PeerAddress, message)
 	if err != nil {
 		return err
 	}
 	membership.do(func() { membership.roster.hear(answer, time.Now()) })
 	membership.config.OnRevision(answer.Sender.Revision)
+	if answer.Sender.Incarnation != member.Incarnation {
+		return replacedError(member, answer.Sender)
+	}
 	return nil
 }
 
+// replacedError tells that another incarnation answers at a member's address,
+// which proves nothing about the member.
+func replacedError(member, answering Member) error {
+	return fault.New(fault.Config{
+		Kind:    fault.Unavailable,
+		Message: "incarnation " + answering.Incarnation + " answers at the address of " + member.Incarnation,
+		Remedy:  "the earlier one is closed when its lease has lapsed",
+	})
+}
+
 // tellPeers speaks to some members at once.
 func (membership *Membership) tellPeers(ctx context.Context) {
 	if membership.config.Prober == nil {
--- a/pkg/fleet/membership.go
+++ b/pkg/fleet/membership.go
@@ -79,6 +79,7 @@
 	self       Member
 	members    []Member
 	leavingVMs map[string]time.Time
+	busy       map[string]busyEntry
 }
 
 // Membership is one router's part in the fleet and its knowledge of it. The
@@ -120,7 +121,6 @@
 				return
 			case command := <-membership.commands:
 				command()
-				membership.publishSnapshot()
 			}
 		}
 	})
@@ -234,9 +234,17 @@
 	membership.running.Wait()
 }
 
-// do runs a command on the control goroutine and waits for it. It does nothing
-// after Close.
+// do runs a command that changes what traffic reads.
 func (membership *Membership) do(command func()) {
+	membership.run(func() {
+		command()
+		membership.publishSnapshot()
+	})
+}
+
+// run runs a command on the control goroutine and waits for it. It does nothing
+// after Close.
+func (membership *Membership) run(command func()) {
 	done := make(chan struct{})
 	wrapped := func() {
 		defer close(done)
@@ -255,6 +263,7 @@
 		self:       membership.roster.self,
 		members:    membership.roster.members(),
 		leavingVMs: maps.Clone(membership.roster.leavingVMs),
+		busy:       maps.Clone(membership.roster.busy),
 	})
 }
 
--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -93,6 +93,7 @@
 	build.signer = resumeSigner{key: []byte(config.Settings.PeerKey)}
 	build.control()
 	build.traffic()
+	build.background = newBackground(reportInterval, build.report)
 	if err := build.serve(); err != nil {
 		_ = build.closeParts(context.Background())
 		return nil, err
@@ -158,7 +159,6 @@
 		Engine:  build.engines,
 		Logger:  build.logger,
 	})
-	build.background = newBackground(reportInterval, build.report)
 }
 
 func (build *assembly) self() fleet.Member {
@@ -205,10 +205,14 @@
 			Dial:           build.given.Dial,
 		},
 	})
+	build.tracker = entry.NewTracker(entry.TrackerConfig{
+		Width:     build.settings.Entry.Width,
+		BusyWidth: build.membership.BusyWidth,
+	})
 	build.ranker = entry.NewRanker(entry.RankerConfig{
 		Members:  build.membership.Members,
 		Lifetime: build.settings.Entry.Lifetime,
-		Width:    func(string) int { return build.settings.Entry.Width },
+		Width:    build.tracker.Width,
 	})
 	build.metrics = newMetrics(build.given.Registry, func() float64 { return float64(build.running()) })
 }
@@ -292,6 +296,7 @@
 
 // report tells the fleet what this router has adopted and how busy it is.
 func (router *Router) report(context.Context) {
+	router.membership.ReportBusy(router.tracker.Busy())
 	load := float64(router.running()) / fullLoad
 	router.membership.Report(fleet.Report{
 		Revision:   router.follower.Revision(),
--- a/pkg/testbed/testbed.go
+++ b/pkg/testbed/testbed.go
@@ -13,7 +13,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/go-kit/log"
 
@@ -26,6 +28,9 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/standin"
 )
 
+// pollInterval keeps publishing of the documents short.
+const pollInterval = 50 * time.Millisecond
+
 // Config configures Start.
 type Config struct {
 	// Zones has the zone of each router.
@@ -54,6 +59,8 @@
 	callers *standin.Dialer
 	mutex   sync.Mutex
 	results []load.Result
+	// disturbances are in the order of their times.
+	disturbances []Disturbance
 }
 
 // Start runs a fleet and publishes its documents. Its errors are those of the
@@ -66,6 +73,7 @@
 		Platform: config.Platform,
 		Logger:   config.Logger,
 		Adjust: func(_ int, router settings.Settings) settings.Settings {
+			router.PollInterval = pollInterval
 			if config.Adjust == nil {
 				return router
 			}
@@ -147,6 +155,9 @@
 // recorder of the configuration are filled in.
 func (testbed *Testbed) Run(ctx context.Context, config load.Config, out io.Writer) (load.Report, error) {
 	config.Entries = testbed.entries()
+	if config.Direct {
+		config.Entries = testbed.engines()
+	}
 	config.Teams = testbed.Teams
 	config.Model = demo.ModelName
 	config.Service = demo.OrderService
@@ -162,6 +173,13 @@
 	testbed.results = append(testbed.results, result)
 }
 
+// Results returns what became of all requests so far.
+func (testbed *Testbed) Results() []load.Result {
+	testbed.mutex.Lock()
+	defer testbed.mutex.Unlock()
+	return slices.Clone(testbed.results)
+}
+
 // entries returns the addresses of all routers.
 func (testbed *Testbed) entries() []string {
 	addresses := make([]string, 0, len(testbed.Fleet.Routers))
@@ -171,6 +189,15 @@
 	return addresses
 }
 
+// engines returns the addresses of all engines.
+func (testbed *Testbed) engines() []string {
+	addresses := make([]string, 0, len(testbed.Fleet.Engines))
+	for _, engine := range testbed.Fleet.Engines {
+		addresses = append(addresses, engine.Address())
+	}
+	return addresses
+}
+
 // Close shuts the fleet down.
 func (testbed *Testbed) Close(ctx context.Context) error {
 	http.DefaultClient.CloseIdleConnections()
