--- a/pkg/dispatch/resume.go
+++ b/pkg/dispatch/resume.go
@@ -29,7 +29,7 @@
 // false when nothing of that attempt can be had and the work may run anew.
 func (run *run) resume(ctx context.Context) (bool, error) {
 	token := run.work.Resume
-	if !strings.HasPrefix(token.Attempt, attemptPrefix(run.work)) {
+	if token.Position < 0 || !strings.HasPrefix(token.Attempt, attemptPrefix(run.work)) {
 		return true, fault.New(fault.Config{
 			Kind:    fault.Invalid,
 			Message: "the resume token belongs to another request",
