Keep the mark of a shortage until it is met

Cause: any small grant cleared the mark, so a large request or a lowering in a busy budget saw no returns. Change: the mark goes once what is free covers it and halves with each grant before; while a larger shortage is marked a router takes only what it needs.

--- a/pkg/budget/finish.go
+++ b/pkg/budget/finish.go
@@ -99,8 +99,7 @@
 }
 
 func (holding holding) finalWrites(spareTokens int64) []platform.Write {
-	budget := holding.budget
-	budget.TakenTokens -= spareTokens
+	budget := holding.budget.WithReturn(spareTokens)
 	changed := holding.holder.row.WithReturn(spareTokens)
 	if changed.outstandingTokens() != 0 || changed.Settled.UnattributedTokens != 0 {
 		writes := holding.holder.writes(changed.WithClosed())
--- a/pkg/budget/grant.go
+++ b/pkg/budget/grant.go
@@ -118,9 +118,7 @@
 }
 
 func (escrow *Escrow) writeGrant(ctx context.Context, account *account, holding holding, tokens int64) error {
-	budget := holding.budget
-	budget.TakenTokens += tokens
-	budget.WantedTokens = 0
+	budget := holding.budget.WithGrant(tokens)
 	if holding.holder.item.Version == 0 {
 		budget.Holders++
 	}
--- a/pkg/budget/policy.go
+++ b/pkg/budget/policy.go
@@ -153,7 +153,11 @@
 	return max(ahead, sizing.soon(state))
 }
 
+// take takes no more than is needed while a larger shortage is marked.
 func (sizing horizonSizing) take(state sizingState) int64 {
+	if state.budget.WantedTokens > state.needTokens {
+		return state.needTokens
+	}
 	want := max(firstGrantRequests*state.needTokens, state.needTokens+sizing.target(state)-state.spareTokens)
 	return max(state.needTokens, min(want, sizing.share(state)))
 }
--- a/pkg/budget/resize.go
+++ b/pkg/budget/resize.go
@@ -161,8 +161,6 @@
 	if planned.tokens == 0 {
 		return nil
 	}
-	budget := planned.holding.budget
-	budget.TakenTokens -= planned.tokens
-	budget.WantedTokens = max(0, budget.WantedTokens-planned.tokens)
+	budget := planned.holding.budget.WithReturn(planned.tokens)
 	return append(planned.holding.holder.writes(planned.changed()), replace(planned.holding.budgetItem, budget))
 }
--- a/pkg/budget/rows.go
+++ b/pkg/budget/rows.go
@@ -97,8 +97,8 @@
 	Folded sums `json:"folded"`
 	// Holders counts the holder rows.
 	Holders int64 `json:"holders"`
-	// WantedTokens is set while a router is short; holders then return idle
-	// tokens. The next grant clears it.
+	// WantedTokens is set while a router is short, or an operator wants to lower
+	// the limit; holders then return idle tokens. Returns and grants lower it.
 	WantedTokens int64 `json:"wanted_tokens"`
 	Retired      bool  `json:"retired"`
 }
@@ -107,6 +107,24 @@
 	return row.LimitTokens - row.TakenTokens
 }
 
+// WithGrant takes tokens. The mark of a shortage goes once it is met, and else
+// halves, so that it does not outlast the one who set it.
+func (row budgetRow) WithGrant(tokens int64) budgetRow {
+	row.TakenTokens += tokens
+	row.WantedTokens /= 2
+	if row.freeTokens() >= row.WantedTokens {
+		row.WantedTokens = 0
+	}
+	return row
+}
+
+// WithReturn gives tokens back.
+func (row budgetRow) WithReturn(tokens int64) budgetRow {
+	row.TakenTokens -= tokens
+	row.WantedTokens = max(0, row.WantedTokens-tokens)
+	return row
+}
+
 // sequenceRow names the last settlement batch that was applied.
 type sequenceRow struct {
 	Sequence uint64 `json:"sequence"`
