State the bound on a statement's holders

Cause: a statement with more holder rows than it reads would have been wrong. Conclusion: removing rows of dead routers is left for later.

--- a/pkg/budget/errors.go
+++ b/pkg/budget/errors.go
@@ -60,6 +60,14 @@
 	})
 }
 
+func tooManyHolders(profile string) error {
+	return fault.New(fault.Config{
+		Kind:    fault.TooLarge,
+		Message: fmt.Sprintf("profile %q has %d holder rows or more, too many for one statement", profile, maxHolders),
+		Remedy:  "move its callers to a new profile, and keep this one for its books",
+	})
+}
+
 func exhaustedError(demand Demand, standing standing, retryAfter time.Duration) error {
 	return fault.New(fault.Config{
 		Kind: fault.BudgetExhausted,
--- a/pkg/budget/ledger.go
+++ b/pkg/budget/ledger.go
@@ -49,6 +49,9 @@
 	if len(items) == 0 || items[0].Key.Sort != budgetSort {
 		return Statement{}, unknownBudget(profile)
 	}
+	if len(items) >= maxHolders {
+		return Statement{}, tooManyHolders(profile)
+	}
 	budget, err := decode[budgetRow](items[0])
 	if err != nil {
 		return Statement{}, err
