--- a/pkg/budget/settle.go
+++ b/pkg/budget/settle.go
@@ -30,6 +30,8 @@
 	at         time.Time
 	// kept is set before the settlement is sent to a second router.
 	kept bool
+	// keptAt is when it was last sent to one.
+	keptAt time.Time
 }
 
 // batch is a set of settlements that is written in one transaction.
@@ -172,6 +174,9 @@
 		for profile, row := range plan.changed() {
 			escrow.account(profile).adopt(row)
 		}
+		for profile, tokens := range plan.refunds {
+			escrow.account(profile).charge(0, -tokens, time.Now())
+		}
 		return nil
 	})
 }
