Bill an answered call of a plain service as known, not estimated

Cause: bill list showed ESTIMATED for every call of a plain service, although its price is fixed; an operator could not tell it from a lost usage report. Conclusion: ESTIMATED means that the usage is not known.

--- a/pkg/router/pipeline.go
+++ b/pkg/router/pipeline.go
@@ -14,6 +14,7 @@
 
 	"gitlab.com/wisterialb/wisterialb/pkg/budget"
 	"gitlab.com/wisterialb/wisterialb/pkg/claim"
+	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
 	"gitlab.com/wisterialb/wisterialb/pkg/dispatch"
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 )
@@ -168,7 +169,8 @@
 	waste := min(result.WasteTokens, reservation.Tokens)
 	rest := reservation.Tokens - waste
 	if !result.Usage.Known || result.WasteUnknown {
-		line.Estimated = true
+		// An answered call of a plain service has a fixed price.
+		line.Estimated = current.service.Protocol != configuration.ProtocolPlain || runErr != nil
 		line.Tokens = rest
 	}
 	line.Tokens = min(line.Tokens, rest)
