--- a/pkg/budget/escrow_test.go
+++ b/pkg/budget/escrow_test.go
@@ -16,7 +16,7 @@
 )
 
 // publish applies the writes of a change.
-func publish(t *testing.T, table platform.Table, change configuration.Change, body any) error {
+func publish(t testing.TB, table platform.Table, change configuration.Change, body any) error {
 	t.Helper()
 	change.Body, _ = json.Marshal(body)
 	writes, err := budget.NewLedger(budget.LedgerConfig{Table: table}).ChangeWrites(t.Context(), change)
@@ -26,7 +26,7 @@
 	return table.Transact(t.Context(), platform.Transaction{Writes: writes})
 }
 
-func openBudget(t *testing.T, table platform.Table, profile string, limitTokens int64) {
+func openBudget(t testing.TB, table platform.Table, profile string, limitTokens int64) {
 	t.Helper()
 	change := configuration.Change{Kind: configuration.KindProfile, Name: profile}
 	require.NoError(t, publish(t, table, change, configuration.Profile{Name: profile, LimitTokens: limitTokens}))
