Send little work to slow upstreams and let them come back

Cause: prefixes stayed on an upstream that still answered, but slowly, and one that had been slow was hardly tried again. Change: prefix_affinity passes over members whose attempts last more than twice the mean; observed durations age towards the pool's mean. Conclusion: slowness costs work, and only for as long as it lasts.

--- a/pkg/upstream/member.go
+++ b/pkg/upstream/member.go
@@ -23,6 +23,11 @@
 	reportHalfLife = 2 * time.Second
 	// durationWeight is that of a new sample in the mean duration.
 	durationWeight = 0.1
+	// durationHalfLife is the age at which an observed duration counts half.
+	durationHalfLife = 5 * time.Second
+	// slowShare is by how much longer than the mean the attempts of a slow
+	// upstream last.
+	slowShare = 2
 	// reserveShare is how much more than an engine's capacity is sent to it, so
 	// that it has work at hand when a slot becomes free.
 	reserveShare = 1.1
@@ -48,7 +53,8 @@
 	polledAt time.Time
 	report   report
 	// duration is the mean duration of attempts in seconds; zero is unknown.
-	duration float64
+	duration   float64
+	durationAt time.Time
 
 	filing filing
 }
@@ -106,12 +112,35 @@
 	}
 }
 
-func (member *Member) observeDuration(duration time.Duration) {
+// observeDuration takes in how long an attempt lasted, given the mean of the
+// pool. What was observed before has aged by then.
+func (member *Member) observeDuration(duration time.Duration, now time.Time, meanDuration float64) {
+	member.duration = smooth(member.expectedDuration(now, meanDuration), duration.Seconds())
+	member.durationAt = now
+}
+
+// expectedDuration returns how long an attempt at the upstream lasts, in
+// seconds, given the mean of the pool. What was observed counts for less as it
+// ages, so that an upstream that was slow is tried again.
+func (member *Member) expectedDuration(now time.Time, meanDuration float64) float64 {
 	if member.duration == 0 {
-		member.duration = duration.Seconds()
-		return
+		return meanDuration
+	}
+	age := now.Sub(member.durationAt)
+	return meanDuration + (member.duration-meanDuration)*math.Exp2(-age.Seconds()/durationHalfLife.Seconds())
+}
+
+// smooth returns the moving mean with a new sample; a mean of zero is unknown.
+func smooth(mean, sample float64) float64 {
+	if mean == 0 {
+		return sample
 	}
-	member.duration += durationWeight * (duration.Seconds() - member.duration)
+	return mean + durationWeight*(sample-mean)
+}
+
+// slow reports whether the upstream's attempts last much longer than the mean.
+func (member *Member) slow(now time.Time, meanDuration float64) bool {
+	return meanDuration > 0 && member.expectedDuration(now, meanDuration) > slowShare*meanDuration
 }
 
 // foreign estimates the attempts of other routers at the upstream. A report
@@ -154,12 +183,7 @@
 }
 
 // expectedWait is the time for which a new attempt takes a share of the
-// upstream, in seconds, given the mean duration of the pool for an upstream
-// that has none of its own.
+// upstream, in seconds, given the mean duration of the pool.
 func (member *Member) expectedWait(now time.Time, meanDuration float64) float64 {
-	duration := member.duration
-	if duration == 0 {
-		duration = meanDuration
-	}
-	return (member.load(now) + 1) / member.capacity() * duration
+	return (member.load(now) + 1) / member.capacity() * member.expectedDuration(now, meanDuration)
 }
--- a/pkg/upstream/policy.go
+++ b/pkg/upstream/policy.go
@@ -47,7 +47,7 @@
 	},
 	{
 		Name:      "prefix_affinity",
-		Usage:     "the upstream that rendezvous hashing gives the prompt's prefix, unless it is loaded above the mean; then better_of_two",
+		Usage:     "the upstream that rendezvous hashing gives the prompt's prefix, unless it is loaded above the mean or slow; then better_of_two",
 		construct: newPrefixAffinity,
 	},
 }
@@ -105,8 +105,6 @@
 // betterOfTwo takes the better of two members by expected wait.
 type betterOfTwo struct {
 	random *rand.Rand
-	// duration is the mean of the durations that were met, in seconds.
-	duration float64
 }
 
 func (betterOfTwo *betterOfTwo) choose(set *set, demand Demand) *Member {
@@ -115,7 +113,8 @@
 	if first == nil || second == nil || first == second {
 		return first
 	}
-	if betterOfTwo.wait(set, second) < noticeable*betterOfTwo.wait(set, first) {
+	duration := math.Max(set.duration, math.SmallestNonzeroFloat32)
+	if second.expectedWait(set.now, duration) < noticeable*first.expectedWait(set.now, duration) {
 		return second
 	}
 	return first
@@ -133,13 +132,6 @@
 	return nil
 }
 
-func (betterOfTwo *betterOfTwo) wait(set *set, member *Member) float64 {
-	if member.duration > 0 {
-		betterOfTwo.duration += durationWeight * (member.duration - betterOfTwo.duration)
-	}
-	return member.expectedWait(set.now, math.Max(betterOfTwo.duration, math.SmallestNonzeroFloat32))
-}
-
 const (
 	// rankedMembers is how many members are tried for a prefix.
 	rankedMembers = 3
@@ -168,7 +160,7 @@
 	}
 	bound := math.Ceil(loadBound * (set.meanLoad() + 1))
 	for _, member := range prefixAffinity.rank(set, demand.PrefixHash) {
-		if member == nil || member.filing.open == notOpen || demand.avoids(member) {
+		if member == nil || member.filing.open == notOpen || demand.avoids(member) || member.slow(set.now, set.duration) {
 			continue
 		}
 		if member.load(set.now) < bound {
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -76,7 +76,6 @@
 	members map[string]*Member
 	set     *set
 	chooser chooser
-	closed  bool
 }
 
 // NewPool returns a pool. The error names the policies when config's is unknown.
@@ -200,7 +199,8 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	if verdict == Success {
-		member.observeDuration(duration)
+		member.observeDuration(duration, pool.config.Now(), pool.set.duration)
+		pool.set.observeDuration(duration)
 	}
 	pool.judge(member, verdict)
 	pool.count(member, -1)
@@ -327,7 +327,6 @@
 func (pool *Pool) Close() {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	pool.closed = true
 	for _, member := range pool.members {
 		member.client.Close()
 	}
--- a/pkg/upstream/pool_test.go
+++ b/pkg/upstream/pool_test.go
@@ -164,6 +164,35 @@
 	require.InDelta(t, 50, share(t, pool, loaded), 25)
 }
 
+// A member that still answers, but slowly, loses most of its work, also that of
+// its prefixes, and gets it back within seconds of being as fast as the others.
+func TestSlowMemberGetsLittleWork(t *testing.T) {
+	for _, policy := range []string{"better_of_two", "prefix_affinity"} {
+		pool, clock := newTestPool(t, Config{Policy: policy}, upstreams(5))
+		var slow *Member
+		serve := func(slowDuration time.Duration) int {
+			got := 0
+			for index := range 500 {
+				clock.now = clock.now.Add(20 * time.Millisecond)
+				member := take(t, pool, Demand{PrefixHash: uint64(1 + index)})
+				if slow == nil {
+					slow = member
+				}
+				duration := 100 * time.Millisecond
+				if member == slow {
+					duration = slowDuration
+					got++
+				}
+				pool.Put(member, Success, duration)
+			}
+			return got
+		}
+		require.Less(t, serve(time.Second), 60, policy)
+		serve(100 * time.Millisecond)
+		require.InDelta(t, 100, serve(100*time.Millisecond), 50, policy)
+	}
+}
+
 // share returns how many of 100 attempts, one at a time, the member gets.
 func share(t *testing.T, pool *Pool, member *Member) int {
 	t.Helper()
--- a/pkg/upstream/set.go
+++ b/pkg/upstream/set.go
@@ -29,7 +29,9 @@
 	version uint64
 	// load is the sum of the eligible members' loads.
 	load float64
-	now  time.Time
+	// duration is the mean duration of attempts in seconds; zero is unknown.
+	duration float64
+	now      time.Time
 }
 
 // filing is where a member stands in the set.
@@ -113,6 +115,10 @@
 	}
 }
 
+func (set *set) observeDuration(duration time.Duration) {
+	set.duration = smooth(set.duration, duration.Seconds())
+}
+
 // meanLoad returns the mean load of the eligible members.
 func (set *set) meanLoad() float64 {
 	return set.load / float64(max(1, len(set.eligible)))
