Show the attempt of a bill in the scripted case

Change: the case bills expects it; attempts are masked, as they are random. Conclusion: operators can match a bill with an upstream's record.

--- a/test/session_test.go
+++ b/test/session_test.go
@@ -230,6 +230,7 @@
 var masks = []mask{
 	{regexp.MustCompile(`[0-9A-HJKMNP-TV-Z]{26}`), "<ulid>"},
 	{regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?Z`), "<time>"},
+	{regexp.MustCompile(`[0-9a-f]{16}-[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}`), "<attempt>"},
 	{regexp.MustCompile(`retry in \S+ when`), "retry in <duration> when"},
 	{regexp.MustCompile(`127\.0\.0\.\d+:\d+`), "<address>"},
 	{regexp.MustCompile(`[ \t]+\n`), "\n"},
