--- a/pkg/demo/run.go
+++ b/pkg/demo/run.go
@@ -15,6 +15,7 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"gitlab.com/wisterialb/wisterialb/pkg/budget"
 	"gitlab.com/wisterialb/wisterialb/pkg/completion"
 	"gitlab.com/wisterialb/wisterialb/pkg/entry"
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
@@ -26,6 +27,9 @@
 	readyTimeout  = 20 * time.Second
 	readyInterval = 20 * time.Millisecond
 	closeTimeout  = 20 * time.Second
+	billTimeout   = 10 * time.Second
+	// sentRequests are the stream and the booking.
+	sentRequests  = 2
 	answerTokens  = 24
 	tokenInterval = 30 * time.Millisecond
 	tableWrites   = 400
@@ -205,7 +209,7 @@
 	if err != nil {
 		return err
 	}
-	lines, _, err := client.Bills(ctx, ProfileName, operator.Page{})
+	lines, err := awaitBills(ctx, client)
 	if err != nil {
 		return err
 	}
@@ -228,6 +232,27 @@
 	return nil
 }
 
+// awaitBills waits until the ledger has a bill for each of the requests that
+// were sent, or until a bound. An answer ends as soon as a second router holds
+// its bill, which reaches the table with the next settlement.
+func awaitBills(ctx context.Context, client *operator.Client) ([]budget.Line, error) {
+	ctx, cancel := context.WithTimeout(ctx, billTimeout)
+	defer cancel()
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	for {
+		lines, _, err := client.Bills(ctx, ProfileName, operator.Page{})
+		if err != nil || len(lines) >= sentRequests {
+			return lines, err
+		}
+		select {
+		case <-ctx.Done():
+			return lines, nil
+		case <-ticker.C:
+		}
+	}
+}
+
 func (show *presentation) audit(ctx context.Context) error {
 	client, err := show.fleet.Operator()
 	if err != nil {
