Write the first settlement after a quiet interval at once

Cause: every settlement waited for the next interval, and held settlements cost their second router one read each a second, also with a table that answers. Change: a settlement after a quiet interval wakes the control goroutine; a second router is asked 250 ms after the interval; it reads 25 held settlements in one call. Conclusion: the ends of lone answers are not held back.

--- a/pkg/budget/escrow.go
+++ b/pkg/budget/escrow.go
@@ -103,6 +103,9 @@
 	// refillParallelism bounds the grants that are refilled at once.
 	refillParallelism int
 
+	// queued wakes the control goroutine; a settlement after a quiet interval
+	// is written at once.
+	queued chan struct{}
 	// stop ends the goroutines and the table calls that they wait for.
 	stop    context.CancelFunc
 	stopped <-chan struct{}
@@ -124,11 +127,21 @@
 		defer settle.Stop()
 		resize := time.NewTicker(resizeInterval)
 		defer resize.Stop()
+		settled := time.Time{}
 		for {
 			select {
 			case <-ctx.Done():
 				return
+			case <-escrow.queued:
+				if time.Since(settled) < escrow.config.SettleInterval {
+					continue
+				}
+				settled = time.Now()
+				escrow.settle(ctx)
 			case <-settle.C:
+				if escrow.hasPending() {
+					settled = time.Now()
+				}
 				escrow.settle(ctx)
 			case <-resize.C:
 				escrow.settleKept(ctx)
@@ -137,6 +150,7 @@
 		}
 	})
 	escrow.running.Go(func() {
+		age := escrow.config.SettleInterval + keepAge
 		handOver := time.NewTicker(keepAge)
 		defer handOver.Stop()
 		for {
@@ -144,7 +158,7 @@
 			case <-ctx.Done():
 				return
 			case <-handOver.C:
-				escrow.handOver(ctx, keepAge)
+				escrow.handOver(ctx, age)
 			}
 		}
 	})
@@ -164,7 +178,8 @@
 
 		refillParallelism: defaultRefillParallelism,
 
-		stop: func() {},
+		queued: make(chan struct{}, 1),
+		stop:   func() {},
 	}
 }
 
--- a/pkg/budget/escrow_test.go
+++ b/pkg/budget/escrow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -97,3 +98,20 @@
 	require.Len(t, lines, 1)
 	require.Equal(t, budget.LineBill, lines[0].Kind)
 }
+
+func TestASettlementAfterAQuietIntervalIsWrittenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.NewTable()
+		openBudget(t, table, "advice", 1000)
+		escrow := budget.NewEscrow(budget.EscrowConfig{Table: table, Incarnation: "a", SettleInterval: 10 * time.Second})
+		time.Sleep(15 * time.Second)
+		for _, wait := range []time.Duration{0, 5 * time.Second} {
+			reservation, err := escrow.Reserve(t.Context(), budget.Demand{Profile: "advice", RequestID: wait.String(), Tokens: 10})
+			require.NoError(t, err)
+			start := time.Now()
+			<-escrow.Settle(bill(reservation, 5)).Durable()
+			require.Equal(t, wait, time.Since(start))
+		}
+		require.NoError(t, escrow.Close(context.Background()))
+	})
+}
--- a/pkg/budget/kept.go
+++ b/pkg/budget/kept.go
@@ -10,18 +10,20 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
-// The flow of a held bill: a settlement that has waited longer than keepAge for
-// the table goes to a second router as well, and to another one as long as it
+// The flow of a held bill: a settlement that the table does not take in time goes to a second router as well, and to another one as long as it
 // waits. Each of them settles it once the owner is closed, and drops it once the
 // owner has settled it. All write the same keys, and the owner's holder row
 // orders them, so the bill stands once.
 
 const (
-	// keepAge is how long a settlement waits for the table alone.
+	// keepAge is how long a settlement waits for the table alone after the
+	// interval of settlements.
 	keepAge = 250 * time.Millisecond
 	// keepAgain is the time between two routers that are sent a settlement which
 	// still waits: the first of them may be gone.
 	keepAgain = 2 * time.Second
+	// keptChunk is the number of held settlements that are read in one call.
+	keptChunk = 25
 	// maxKept bounds the settlements that are held for one other router.
 	maxKept = 50000
 )
@@ -115,18 +117,38 @@
 // drops what the owners have settled themselves.
 func (escrow *Escrow) settleKept(ctx context.Context) {
 	for owner, settlements := range escrow.keptByOwner() {
-		for _, settlement := range settlements {
-			done, err := escrow.settleFor(ctx, owner, settlement)
-			if err != nil {
+		for chunk := range slices.Chunk(settlements, keptChunk) {
+			if err := escrow.settleChunk(ctx, owner, chunk); err != nil {
+				_ = escrow.config.Logger.Log("level", "warn", "message", "held settlements wait for the table", "error", err)
 				return
 			}
-			if done {
-				escrow.dropKept(owner, settlement.Number)
-			}
 		}
 	}
 }
 
+// settleChunk reads the rows of several settlements at once, and writes only
+// for those whose owner is closed.
+func (escrow *Escrow) settleChunk(ctx context.Context, owner string, settlements []Settlement) error {
+	plans, err := escrow.planKept(ctx, owner, settlements)
+	if err != nil {
+		return err
+	}
+	for i, settlement := range settlements {
+		holder := plans[i].holders[settlement.Reservation.Profile]
+		if len(plans[i].lines) > 0 && !holder.row.Closed {
+			continue
+		}
+		if len(plans[i].lines) > 0 {
+			err = escrow.settleFor(ctx, owner, settlement)
+		}
+		if err != nil {
+			return err
+		}
+		escrow.dropKept(owner, settlement.Number)
+	}
+	return nil
+}
+
 func (escrow *Escrow) keptByOwner() map[string][]Settlement {
 	escrow.mutex.Lock()
 	defer escrow.mutex.Unlock()
@@ -146,40 +168,54 @@
 	}
 }
 
-// settleFor settles for a closed owner: unattributed tokens become lines. It
-// returns true when nothing is left to do.
-func (escrow *Escrow) settleFor(ctx context.Context, owner string, settlement Settlement) (bool, error) {
-	done := false
-	err := escrow.retrier.Run(ctx, func(ctx context.Context) error {
-		plan, err := escrow.planKept(ctx, owner, settlement)
-		if err != nil {
+// settleFor settles for a closed owner: unattributed tokens become lines.
+func (escrow *Escrow) settleFor(ctx context.Context, owner string, settlement Settlement) error {
+	return escrow.retrier.Run(ctx, func(ctx context.Context) error {
+		plans, err := escrow.planKept(ctx, owner, []Settlement{settlement})
+		if err != nil || len(plans[0].lines) == 0 {
 			return err
 		}
 		profile := settlement.Reservation.Profile
-		holder := plan.holders[profile]
-		done = holder.item.Version == 0 || len(plan.lines) == 0 || holder.row.Closed
-		if !done || len(plan.lines) == 0 {
-			return nil
-		}
-		if charge := plan.charges[profile]; charge.total() > holder.row.Settled.UnattributedTokens {
+		charge := plans[0].charges[profile]
+		if charge.total() > plans[0].holders[profile].row.Settled.UnattributedTokens {
 			_ = escrow.config.Logger.Log("level", "error", "message", "held settlement exceeds what its owner held",
 				"owner", owner, "profile", profile, "request_id", settlement.Reservation.RequestID)
 			return nil
 		}
-		return escrow.table.Transact(ctx, platform.Transaction{Writes: plan.writes()})
+		return escrow.table.Transact(ctx, platform.Transaction{Writes: plans[0].writes()})
 	})
-	return done, err
 }
 
-func (escrow *Escrow) planKept(ctx context.Context, owner string, settlement Settlement) (*batchPlan, error) {
-	profile := settlement.Reservation.Profile
-	keys := append([]platform.Key{holderKey(profile, owner)}, lineKeys(settlement, owner)...)
-	items, err := escrow.table.Get(ctx, keys...)
+// planKept reads the rows of settlements and plans what is not in the table.
+func (escrow *Escrow) planKept(ctx context.Context, owner string, settlements []Settlement) ([]*batchPlan, error) {
+	var keys []platform.Key
+	for _, settlement := range settlements {
+		keys = append(keys, holderKey(settlement.Reservation.Profile, owner))
+		keys = append(keys, lineKeys(settlement, owner)...)
+	}
+	var items []platform.Item
+	err := escrow.retrier.Run(ctx, func(ctx context.Context) error {
+		var err error
+		items, err = escrow.table.Get(ctx, keys...)
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
+	plans := make([]*batchPlan, len(settlements))
+	for i, settlement := range settlements {
+		count := 1 + len(lineKeys(settlement, owner))
+		if plans[i], err = planOf(owner, settlement, items[:count]); err != nil {
+			return nil, err
+		}
+		items = items[count:]
+	}
+	return plans, nil
+}
+
+func planOf(owner string, settlement Settlement, items []platform.Item) (*batchPlan, error) {
 	plan := newBatchPlan(owner)
-	if err := plan.readHolders([]string{profile}, items[:1]); err != nil {
+	if err := plan.readHolders([]string{settlement.Reservation.Profile}, items[:1]); err != nil {
 		return nil, err
 	}
 	if err := plan.readLines(items[1:]); err != nil {
--- a/pkg/budget/settle.go
+++ b/pkg/budget/settle.go
@@ -65,6 +65,10 @@
 	escrow.settlement++
 	settlement.Number = escrow.settlement
 	escrow.pending = append(escrow.pending, &pendingSettlement{settlement: settlement, receipt: receipt, at: time.Now()})
+	select {
+	case escrow.queued <- struct{}{}:
+	default:
+	}
 }
 
 // chargeable returns the lines as they are charged, and their sum.
@@ -137,6 +141,12 @@
 	}
 }
 
+func (escrow *Escrow) hasPending() bool {
+	escrow.mutex.Lock()
+	defer escrow.mutex.Unlock()
+	return len(escrow.pending) > 0
+}
+
 // nextBatch takes as many settlements as one transaction holds.
 func (escrow *Escrow) nextBatch() *batch {
 	escrow.mutex.Lock()
