Charge what a resumed attempt used beyond its first bill

Cause: a second bill of the same attempt was dropped whole, so an attempt whose first report was smaller than its use left the rest uncharged, and the limit could be exceeded. Change: the second bill charges the excess as waste and returns the rest. Conclusion: an attempt is charged by the larger of its reports.

--- a/pkg/budget/batch.go
+++ b/pkg/budget/batch.go
@@ -142,41 +142,53 @@
 		return
 	}
 	for i, line := range settlement.Lines {
-		key, duplicate := plan.place(settlement, i, kept)
-		if duplicate {
+		placement := plan.place(settlement, i, kept)
+		if placement.isStored {
 			continue
 		}
-		line.Kind = LineWaste
-		if key.Sort == billPrefix+line.RequestID {
-			line.Kind = LineBill
+		plan.refunds[line.Profile] += placement.coveredTokens
+		line.Tokens -= placement.coveredTokens
+		if placement.coveredTokens > 0 && line.Tokens == 0 {
+			continue
 		}
-		plan.insert(key, lineRow{Line: line, Number: settlement.Number})
+		line.Kind = placement.kind
+		plan.insert(placement.key, lineRow{Line: line, Number: settlement.Number})
 	}
 }
 
-// place returns the key of a line, or true when the table has the line.
-func (plan *batchPlan) place(settlement Settlement, index int, kept bool) (platform.Key, bool) {
+// placement says where a line goes.
+type placement struct {
+	key  platform.Key
+	kind LineKind
+	// isStored is set when the table has the line.
+	isStored bool
+	// coveredTokens are charged by the stored bill of the same attempt. What an
+	// attempt used beyond that bill is charged as waste.
+	coveredTokens int64
+}
+
+// place decides where a line goes.
+func (plan *batchPlan) place(settlement Settlement, index int, kept bool) placement {
 	line := settlement.Lines[index]
-	waste := wasteKey(line.Profile, plan.incarnation, settlement.Number, index)
-	if _, ok := plan.stored[waste]; ok {
-		return waste, true
+	waste := placement{key: wasteKey(line.Profile, plan.incarnation, settlement.Number, index), kind: LineWaste}
+	if _, ok := plan.stored[waste.key]; ok {
+		waste.isStored = true
+		return waste
 	}
 	if line.Kind != LineBill {
-		return waste, false
+		return waste
 	}
 	bill := billKey(line.Profile, line.RequestID)
 	stored, ok := plan.stored[bill]
-	if !ok {
-		return bill, false
-	}
-	if stored.Line.Router == plan.incarnation && stored.Number == settlement.Number {
-		return waste, kept
-	}
-	if line.Attempt == "" || stored.Line.Attempt != line.Attempt {
-		return waste, false
-	}
-	plan.refunds[line.Profile] += line.Tokens
-	return bill, true
+	switch {
+	case !ok:
+		return placement{key: bill, kind: LineBill}
+	case stored.Line.Router == plan.incarnation && stored.Number == settlement.Number:
+		waste.isStored = kept
+	case line.Attempt != "" && stored.Line.Attempt == line.Attempt:
+		waste.coveredTokens = min(line.Tokens, stored.Line.Tokens)
+	}
+	return waste
 }
 
 func (plan *batchPlan) insert(key platform.Key, row lineRow) {
--- a/pkg/budget/reservation.go
+++ b/pkg/budget/reservation.go
@@ -46,7 +46,7 @@
 	Team      string   `json:"team"`
 	Service   string   `json:"service"`
 	// Attempt is the upstream run that the line charges for. A second bill for
-	// the same attempt, as after a resume, charges nothing.
+	// the same attempt, as after a resume, charges only what the first did not.
 	Attempt string `json:"attempt"`
 	// PromptTokens and CompletionTokens are as the upstream reported them.
 	PromptTokens     int64 `json:"prompt_tokens"`
--- a/pkg/budget/script_test.go
+++ b/pkg/budget/script_test.go
@@ -56,7 +56,8 @@
 	return fmt.Sprintf("%s: %s\nremedy: %s\noutcome: %s\n", fault.KindOf(err), fault.MessageOf(err), fault.RemedyOf(err), fault.OutcomeOf(err))
 }
 
-func (script *script) settle(data *datadriven.TestData, name, request string, bill, waste int64) string {
+func (script *script) settle(t *testing.T, data *datadriven.TestData, name, request string, bill, waste int64) string {
+	t.Helper()
 	reservation := script.running[name+"/"+request]
 	settlement := Settlement{Reservation: reservation}
 	if data.HasArg("bill") {
@@ -65,6 +66,9 @@
 	if data.HasArg("waste") {
 		settlement.Lines = append(settlement.Lines, Line{Kind: LineWaste, Tokens: waste})
 	}
+	for i := range settlement.Lines {
+		data.MaybeScanArgs(t, "attempt", &settlement.Lines[i].Attempt)
+	}
 	script.escrow(name).Settle(settlement)
 	return "ok\n"
 }
@@ -118,7 +122,7 @@
 		script.running[router+"/"+request] = reservation
 		return outcome(err)
 	case "settle":
-		return script.settle(data, router, request, bill, waste)
+		return script.settle(t, data, router, request, bill, waste)
 	case "lend":
 		loan, err := script.escrow(router).Lend(ctx, LoanRequest{TransferID: operation, Profile: profile, Tokens: tokens})
 		return fmt.Sprintf("%d tokens, %s", loan.Tokens, outcome(err))
