--- /dev/null
+++ b/pkg/configuration/bench_test.go
@@ -0,0 +1,110 @@
+package configuration
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/standin"
+)
+
+// benchView returns a view of the target's size.
+func benchView(upstreams, callers int) *View {
+	view := newView(newProfileCache(defaultHeldProfiles))
+	view.services["s"] = held[Service]{document: Service{Name: "s", Protocol: ProtocolModel}, revision: 1}
+	for i := range upstreams {
+		name := fmt.Sprint("upstream-", i)
+		view.upstreams[name] = held[Upstream]{document: Upstream{Name: name, Service: fmt.Sprint("s-", i%4), Address: "10.0.0.1:80"}, revision: 1}
+	}
+	for i := range callers {
+		name := fmt.Sprint("caller-", i)
+		view.callers[name] = held[Caller]{document: Caller{Name: name, Team: name, Weight: 1, TokenHash: fmt.Sprintf("%064x", i)}, revision: 1}
+	}
+	view.revision = 1
+	view.index(map[Kind]bool{KindService: true, KindUpstream: true, KindCaller: true})
+	return view
+}
+
+// BenchmarkAdopt adopts one change of a view with 3800 upstreams and 830
+// callers.
+func BenchmarkAdopt(b *testing.B) {
+	bodies := map[Kind][]byte{
+		KindUpstream: encodeRow(Upstream{Name: "upstream-7", Service: "s-1", Address: "10.0.0.2:80", Draining: true}),
+		KindCaller:   encodeRow(Caller{Name: "caller-7", Team: "t", Weight: 1, TokenHash: fmt.Sprintf("%064x", 7)}),
+		KindProfile:  encodeRow(Profile{Name: "p", Callers: []string{"caller-7"}, Services: []string{"s"}}),
+	}
+	for _, kind := range []Kind{KindUpstream, KindCaller, KindProfile} {
+		b.Run(string(kind), func(b *testing.B) {
+			view := benchView(3800, 830)
+			change := Change{Kind: kind, Name: map[Kind]string{KindUpstream: "upstream-7", KindCaller: "caller-7", KindProfile: "p"}[kind], Body: bodies[kind]}
+			b.ReportAllocs()
+			for range b.N {
+				next, err := view.with([]Record{{Revision: view.revision + 1, Change: change}})
+				if err != nil {
+					b.Fatal(err)
+				}
+				view = next
+			}
+		})
+	}
+}
+
+// BenchmarkHeldMemory reports the heap that one held profile and one upstream
+// take.
+func BenchmarkHeldMemory(b *testing.B) {
+	heap := func() float64 {
+		var memory runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&memory)
+		return float64(memory.HeapAlloc)
+	}
+	for range b.N {
+		before := heap()
+		cache := newProfileCache(defaultHeldProfiles)
+		for i := range defaultHeldProfiles {
+			name := fmt.Sprint("profile-", i)
+			body := encodeRow(Profile{Name: name, Callers: []string{"caller-1", "caller-2"}, Services: []string{"gasket-advice", "order-desk"}})
+			entry, err := newProfileEntry(name, body, 1, 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			cache.add(name, entry)
+		}
+		b.ReportMetric((heap()-before)/defaultHeldProfiles, "B/profile")
+		runtime.KeepAlive(cache)
+		before = heap()
+		view := benchView(3800, 0)
+		b.ReportMetric((heap()-before)/3800, "B/upstream")
+		runtime.KeepAlive(view)
+	}
+}
+
+// BenchmarkPublish publishes profiles that name two callers and two services.
+func BenchmarkPublish(b *testing.B) {
+	ctx := context.Background()
+	table := &recordingTable{Table: standin.NewTable()}
+	publisher := NewPublisher(PublisherConfig{Table: table})
+	publish := func(id string, kind Kind, name string, document any) {
+		_, err := publisher.Publish(ctx, Change{OperationID: id, Operator: "o", Reason: "r", Kind: kind, Name: name, Body: encodeRow(document)})
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+	for _, name := range []string{"a", "b"} {
+		publish("service-"+name, KindService, name, Service{Name: name, Protocol: ProtocolPlain})
+		publish("caller-"+name, KindCaller, name, testCaller(name))
+	}
+	table.transactions = nil
+	b.ResetTimer()
+	for i := range b.N {
+		name := fmt.Sprint("profile-", i)
+		publish(name, KindProfile, name, Profile{Name: name, Callers: []string{"a", "b"}, Services: []string{"a", "b"}})
+	}
+	writes := 0
+	for _, transaction := range table.transactions {
+		writes += len(transaction.Writes)
+	}
+	b.ReportMetric(float64(len(table.transactions))/float64(b.N), "transactions/op")
+	b.ReportMetric(float64(writes)/float64(b.N), "items_written/op")
+}
--- a/pkg/fleet/loops.go
+++ b/pkg/fleet/loops.go
@@ -72,9 +72,10 @@
 }
 
 // listLoop reads all rows now and then, so that routers find each other. The
-// time between reads grows with the fleet, so that all routers together read
-// at a constant rate.
+// time between reads doubles from a third of a lease on, up to one that grows
+// with the fleet, so that all routers together read at a constant rate.
 func (membership *Membership) listLoop() {
+	early := membership.config.LeaseDuration / renewalsPerLease
 	for {
 		if err := membership.readList(membership.ctx); err != nil {
 			membership.warn("read the list of routers", err)
@@ -84,10 +85,11 @@
 			continue
 		}
 		interval := time.Duration(len(membership.Members())) * fleetListInterval
-		interval = min(max(interval, membership.config.LeaseDuration/renewalsPerLease), maxListInterval)
-		if !membership.pause(interval, nil) {
+		interval = max(interval, membership.config.LeaseDuration/renewalsPerLease)
+		if !membership.pause(min(interval, early, maxListInterval), nil) {
 			return
 		}
+		early = min(2*early, maxListInterval)
 	}
 }
 
--- a/pkg/fleet/roster_test.go
+++ b/pkg/fleet/roster_test.go
@@ -158,3 +158,19 @@
 		require.Empty(t, roster.busy)
 	}
 }
+
+// BenchmarkProbe is the work of one exchange at both ends, without the network.
+func BenchmarkProbe(b *testing.B) {
+	for _, count := range []int{3, 30, 90, 360} {
+		b.Run(fmt.Sprint("members_", count), func(b *testing.B) {
+			fleet := newRosterFleet(count)
+			a, c := fleet.rosters[0], fleet.rosters[1]
+			b.ReportAllocs()
+			for range b.N {
+				c.hear(a.message(), fleet.now)
+				a.hear(c.message(), fleet.now)
+				_, _ = a.members(), c.members()
+			}
+		})
+	}
+}
