--- a/pkg/testbed/proof.go
+++ b/pkg/testbed/proof.go
@@ -140,6 +140,9 @@
 	counts := make(map[DisturbanceKind]int)
 	for _, disturbance := range proof.Disturbances {
 		counts[disturbance.Kind]++
+		if disturbance.Kind == KillRouter {
+			_, _ = fmt.Fprintln(out, "router killed at", disturbance.At.UTC().Format(time.TimeOnly))
+		}
 	}
 	_, _ = fmt.Fprintln(out, "disturbances", counts)
 	for _, audit := range proof.Audits {
