Let two routers hold a waiting settlement besides its owner

Change: Keep goes on until two routers hold the settlements, or all asked have answered and one holds them. The settlements of both write the same keys, so the bill still stands once. Result: TestKeepHandsSettlementsToTwoRouters; go test -race ./pkg/peer passes.

--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -29,6 +29,9 @@
 	idleTimeout = 10 * time.Second
 	// peersPerCall is how many routers are asked in turn.
 	peersPerCall = 3
+	// keepers is how many routers hold a settlement besides its owner, so that
+	// it outlives the owner and one of them.
+	keepers = 2
 	// settlementsPerMessage keeps a message of settlements within its bound.
 	settlementsPerMessage = 500
 )
@@ -211,11 +214,12 @@
 	})
 }
 
-// Keep hands settlements to another router, one in another zone if there is
-// one, and returns when it holds them all.
+// Keep hands settlements to other routers and returns when as many as keepers
+// hold them all, or all that were asked and at least one.
 func (client *Client) Keep(ctx context.Context, owner string, settlements []budget.Settlement) error {
 	peers := client.peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	holding := 0
 	outcome := client.ask(ctx, peers, func(ctx context.Context, peer fleet.Member) (bool, error) {
 		for part := range slices.Chunk(settlements, settlementsPerMessage) {
 			request := &peerpb.KeepRequest{Owner: owner, Settlements: convert(part, settlementToWire)}
@@ -223,9 +227,10 @@
 				return false, errorFromWire(err)
 			}
 		}
-		return true, nil
+		holding++
+		return holding == keepers, nil
 	})
-	if outcome.satisfied {
+	if holding > 0 {
 		return nil
 	}
 	return cmp.Or(outcome.lost, outcome.refused, nobody("kept settlements"))
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -122,3 +123,27 @@
 	}
 	require.False(t, called)
 }
+
+// TestKeepHandsSettlementsToTwoRouters checks that two routers hold a settlement,
+// and that one is enough when no other can be reached.
+func TestKeepHandsSettlementsToTwoRouters(t *testing.T) {
+	var mutex sync.Mutex
+	holders := make(map[string]int)
+	keeper := func(name string) budget.Keeper {
+		return keeperFunc(func(context.Context, string, []budget.Settlement) error {
+			mutex.Lock()
+			defer mutex.Unlock()
+			holders[name]++
+			return nil
+		})
+	}
+	var members []fleet.Member
+	for _, name := range []string{"a", "b", "c"} {
+		members = append(members, startServer(t, name, ServerConfig{Key: []byte("key"), Keeper: keeper(name)}))
+	}
+	settlements := []budget.Settlement{{Number: 1}}
+	require.NoError(t, clientOf(t, "key", members...).Keep(t.Context(), "self", settlements))
+	require.Len(t, holders, 2)
+	unreachable := fleet.Member{Incarnation: "d", PeerAddress: "127.0.0.1:1", State: fleet.Live}
+	require.NoError(t, clientOf(t, "key", members[0], unreachable).Keep(t.Context(), "self", settlements))
+}
