--- a/pkg/budget/escrow_test.go
+++ b/pkg/budget/escrow_test.go
@@ -17,20 +17,20 @@
 )
 
 // publish applies the writes of a change.
-func publish(t testing.TB, table platform.Table, change configuration.Change, body any) error {
-	t.Helper()
+func publish(tb testing.TB, table platform.Table, change configuration.Change, body any) error {
+	tb.Helper()
 	change.Body, _ = json.Marshal(body)
-	writes, err := budget.NewLedger(budget.LedgerConfig{Table: table}).ChangeWrites(t.Context(), change)
+	writes, err := budget.NewLedger(budget.LedgerConfig{Table: table}).ChangeWrites(tb.Context(), change)
 	if err != nil {
 		return err
 	}
-	return table.Transact(t.Context(), platform.Transaction{Writes: writes})
+	return table.Transact(tb.Context(), platform.Transaction{Writes: writes})
 }
 
-func openBudget(t testing.TB, table platform.Table, profile string, limitTokens int64) {
-	t.Helper()
+func openBudget(tb testing.TB, table platform.Table, profile string, limitTokens int64) {
+	tb.Helper()
 	change := configuration.Change{Kind: configuration.KindProfile, Name: profile}
-	require.NoError(t, publish(t, table, change, configuration.Profile{Name: profile, LimitTokens: limitTokens}))
+	require.NoError(tb, publish(tb, table, change, configuration.Profile{Name: profile, LimitTokens: limitTokens}))
 }
 
 func bill(reservation budget.Reservation, tokens int64) budget.Settlement {
