--- a/pkg/fleet/busy.go
+++ b/pkg/fleet/busy.go
@@ -36,6 +36,7 @@
 	if !ok && len(roster.busy) >= maxBusy {
 		return
 	}
+	roster.changes++
 	roster.busy[busy.Profile] = busyEntry{width: busy.Width, heard: now}
 	roster.busyNews.add(busy.Profile, busy)
 }
--- a/pkg/fleet/loops.go
+++ b/pkg/fleet/loops.go
@@ -230,7 +230,7 @@
 	if err != nil {
 		return err
 	}
-	membership.do(func() { membership.roster.hear(answer, time.Now()) })
+	membership.run(func() { membership.hear(answer) })
 	membership.config.OnRevision(answer.Sender.Revision)
 	if answer.Sender.Incarnation != member.Incarnation {
 		return replacedError(member, answer.Sender)
--- a/pkg/fleet/membership.go
+++ b/pkg/fleet/membership.go
@@ -19,6 +19,9 @@
 	defaultLeaseDuration = 30 * time.Second
 	defaultProbeInterval = 500 * time.Millisecond
 	defaultProbeTimeout  = time.Second
+	// snapshotAge is how old load and revision of others may be in a snapshot
+	// before the next message makes a new one.
+	snapshotAge = time.Second
 )
 
 // MembershipConfig configures a Membership.
@@ -76,6 +79,7 @@
 
 // snapshot is what traffic reads of the control state.
 type snapshot struct {
+	at         time.Time
 	self       Member
 	members    []Member
 	leavingVMs map[string]time.Time
@@ -184,8 +188,8 @@
 // Receive takes in a peer's message and returns the answer.
 func (membership *Membership) Receive(message Message) Message {
 	var answer Message
-	membership.do(func() {
-		membership.roster.hear(message, time.Now())
+	membership.run(func() {
+		membership.hear(message)
 		answer = membership.roster.message()
 	})
 	membership.config.OnRevision(message.Sender.Revision)
@@ -257,9 +261,22 @@
 	}
 }
 
+// hear takes in a message on the control goroutine. Load and revision of the
+// sender alone don't make a new snapshot at once, which would be the greater
+// part of a probe's cost in a large fleet.
+func (membership *Membership) hear(message Message) {
+	before := membership.roster.changes
+	now := time.Now()
+	membership.roster.hear(message, now)
+	if membership.roster.changes != before || now.Sub(membership.latest.Load().at) > snapshotAge {
+		membership.publishSnapshot()
+	}
+}
+
 // publishSnapshot is called on the control goroutine.
 func (membership *Membership) publishSnapshot() {
 	membership.latest.Store(&snapshot{
+		at:         time.Now(),
 		self:       membership.roster.self,
 		members:    membership.roster.members(),
 		leavingVMs: maps.Clone(membership.roster.leavingVMs),
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -45,6 +45,9 @@
 	// round are incarnations still to be probed in this round.
 	round  []string
 	random *rand.Rand
+	// changes counts what matters to traffic: members that come, go or change
+	// their state, leaving VMs and busy profiles, but not load and revision.
+	changes uint64
 
 	leavingVMs  map[string]time.Time
 	leavingNews *newsQueue[string]
@@ -84,6 +87,7 @@
 		self.Sequence = roster.self.Sequence + 1
 		roster.news.add(self.Incarnation, self)
 	}
+	roster.changes++
 	roster.self = self
 }
 
@@ -128,6 +132,9 @@
 	if member.Sequence > entry.member.Sequence {
 		roster.news.add(member.Incarnation, member)
 	}
+	if member.State != entry.member.State {
+		roster.changes++
+	}
 	entry.member = member
 	entry.misses = 0
 	entry.rumoured = false
@@ -170,6 +177,7 @@
 	if len(roster.entries) >= maxMembers {
 		return
 	}
+	roster.changes++
 	roster.entries[member.Incarnation] = &rosterEntry{member: member}
 	roster.news.add(member.Incarnation, member)
 }
@@ -194,6 +202,7 @@
 		member.State = Suspect
 		roster.askNext(member.Incarnation)
 	}
+	roster.changes++
 	member.Revision = max(member.Revision, entry.member.Revision)
 	entry.member = member
 }
@@ -203,6 +212,7 @@
 	if member.State != Suspect || member.Sequence < roster.self.Sequence {
 		return
 	}
+	roster.changes++
 	roster.self.Sequence = member.Sequence + 1
 	roster.news.add(roster.self.Incarnation, roster.self)
 }
@@ -214,6 +224,7 @@
 		return
 	}
 	member.State = Dead
+	roster.changes++
 	roster.entries[member.Incarnation] = &rosterEntry{member: member, diedAt: now}
 	roster.news.add(member.Incarnation, member)
 }
--- a/pkg/fleet/vms.go
+++ b/pkg/fleet/vms.go
@@ -15,6 +15,7 @@
 	if ok && now.Sub(heard) < leavingVMKept/2 {
 		return
 	}
+	roster.changes++
 	roster.leavingVMs[address] = now
 	roster.leavingNews.add(address, address)
 }
