Find the watched leases without sorting

Cause: a profile of BenchmarkControl at 360 routers gave 61 % of the processor time to watchersOf, which sorted all members for each member; each router did so in one burst every 10 s. Change: a router counts the members that score higher than itself and stops at the second one. The score is in a package of its own, used by entry too.

--- a/pkg/entry/best.go
+++ b/pkg/entry/best.go
@@ -3,9 +3,8 @@
 import (
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"gitlab.com/wisterialb/wisterialb/pkg/fleet"
+	"gitlab.com/wisterialb/wisterialb/pkg/rendezvous"
 )
 
 // best keeps the members with the highest rendezvous scores, best first.
@@ -45,32 +44,16 @@
 	return member.Incarnation < best.members[at].Incarnation
 }
 
-// scoreOf mixes the hash of the key with that of the caller address, not of the
-// incarnation: a router that starts again at its address keeps its profiles.
+// scoreOf takes the caller address, not the incarnation: a router that starts
+// again at its address keeps its profiles.
 func scoreOf(member *fleet.Member, key uint64) uint64 {
-	return mix(key ^ xxhash.Sum64String(member.CallerAddress))
-}
-
-// The steps of mix.
-const (
-	mixShiftA     = 12
-	mixShiftB     = 25
-	mixShiftC     = 27
-	mixMultiplier = 2685821657736338717
-)
-
-// mix spreads the bits of a value by the xorshift* step.
-func mix(value uint64) uint64 {
-	value ^= value >> mixShiftA
-	value ^= value << mixShiftB
-	value ^= value >> mixShiftC
-	return value * mixMultiplier
+	return rendezvous.Score(key, rendezvous.Hash(member.CallerAddress))
 }
 
 // Best returns up to limit members with the highest rendezvous scores for a
 // key, best first.
 func Best(key string, members []fleet.Member, limit int) []fleet.Member {
-	hash := xxhash.Sum64String(key)
+	hash := rendezvous.Hash(key)
 	best := newBest(limit)
 	for i := range members {
 		best.add(&members[i], hash)
--- a/pkg/entry/ranker.go
+++ b/pkg/entry/ranker.go
@@ -10,9 +10,8 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"gitlab.com/wisterialb/wisterialb/pkg/fleet"
+	"gitlab.com/wisterialb/wisterialb/pkg/rendezvous"
 )
 
 // Defaults of a ranker.
@@ -74,7 +73,7 @@
 // rank returns the addresses of the members in one state.
 func rank(profile, zone string, members []fleet.Member, state fleet.State, width int) []string {
 	wanted := width + fallbacks
-	key := xxhash.Sum64String(profile)
+	key := rendezvous.Hash(profile)
 	own, other := newBest(width), newBest(wanted)
 	for i := range members {
 		member := &members[i]
--- a/pkg/fleet/watched.go
+++ b/pkg/fleet/watched.go
@@ -1,12 +1,8 @@
 package fleet
 
 import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
+	"gitlab.com/wisterialb/wisterialb/pkg/rendezvous"
 )
 
 // watched returns the keys of the leases that a router watches: those for
@@ -14,35 +10,33 @@
 // answer. So each lease has watchers, whoever is gone, and each router watches
 // a few, whatever the fleet's size.
 func watched(self string, members []Member) []platform.Key {
+	watcher := rendezvous.Hash(self)
+	hashes := make([]uint64, len(members))
+	for i, member := range members {
+		hashes[i] = rendezvous.Hash(member.Incarnation)
+	}
 	var keys []platform.Key
-	for _, member := range members {
-		if member.Incarnation != self && slices.Contains(watchersOf(member.Incarnation, members), self) {
+	for i, member := range members {
+		if member.Incarnation != self && watches(watcher, i, members, hashes) {
 			keys = append(keys, leaseKey(member.Incarnation))
 		}
 	}
 	return keys
 }
 
-// watchersOf returns the incarnations that watch a lease.
-func watchersOf(incarnation string, members []Member) []string {
-	type candidate struct {
-		incarnation string
-		score       uint64
-	}
-	var candidates []candidate
-	for _, member := range members {
-		if member.Incarnation == incarnation || !member.Answers() {
+// watches reports whether fewer members than watchersPerLease score higher than
+// the watcher for a member's lease.
+func watches(watcher uint64, lease int, members []Member, hashes []uint64) bool {
+	score := rendezvous.Score(hashes[lease], watcher)
+	higher := 0
+	for i, hash := range hashes {
+		if i == lease || !members[i].Answers() || rendezvous.Score(hashes[lease], hash) <= score {
 			continue
 		}
-		score := xxhash.Sum64String(member.Incarnation + "\x00" + incarnation)
-		candidates = append(candidates, candidate{member.Incarnation, score})
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.incarnation, b.incarnation))
-	})
-	var watchers []string
-	for _, candidate := range candidates[:min(watchersPerLease, len(candidates))] {
-		watchers = append(watchers, candidate.incarnation)
+		higher++
+		if higher == watchersPerLease {
+			return false
+		}
 	}
-	return watchers
+	return true
 }
--- /dev/null
+++ b/pkg/fleet/watched_test.go
@@ -0,0 +1,43 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
+)
+
+func watchedMembers(count int) []Member {
+	members := make([]Member, count)
+	for i := range members {
+		members[i] = Member{Incarnation: fmt.Sprintf("router-%03d", i), State: Live}
+	}
+	return members
+}
+
+func TestEachLeaseHasItsWatchers(t *testing.T) {
+	for _, count := range []int{2, 3, 9, 90} {
+		members := watchedMembers(count)
+		members[0].State = Suspect
+		watchers := make(map[platform.Key]int)
+		for _, member := range members[1:] {
+			for _, key := range watched(member.Incarnation, members) {
+				watchers[key]++
+			}
+		}
+		require.Equal(t, min(watchersPerLease, count-1), watchers[leaseKey("router-000")], "of a suspect")
+		for _, member := range members[1:] {
+			require.Equal(t, min(watchersPerLease, count-2), watchers[leaseKey(member.Incarnation)])
+		}
+	}
+}
+
+func BenchmarkWatched(b *testing.B) {
+	members := watchedMembers(360)
+	b.ReportAllocs()
+	for range b.N {
+		watched("router-007", members)
+	}
+}
