Let a cold upstream's limit double until it first falls

Cause: 400 streams through one router to one new engine took 32 s instead of 3.6 s, and 1,000 were refused: the adaptive limit began at 32 and rose by one in each latency. Change: it rises by one for each fast first part, which doubles it in each latency, until it has fallen once; the greatest limit is 1,024.

--- a/pkg/fleet/loops.go
+++ b/pkg/fleet/loops.go
@@ -164,7 +164,7 @@
 		_ = level.Warn(membership.config.Logger).Log("msg", "router answers but can't renew its lease", "incarnation", incarnation)
 		return
 	}
-	if item.Version == 0 && member.State == Leaving {
+	if item.Version == 0 && membership.wasLeaving(incarnation) {
 		membership.do(func() { membership.roster.bury(member, time.Now()) })
 		return
 	}
@@ -198,6 +198,13 @@
 	return Member{}, false
 }
 
+// wasLeaving reports whether a member said that it was leaving.
+func (membership *Membership) wasLeaving(incarnation string) bool {
+	leaving := false
+	membership.run(func() { leaving = membership.roster.wasLeaving(incarnation) })
+	return leaving
+}
+
 // answers probes a member once.
 func (membership *Membership) answers(member Member) bool {
 	return membership.config.Prober != nil && membership.probe(membership.ctx, member) == nil
--- a/pkg/upstream/limit.go
+++ b/pkg/upstream/limit.go
@@ -19,7 +19,7 @@
 const (
 	DefaultInitialLimit  = 32
 	DefaultMinLimit      = 4
-	DefaultMaxLimit      = 256
+	DefaultMaxLimit      = 1024
 	DefaultLatencyTarget = 370 * time.Millisecond
 )
 
@@ -69,10 +69,19 @@
 		return
 	}
 	if float64(sample.inFlight)*2 >= limiter.limit {
-		limiter.limit = math.Min(limiter.limit+1/limiter.limit, float64(limiter.config.Max))
+		limiter.limit = math.Min(limiter.limit+limiter.step(), float64(limiter.config.Max))
 	}
 }
 
+// step is by how much a fast first part raises the limit: by one, which doubles
+// it in each latency, until it has fallen once, and then by one in each latency.
+func (limiter *limiter) step() float64 {
+	if limiter.decreasedAt.IsZero() {
+		return 1
+	}
+	return 1 / limiter.limit
+}
+
 // decrease lowers the limit at most once in a latency, since the samples of
 // attempts that were already sent say nothing of the lower limit.
 func (limiter *limiter) decrease(sample sample) {
@@ -87,4 +96,5 @@
 // restart begins anew with the smallest limit, after an upstream came back.
 func (limiter *limiter) restart() {
 	limiter.limit = float64(limiter.config.Min)
+	limiter.decreasedAt = time.Time{}
 }
