--- a/pkg/budget/escrow_test.go
+++ b/pkg/budget/escrow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -16,20 +17,20 @@
 )
 
 // publish applies the writes of a change.
-func publish(t testing.TB, table platform.Table, change configuration.Change, body any) error {
-	t.Helper()
+func publish(tb testing.TB, table platform.Table, change configuration.Change, body any) error {
+	tb.Helper()
 	change.Body, _ = json.Marshal(body)
-	writes, err := budget.NewLedger(budget.LedgerConfig{Table: table}).ChangeWrites(t.Context(), change)
+	writes, err := budget.NewLedger(budget.LedgerConfig{Table: table}).ChangeWrites(tb.Context(), change)
 	if err != nil {
 		return err
 	}
-	return table.Transact(t.Context(), platform.Transaction{Writes: writes})
+	return table.Transact(tb.Context(), platform.Transaction{Writes: writes})
 }
 
-func openBudget(t testing.TB, table platform.Table, profile string, limitTokens int64) {
-	t.Helper()
+func openBudget(tb testing.TB, table platform.Table, profile string, limitTokens int64) {
+	tb.Helper()
 	change := configuration.Change{Kind: configuration.KindProfile, Name: profile}
-	require.NoError(t, publish(t, table, change, configuration.Profile{Name: profile, LimitTokens: limitTokens}))
+	require.NoError(tb, publish(tb, table, change, configuration.Profile{Name: profile, LimitTokens: limitTokens}))
 }
 
 func bill(reservation budget.Reservation, tokens int64) budget.Settlement {
@@ -97,3 +98,20 @@
 	require.Len(t, lines, 1)
 	require.Equal(t, budget.LineBill, lines[0].Kind)
 }
+
+func TestASettlementAfterAQuietIntervalIsWrittenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.NewTable()
+		openBudget(t, table, "advice", 1000)
+		escrow := budget.NewEscrow(budget.EscrowConfig{Table: table, Incarnation: "a", SettleInterval: 10 * time.Second})
+		time.Sleep(15 * time.Second)
+		for _, wait := range []time.Duration{0, 5 * time.Second} {
+			reservation, err := escrow.Reserve(t.Context(), budget.Demand{Profile: "advice", RequestID: wait.String(), Tokens: 10})
+			require.NoError(t, err)
+			start := time.Now()
+			<-escrow.Settle(bill(reservation, 5)).Durable()
+			require.Equal(t, wait, time.Since(start))
+		}
+		require.NoError(t, escrow.Close(context.Background()))
+	})
+}
