Take a lease row that is gone for an orderly end

Ruled out: a renewal behind the deletion (the lease mutex orders them). Change: a row that is gone is never marked, and a router serves callers only once its first row is written, so that it can hold nothing without a row.

--- a/pkg/fleet/lease.go
+++ b/pkg/fleet/lease.go
@@ -120,9 +120,6 @@
 		return nil
 	}
 	unchanged := platform.Condition{Kind: platform.IfVersion, Version: item.Version}
-	if item.Version == 0 {
-		unchanged = platform.Condition{Kind: platform.IfAbsent}
-	}
 	return table.Transact(ctx, platform.Transaction{Writes: []platform.Write{
 		{Key: item.Key, Action: platform.Check, Condition: unchanged},
 		{
--- a/pkg/fleet/loops.go
+++ b/pkg/fleet/loops.go
@@ -57,6 +57,9 @@
 		return nil
 	}
 	err := membership.lease.renew(ctx, membership.Self())
+	if err == nil && !membership.lease.lost {
+		membership.registered.Store(true)
+	}
 	if membership.lease.lost {
 		membership.fenced()
 	}
@@ -153,7 +156,9 @@
 	}
 }
 
-// lapsed deals with a lease that was not renewed for its whole duration.
+// lapsed deals with a lease that was not renewed for its whole duration. A row
+// that is gone was deleted by its holder, or by the router that closed what the
+// holder held: a router holds nothing before its first row (Registered).
 func (membership *Membership) lapsed(ctx context.Context, item platform.Item) {
 	incarnation := item.Key.Sort
 	member, ok := membership.find(incarnation)
@@ -164,7 +169,7 @@
 		_ = level.Warn(membership.config.Logger).Log("msg", "router answers but can't renew its lease", "incarnation", incarnation)
 		return
 	}
-	if item.Version == 0 && membership.wasLeaving(incarnation) {
+	if item.Version == 0 {
 		membership.do(func() { membership.roster.bury(member, time.Now()) })
 		return
 	}
@@ -198,13 +203,6 @@
 	return Member{}, false
 }
 
-// wasLeaving reports whether a member said that it was leaving.
-func (membership *Membership) wasLeaving(incarnation string) bool {
-	leaving := false
-	membership.run(func() { leaving = membership.roster.wasLeaving(incarnation) })
-	return leaving
-}
-
 // answers probes a member once.
 func (membership *Membership) answers(member Member) bool {
 	return membership.config.Prober != nil && membership.probe(membership.ctx, member) == nil
--- a/pkg/fleet/membership.go
+++ b/pkg/fleet/membership.go
@@ -95,6 +95,8 @@
 	// leaseMutex orders renewals.
 	leaseMutex sync.Mutex
 	lease      *lease
+	// registered is set once the row has been written.
+	registered atomic.Bool
 
 	commands chan func()
 	latest   atomic.Pointer[snapshot]
@@ -209,6 +211,12 @@
 	return membership.renew(ctx)
 }
 
+// Registered reports whether the router's row has been written. A router takes
+// nothing that others would have to close before that.
+func (membership *Membership) Registered() bool {
+	return membership.registered.Load()
+}
+
 // Deregister deletes the router's row. It is called after Leave when the
 // router holds nothing more; without it the lease lapses, and other routers
 // close what was held.
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -61,8 +61,6 @@
 	misses int
 	// rumoured is set when others suspect the member; one miss is enough then.
 	rumoured bool
-	// leaving is set when a member that said it was leaving became suspect.
-	leaving bool
 	// diedAt is when the member was taken for dead.
 	diedAt time.Time
 }
@@ -242,18 +240,10 @@
 		roster.askNext(incarnation)
 		return
 	}
-	entry.leaving = entry.member.State == Leaving
 	entry.member.State = Suspect
 	roster.news.add(incarnation, entry.member)
 }
 
-// wasLeaving reports whether the last that a member said of itself is that it
-// is leaving.
-func (roster *roster) wasLeaving(incarnation string) bool {
-	entry, ok := roster.entries[incarnation]
-	return ok && (entry.leaving || entry.member.State == Leaving)
-}
-
 // askNext queues a member to be probed out of turn.
 func (roster *roster) askNext(incarnation string) {
 	if len(roster.verify) < maxVerify && !slices.Contains(roster.verify, incarnation) {
--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -88,6 +88,14 @@
 			RetryAfter: time.Second,
 		})
 	}
+	if !router.membership.Registered() {
+		return fault.New(fault.Config{
+			Kind:       fault.Unavailable,
+			Message:    "this router has no lease yet",
+			Remedy:     "retry at another address of /v1/entry",
+			RetryAfter: time.Second,
+		})
+	}
 	if !router.follower.Ready() {
 		return fault.New(fault.Config{
 			Kind:       fault.Unavailable,
