--- a/pkg/exchange/load_bench_test.go
+++ b/pkg/exchange/load_bench_test.go
@@ -48,5 +48,5 @@
 			b.Fatal(err)
 		}
 	}
-	b.ReportMetric(float64(bytes.Load())/float64(b.N), "B/op")
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "B/poll")
 }
