Refuse a request id that was claimed for other content

Cause: a claim was keyed by caller and request id alone. A booking sent under the key of an earlier, different booking was answered with the stored result of that one and marked answered, although it never ran. Ruled out: a key of request id and content, because a repeated key with a changed body would then run a second booking; comparing the profile, because a retry under another profile is the same booking. Change: claim.Request carries a fingerprint, the row keeps it, and Claim refuses another one as a conflict with not_run. The router takes it from service, method, path and body. Rows without one are not compared. Conclusion: a stored result reaches only repeats of its own request.

--- a/pkg/claim/entry.go
+++ b/pkg/claim/entry.go
@@ -177,6 +177,16 @@
 	})
 }
 
+// idOfAnother is told as not run: the row that holds the id blocks this request
+// for good.
+func idOfAnother(request Request) error {
+	return fault.New(fault.Config{
+		Kind:    fault.Conflict,
+		Message: "request id " + request.RequestID + " was used for a request of other content",
+		Remedy:  "send this request under a new request id",
+	})
+}
+
 func gaveUp(request Request, cause error) error {
 	return fault.New(fault.Config{
 		Kind:    fault.Deadline,
--- a/pkg/claim/group.go
+++ b/pkg/claim/group.go
@@ -177,6 +177,8 @@
 	switch {
 	case plan.owns(entry, row) && row.State == Running:
 		registry.answerOwned(entry)
+	case row.isOfAnother(entry.request):
+		registry.answer(entry, Decision{}, idOfAnother(entry.request))
 	case item.Version != 0:
 		registry.answer(entry, row.decision(), nil)
 	case sealed || registry.isOld(entry):
@@ -184,7 +186,7 @@
 	case registry.hasLeft(entry):
 		registry.answer(entry, Decision{}, undecided(entry, nil))
 	default:
-		plan.add(entry, item, claimRow{State: Running, Owner: plan.owner, Run: entry.run, At: time.Now()})
+		plan.add(entry, item, newClaimRow(plan.owner, entry))
 	}
 }
 
@@ -204,8 +206,7 @@
 func (registry *Registry) placeFence(plan *groupPlan, entry *entry, item platform.Item, row claimRow) {
 	switch {
 	case item.Version == 0:
-		fence := claimRow{Owner: plan.owner, Run: entry.run, At: time.Now()}
-		plan.add(entry, item, fence.WithEnd(Withdrawn, Result{}, ""))
+		plan.add(entry, item, newClaimRow(plan.owner, entry).WithEnd(Withdrawn, Result{}, ""))
 	case plan.owns(entry, row) && row.State == Running:
 		plan.add(entry, item, row.WithEnd(Withdrawn, Result{}, ""))
 	default:
--- a/pkg/claim/registry.go
+++ b/pkg/claim/registry.go
@@ -151,8 +151,9 @@
 // Claim writes a claim for the request, or tells what the present claim says.
 // Owned means that the request may be dispatched until its deadline, and must
 // be ended by Finish, Withdraw or Abandon. The errors are fault.Invalid,
-// fault.Deadline, fault.Draining and fault.Unavailable; their outcome is
-// NotRun only where no run of the request exists.
+// fault.Conflict for a request id of other content, fault.Deadline,
+// fault.Draining and fault.Unavailable; their outcome is NotRun only where no
+// run of the request exists.
 func (registry *Registry) Claim(ctx context.Context, request Request) (Decision, error) {
 	entry, err := registry.newEntry(request)
 	if err != nil {
--- a/pkg/claim/registry_test.go
+++ b/pkg/claim/registry_test.go
@@ -47,6 +47,31 @@
 	require.Equal(t, "booked", string(decision.Result.Body))
 }
 
+func TestARequestIDIsNotSharedByRequestsOfOtherContent(t *testing.T) {
+	table := standin.NewTable()
+	first := newRegistry(t, table, "a")
+	second := newRegistry(t, table, "b")
+	ring := claim.Request{Scope: "desk", RequestID: claim.NewRequestID(), Fingerprint: "ring"}
+	gasket := ring
+	gasket.Fingerprint = "gasket"
+	decision, err := first.Claim(t.Context(), ring)
+	require.NoError(t, err)
+	require.Equal(t, claim.Owned, decision.State)
+
+	for _, end := range []func(){
+		func() {},
+		func() { require.NoError(t, first.Finish(t.Context(), ring, claim.Result{Body: []byte("a ring")})) },
+	} {
+		end()
+		_, err = second.Claim(t.Context(), gasket)
+		require.True(t, fault.Is(err, fault.Conflict), err)
+		require.Equal(t, fault.NotRun, fault.OutcomeOf(err))
+	}
+	decision, err = second.Claim(t.Context(), ring)
+	require.NoError(t, err)
+	require.Equal(t, "a ring", string(decision.Result.Body))
+}
+
 func TestOutcomeOfAClaimWhileTheTableIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		inner := standin.NewTable()
--- a/pkg/claim/rows.go
+++ b/pkg/claim/rows.go
@@ -57,16 +57,34 @@
 	Owner string `json:"owner"`
 	// Run identifies the run that wrote the claim, so that it knows its own
 	// claim after a lost answer.
-	Run    string    `json:"run"`
-	Result Result    `json:"result"`
-	Reason string    `json:"reason"`
-	At     time.Time `json:"at"`
+	Run string `json:"run"`
+	// Fingerprint is that of the request; see Request.
+	Fingerprint string    `json:"fingerprint,omitempty"`
+	Result      Result    `json:"result"`
+	Reason      string    `json:"reason"`
+	At          time.Time `json:"at"`
+}
+
+// newClaimRow returns the row of a running claim.
+func newClaimRow(owner string, entry *entry) claimRow {
+	return claimRow{
+		State:       Running,
+		Owner:       owner,
+		Run:         entry.run,
+		Fingerprint: entry.request.Fingerprint,
+		At:          time.Now(),
+	}
 }
 
 func (row claimRow) decision() Decision {
 	return Decision{State: row.State, Owner: row.Owner, Result: row.Result, Reason: row.Reason}
 }
 
+// isOfAnother reports whether the row claims the request id for other content.
+func (row claimRow) isOfAnother(request Request) bool {
+	return row.Fingerprint != "" && request.Fingerprint != "" && row.Fingerprint != request.Fingerprint
+}
+
 // WithEnd returns the row in its last state.
 func (row claimRow) WithEnd(state State, result Result, reason string) claimRow {
 	row.State = state
--- a/pkg/claim/state.go
+++ b/pkg/claim/state.go
@@ -31,6 +31,9 @@
 	// Scope separates the request ids of different callers.
 	Scope     string
 	RequestID string
+	// Fingerprint identifies what is asked for; a request id that was claimed
+	// under another one is refused. Empty is not compared.
+	Fingerprint string
 	// Deadline is when the caller stops waiting; nothing is dispatched later.
 	Deadline time.Time
 }
--- a/pkg/router/pipeline.go
+++ b/pkg/router/pipeline.go
@@ -9,7 +9,10 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
+	"fmt"
 	"time"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/budget"
@@ -55,7 +58,12 @@
 		router.release(reservation)
 		return router.conclude(sink, errNotReplayable)
 	}
-	request := claim.Request{Scope: current.caller.Name, RequestID: current.key, Deadline: current.deadline}
+	request := claim.Request{
+		Scope:       current.caller.Name,
+		RequestID:   current.key,
+		Fingerprint: fingerprintOf(work),
+		Deadline:    current.deadline,
+	}
 	decision, err := router.claims.Claim(ctx, request)
 	if err != nil || decision.State != claim.Owned {
 		router.release(reservation)
@@ -67,6 +75,16 @@
 	return router.conclude(sink, err)
 }
 
+// fingerprintOf identifies what a claimed request asks for, so that its key does
+// not fetch the stored result of another request.
+func fingerprintOf(work dispatch.Work) string {
+	digest := sha256.New()
+	for _, part := range []string{work.Service, work.Method, work.Path, string(work.Body)} {
+		_, _ = fmt.Fprintf(digest, "%d:%s", len(part), part)
+	}
+	return hex.EncodeToString(digest.Sum(nil))
+}
+
 // answerClaimed answers a request whose claim is not this run's.
 func (router *Router) answerClaimed(ctx context.Context, request claim.Request, decision claim.Decision, err error, sink *plainSink) error {
 	if err == nil && decision.State == claim.Running {
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -129,6 +129,19 @@
 	}
 }
 
+func TestAKeyIsNotAnsweredWithTheResultOfAnotherRequest(t *testing.T) {
+	fleet := startFleet(t, plenty, slowEngine())
+	key := claim.NewRequestID()
+	outcome, first := fleet.book(call{key: key, body: "ring"})
+	require.Equal(t, fault.Answered, outcome, first)
+	outcome, again := fleet.book(call{router: 1, key: key, body: "ring"})
+	require.Equal(t, fault.Answered, outcome, again)
+	require.Equal(t, first, again)
+	outcome, other := fleet.book(call{router: 1, key: key, body: "gasket"})
+	require.Equal(t, fault.NotRun, outcome, other)
+	require.Equal(t, 1, fleet.Services[0].Runs().Counts[key])
+}
+
 func TestABookingIsRefusedAsNotRunWhileTheTableIsDown(t *testing.T) {
 	fleet := startFleet(t, plenty, slowEngine())
 	outcome, body := fleet.book(call{key: claim.NewRequestID(), body: "ring"})
