Extend a reservation for a second attempt, and charge each attempt once

Cause: the router gave the dispatcher no Work.Extend, so an idempotent request whose engine died with its usage unknown ended as outcome_unknown although the budget had tokens. A retry that got no upstream also left the result's usage unknown, and the whole reservation was charged for a first attempt whose usage was proven. Ruled out: a second reservation settled by itself, because one request would have two settlements and its lines two sums to keep. Change: Extend reserves through the escrow and adds to the one reservation. A lost attempt is charged its worst case as waste, the delivered one what it used as the bill; what was added and not used returns. A result whose retry was not sent has a known usage of zero beside its waste. Conclusion: such a request runs again where the budget allows it, and all lines together stay within what was reserved in all.

--- a/pkg/dispatch/dispatcher_test.go
+++ b/pkg/dispatch/dispatcher_test.go
@@ -163,6 +163,29 @@
 	return tell(result, err, sink) + fmt.Sprintf("runs=%d\n", len(engine.Runs())-1)
 }
 
+// A retry that gets no upstream leaves nothing of unknown usage behind: what the
+// first attempt used was proven.
+func TestARefusedRetryChargesWhatTheFirstAttemptUsed(t *testing.T) {
+	engine := startEngine(t, standin.EngineConfig{})
+	dispatcher := startDispatcher(t, Config{Upstreams: func(string) []configuration.Upstream {
+		if len(engine.Runs()) > 1 {
+			return nil
+		}
+		return []configuration.Upstream{upstreamAt(engine.Address())}
+	}})
+	_, err := dispatcher.Dispatch(t.Context(), modelWork("other"), &collected{})
+	require.NoError(t, err)
+	require.NoError(t, engine.SetFaults(standin.EngineFaults{
+		Streams: map[standin.StreamFault]standin.Chance{standin.StreamWrongAttempt: {Rate: 1}},
+	}))
+	work := modelWork("one")
+	result, err := dispatcher.Dispatch(t.Context(), work, &collected{})
+	require.Equal(t, fault.OutcomeUnknown, fault.OutcomeOf(err))
+	require.Len(t, result.Attempts, 1)
+	run := engine.Runs()[1]
+	require.Equal(t, int64(run.PromptTokens+run.CompletionTokens), charge(work, result))
+}
+
 // silence makes the pooled connection silent before the request is sent.
 func silence(t *testing.T, _ *datadriven.TestData) string {
 	t.Helper()
--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -123,12 +123,13 @@
 	return verdict
 }
 
-// waste moves the usage of an attempt that another one follows.
+// waste moves the usage of an attempt that another one follows. Until that one
+// is sent, nothing else is used.
 func (run *run) waste(usage Usage, verdict verdict) {
 	if verdict != retryElsewhere {
 		return
 	}
-	run.result.Usage = Usage{}
+	run.result.Usage = Usage{Known: true}
 	run.result.WasteTokens += usage.Tokens()
 	run.result.WasteUnknown = run.result.WasteUnknown || !usage.Known
 }
--- a/pkg/router/harness_test.go
+++ b/pkg/router/harness_test.go
@@ -33,13 +33,18 @@
 }
 
 func startFleet(t *testing.T, limit int64, engine standin.EngineConfig) *testFleet {
+	t.Helper()
+	engine.Name = "engine-1"
+	return startFleetOf(t, limit, engine)
+}
+
+func startFleetOf(t *testing.T, limit int64, engines ...standin.EngineConfig) *testFleet {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
-	engine.Name = "engine-1"
 	fleet, err := demo.StartFleet(demo.FleetConfig{
 		Zones:    []string{"varnamo", "gislaved", "jonkoping"},
-		Engines:  []standin.EngineConfig{engine},
+		Engines:  engines,
 		Services: 1,
 		Adjust: func(_ int, settings settings.Settings) settings.Settings {
 			settings.PollInterval = 50 * time.Millisecond
--- a/pkg/router/pipeline.go
+++ b/pkg/router/pipeline.go
@@ -46,6 +46,16 @@
 	if !current.idempotent {
 		return router.runClaimed(ctx, current, reservation, work, sink)
 	}
+	work.Extend = func(ctx context.Context, tokens int64) error {
+		added, err := router.escrow.Reserve(ctx, budget.Demand{
+			Profile:   current.profile.Name,
+			RequestID: current.id,
+			Tokens:    tokens,
+			Deadline:  current.deadline,
+		})
+		reservation.Tokens += added.Tokens
+		return err
+	}
 	result, err := router.dispatcher.Dispatch(ctx, work, sink)
 	router.settle(ctx, current, reservation, result, err)
 	return router.conclude(sink, err)
@@ -187,13 +197,10 @@
 	if billed {
 		line.Kind = budget.LineBill
 	}
-	waste := min(result.WasteTokens, reservation.Tokens)
+	waste := min(wasteOf(reservation, result), reservation.Tokens)
 	rest := reservation.Tokens - waste
-	switch {
-	case current.service.Protocol == configuration.ProtocolPlain:
-		line.Tokens = rest
-	case !result.Usage.Known || result.WasteUnknown:
-		line.Estimated = true
+	if !result.Usage.Known {
+		line.Estimated = current.service.Protocol != configuration.ProtocolPlain
 		line.Tokens = rest
 	}
 	line.Tokens = min(line.Tokens, rest)
@@ -204,12 +211,31 @@
 		wasted.PromptTokens, wasted.CompletionTokens = 0, 0
 		wasted.Tokens = waste
 		wasted.Attempt = ""
-		wasted.Estimated = false
+		wasted.Estimated = result.WasteUnknown
 		lines = append(lines, wasted)
 	}
 	return lines
 }
 
+// wasteOf returns what the attempts before the last one used. One whose usage
+// is not known counts with its worst case.
+func wasteOf(reservation budget.Reservation, result dispatch.Result) int64 {
+	if !result.WasteUnknown {
+		return result.WasteTokens
+	}
+	earlier := result.Attempts
+	if !result.Usage.Known {
+		earlier = earlier[:len(earlier)-1]
+	}
+	waste := result.WasteTokens
+	for _, attempt := range earlier {
+		if attempt.Started && !attempt.Usage.Known {
+			waste += reservation.Tokens - result.ExtendedTokens
+		}
+	}
+	return waste
+}
+
 // conclude releases the end of the answer or tells the error.
 func (router *Router) conclude(sink answerSink, err error) error {
 	if err != nil {
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -206,6 +206,41 @@
 	fleet.statement()
 }
 
+func TestAStreamWhoseEngineDiedUnknownRunsAgain(t *testing.T) {
+	config := slowEngine()
+	config.PrefillPerToken = 20 * time.Millisecond
+	first, second := config, config
+	first.Name, second.Name = "engine-1", "engine-2"
+	fleet := startFleetOf(t, plenty, first, second)
+	died := make(chan int, 1)
+	go func() {
+		for {
+			for index, engine := range fleet.Engines {
+				if len(engine.Runs()) > 0 {
+					_ = engine.Close()
+					died <- index
+					return
+				}
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	text, end := fleet.stream(call{key: "k1"}, prompt, maxTokens).rest()
+	require.Equal(t, "[DONE]", end)
+	require.Equal(t, wholeAnswer(), text)
+	spare := fleet.Engines[1-<-died]
+	require.Len(t, spare.Runs(), 1)
+	run := spare.Runs()[0]
+	used := int64(run.PromptTokens + run.CompletionTokens)
+	require.Eventually(t, func() bool { return len(fleet.lines()) == 2 }, testTimeout, 20*time.Millisecond)
+	statement := fleet.statement()
+	require.Equal(t, used, statement.BillTokens)
+	require.Greater(t, statement.WasteTokens, used, "the lost attempt is charged its worst case")
+	for _, line := range fleet.lines() {
+		require.Equal(t, line.Kind == budget.LineWaste, line.Estimated)
+	}
+}
+
 func TestACallerThatLeavesStopsTheEngineAndIsBilled(t *testing.T) {
 	fleet := startFleet(t, plenty, slowEngine())
 	stream := fleet.stream(call{key: "k1"}, prompt, maxTokens)
