Pass service paths on as sent, and refuse headers that cannot be sent

Cause: the path behind /v1/services/{service} was passed on decoded, so an escaped "?", "#" or "/" changed which path the service got, and an escaped newline or percent sign made a URL that no request could be built from. A header value with a control character failed in the transport in the same way. Both were told as 503, retried elsewhere and counted as failures of the upstream, which can eject it for all callers. Ruled out: judging the transport's errors by their text in pkg/exchange; and refusing "..", since a profile allows the whole service. Change: the escaped path goes on, a "#" in the query is escaped, and a control character in a header is refused as invalid before anything is reserved. Conclusion: a caller's request line and headers neither change the service's path nor tell against an upstream.

--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -249,6 +249,27 @@
 	return passed
 }
 
+// checkHeader refuses values that the transport to upstreams would not send.
+func checkHeader(header http.Header) error {
+	for name, values := range header {
+		for _, value := range values {
+			if strings.ContainsFunc(value, isControl) {
+				return fault.New(fault.Config{
+					Kind:    fault.Invalid,
+					Message: "header " + name + " has a control character",
+					Remedy:  "send header values without control characters",
+				})
+			}
+		}
+	}
+	return nil
+}
+
+func isControl(char rune) bool {
+	const lastControl, deletion = 0x1f, 0x7f
+	return char != '\t' && (char <= lastControl || char == deletion)
+}
+
 func forbidden(message, remedy string) error {
 	return fault.New(fault.Config{Kind: fault.Forbidden, Message: message, Remedy: remedy})
 }
--- a/pkg/router/handlers.go
+++ b/pkg/router/handlers.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -176,7 +177,7 @@
 }
 
 func (router *Router) serviceWork(current ticket, request *http.Request) (ticket, dispatch.Work, error) {
-	name, rest, _ := strings.Cut(strings.TrimPrefix(request.URL.Path, servicesPrefix), "/")
+	name, path := servicePath(request.URL)
 	service, ok := router.follower.View().Service(name)
 	if !ok || service.Protocol != configuration.ProtocolPlain {
 		return ticket{}, dispatch.Work{}, fault.New(fault.Config{
@@ -200,17 +201,29 @@
 	}
 	work := router.workOf(current)
 	work.Method = request.Method
-	work.Path = "/" + rest
-	if request.URL.RawQuery != "" {
-		work.Path += "?" + request.URL.RawQuery
-	}
+	work.Path = path
 	work.Header = forwardable(request.Header)
+	if err := checkHeader(work.Header); err != nil {
+		return ticket{}, dispatch.Work{}, err
+	}
 	work.Header.Set(headerIdempotencyKey, current.key)
 	work.Body = body
 	work.MaxTokens = service.CallTokens
 	return current, work, nil
 }
 
+// servicePath returns the service's name and the path and query that it gets,
+// escaped as the caller sent them: a decoded path would end at its first "?" or
+// "#". The parser of request lines leaves a "#" in the query.
+func servicePath(target *url.URL) (name, path string) {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(target.EscapedPath(), servicesPrefix), "/")
+	path = "/" + rest
+	if target.RawQuery != "" {
+		path += "?" + strings.ReplaceAll(target.RawQuery, "#", "%23")
+	}
+	return name, path
+}
+
 func (router *Router) workOf(current ticket) dispatch.Work {
 	return dispatch.Work{
 		RequestID:  current.id,
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -1,8 +1,11 @@
 package router_test
 
 import (
+	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -13,6 +16,7 @@
 
 	"gitlab.com/wisterialb/wisterialb/pkg/budget"
 	"gitlab.com/wisterialb/wisterialb/pkg/claim"
+	"gitlab.com/wisterialb/wisterialb/pkg/demo"
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/standin"
 )
@@ -142,6 +146,46 @@
 	require.Equal(t, 1, fleet.Services[0].Runs().Counts[key])
 }
 
+func TestTheServiceGetsThePathAsItWasSent(t *testing.T) {
+	fleet := startFleet(t, plenty, slowEngine())
+	for sent, want := range map[string]string{
+		"/bookings%3Fa%2Fb": "/bookings?a/b",
+		"/bookings%23a":     "/bookings#a",
+		"/bookings%25zz":    "/bookings%zz",
+		"/bookings%0A":      "/bookings\n",
+	} {
+		response := fleet.send(call{key: claim.NewRequestID(), path: "/v1/services/" + demo.OrderService + sent, body: "ring"})
+		require.Equal(t, http.StatusOK, response.StatusCode, sent)
+		var booking standin.Booking
+		require.NoError(t, json.NewDecoder(response.Body).Decode(&booking))
+		require.Equal(t, want, booking.Path)
+	}
+}
+
+// A header that cannot be passed on is the caller's fault. It must not count
+// against the upstream, which would be ejected for all callers.
+func TestAHeaderThatCannotBePassedOnIsRefused(t *testing.T) {
+	const tries = 5
+	fleet := startFleet(t, plenty, slowEngine())
+	for range tries {
+		connection, err := net.Dial("tcp", fleet.Routers[0].CallerAddress())
+		require.NoError(t, err)
+		_, err = fmt.Fprintf(connection, "POST /v1/services/%s/bookings HTTP/1.1\r\nHost: router\r\n"+
+			"Authorization: Bearer %s\r\nWisterialb-Profile: %s\r\nIdempotency-Key: %s\r\n"+
+			"X-Note: a\x01b\r\nContent-Length: 4\r\n\r\nring",
+			demo.OrderService, demo.CallerToken, demo.ProfileName, claim.NewRequestID())
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.NoError(t, connection.Close())
+		assert.Equal(t, http.StatusBadRequest, response.StatusCode)
+		assert.Equal(t, string(fault.NotRun), response.Header.Get("Wisterialb-Outcome"))
+	}
+	outcome, body := fleet.book(call{key: claim.NewRequestID(), body: "ring"})
+	require.Equal(t, fault.Answered, outcome, body)
+}
+
 func TestABookingIsRefusedAsNotRunWhileTheTableIsDown(t *testing.T) {
 	fleet := startFleet(t, plenty, slowEngine())
 	outcome, body := fleet.book(call{key: claim.NewRequestID(), body: "ring"})
