Tell an engine's error by its status, and refuse a collected part

Cause: the sinks of model answers did not look at the status. An engine's 400 was streamed as one event under status 200 with the end marker behind it, or collected to an empty answer, and counted as answered. A request without streaming that sent Last-Event-ID got a document that began in the middle and was marked whole. Ruled out: ending such a request as outcome_unknown, since the engine's error is its whole answer; ignoring Last-Event-ID, since the caller would not learn that it holds a part twice. Change: an error status goes to the caller with its document, held like a plain service's answer; a position without streaming is refused as invalid. Measured: before, TestAnEnginesRefusalIsNotAWholeStream saw 200 and [DONE] and TestACollectedAnswerDoesNotBeginInTheMiddle saw 200; after, both see 400. They and the stream and token tests of ./pkg/router passed with -race. Conclusion: only a whole stream from its first event is marked whole.

--- a/pkg/router/handlers.go
+++ b/pkg/router/handlers.go
@@ -96,6 +96,7 @@
 	if parsed.Stream {
 		sink = &streamSink{sinkBase: base, includeUsage: parsed.IncludeUsage}
 	}
+	sink = &engineSink{stream: sink, failure: &plainSink{sinkBase: base, maxBytes: router.config.MaxAnswerBytes}}
 	err = router.run(request.Context(), current, work, sink)
 	router.finished(current, err)
 }
@@ -124,6 +125,9 @@
 	if err != nil {
 		return ticket{}, dispatch.Work{}, completion.Request{}, err
 	}
+	if resume.Position > 0 && !parsed.Stream {
+		return ticket{}, dispatch.Work{}, completion.Request{}, errCollectedPart
+	}
 	work := router.workOf(current)
 	work.Model = true
 	work.Method = http.MethodPost
--- a/pkg/router/pipeline.go
+++ b/pkg/router/pipeline.go
@@ -256,6 +256,11 @@
 		Message: "a streamed model request cannot be marked non-idempotent",
 		Remedy:  "leave " + headerIdempotent + " out, or call a plain service",
 	})
+	errCollectedPart = fault.New(fault.Config{
+		Kind:    fault.Invalid,
+		Message: "an answer that is not streamed cannot begin behind an event",
+		Remedy:  "leave " + headerLastEventID + " out, or ask for a stream",
+	})
 	errWithdrawn = fault.New(fault.Config{
 		Kind:    fault.Conflict,
 		Message: "this request was refused before and will not run",
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -186,6 +187,35 @@
 	require.Equal(t, fault.Answered, outcome, body)
 }
 
+func TestACollectedAnswerDoesNotBeginInTheMiddle(t *testing.T) {
+	fleet := startFleet(t, plenty, slowEngine())
+	stream := fleet.stream(call{key: "k1"}, prompt, maxTokens)
+	resume := stream.response.Header.Get("Wisterialb-Resume")
+	text, end := stream.rest()
+	require.Equal(t, "[DONE]", end)
+	require.Equal(t, wholeAnswer(), text)
+	response := fleet.send(call{key: "k1", path: "/v1/chat/completions", header: map[string]string{
+		"Wisterialb-Resume": resume,
+		"Last-Event-ID":     "5",
+	}, body: fmt.Sprintf(`{"model":%q,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, demo.ModelName, maxTokens, prompt)})
+	require.Equal(t, http.StatusBadRequest, response.StatusCode)
+	require.Equal(t, string(fault.NotRun), response.Header.Get("Wisterialb-Outcome"))
+}
+
+func TestAnEnginesRefusalIsNotAWholeStream(t *testing.T) {
+	fleet := startFleet(t, plenty, slowEngine())
+	for _, stream := range []bool{true, false} {
+		response := fleet.send(call{key: fmt.Sprint("k", stream), path: "/v1/chat/completions", body: fmt.Sprintf(
+			`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}],"user":1}`,
+			demo.ModelName, stream, maxTokens, prompt)})
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadRequest, response.StatusCode, string(body))
+		require.Equal(t, "application/json", response.Header.Get("Content-Type"))
+		require.NotContains(t, string(body), "[DONE]")
+	}
+}
+
 func TestABookingIsRefusedAsNotRunWhileTheTableIsDown(t *testing.T) {
 	fleet := startFleet(t, plenty, slowEngine())
 	outcome, body := fleet.book(call{key: claim.NewRequestID(), body: "ring"})
--- a/pkg/router/sink.go
+++ b/pkg/router/sink.go
@@ -1,6 +1,6 @@
 package router
 
-// The three ways in which an answer reaches a caller.
+// The ways in which an answer reaches a caller.
 //
 // The flow: the dispatcher calls Head once and Event for each part; the
 // pipeline settles the request and then calls End, or Fail when the request
@@ -218,6 +218,42 @@
 	respondError(sink.writer, err)
 }
 
+// engineSink passes on what a model engine answers: a stream by its own sink, and
+// an error status with its document, which is no part of a stream.
+type engineSink struct {
+	stream  answerSink
+	failure *plainSink
+	failed  bool
+}
+
+func (sink *engineSink) current() answerSink {
+	if sink.failed {
+		return sink.failure
+	}
+	return sink.stream
+}
+
+// Head chooses the sink by the status.
+func (sink *engineSink) Head(head dispatch.Head) error {
+	sink.failed = head.Status >= http.StatusBadRequest
+	return sink.current().Head(head)
+}
+
+// Event passes a part on.
+func (sink *engineSink) Event(event dispatch.Event) error {
+	return sink.current().Event(event)
+}
+
+// End releases the end of the answer.
+func (sink *engineSink) End() {
+	sink.current().End()
+}
+
+// Fail tells the caller why there is no whole answer.
+func (sink *engineSink) Fail(err error) {
+	sink.current().Fail(err)
+}
+
 // replay writes a whole answer of a plain service.
 func replay(writer http.ResponseWriter, result claim.Result) {
 	header := writer.Header()
