Tell callers the outcome when the drain timeout ends their requests

Cause: when the drain timeout passed, the server closed all connections at once. A caller with a running request saw its connection end without an outcome, and its attempt ran on until a write failed. Ruled out: more time, since the bound is the operators'; the same for Abort, which stands for a crash and must leave the attempts for a resume elsewhere. Change: Shutdown cancels what still runs, so that the pipeline cancels the attempt, settles it and tells the outcome, and closes connections after that or after five seconds. Conclusion: the outcome of the bound is told truthfully.

--- a/pkg/router/harness_test.go
+++ b/pkg/router/harness_test.go
@@ -39,6 +39,11 @@
 }
 
 func startFleetOf(t *testing.T, limit int64, engines ...standin.EngineConfig) *testFleet {
+	t.Helper()
+	return startFleetWith(t, limit, settings.Defaults().DrainTimeout, engines...)
+}
+
+func startFleetWith(t *testing.T, limit int64, drainTimeout time.Duration, engines ...standin.EngineConfig) *testFleet {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
@@ -50,6 +55,7 @@
 			settings.PollInterval = 50 * time.Millisecond
 			settings.SettleInterval = 50 * time.Millisecond
 			settings.Horizon = time.Second
+			settings.DrainTimeout = drainTimeout
 			return settings
 		},
 	})
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -125,7 +125,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	router.server.Load().Shutdown(ctx)
+	router.server.Load().Abort()
 	_ = router.closeParts(ctx)
 }
 
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -55,6 +55,31 @@
 	require.NoError(t, fleet.StartRouter(0))
 }
 
+func TestRequestsBeyondTheDrainTimeoutAreToldSo(t *testing.T) {
+	const longTokens, drainTimeout, bound = 400, 500 * time.Millisecond, 10 * time.Second
+	engine := standin.EngineConfig{Name: "engine-1", Slots: 16, TokenInterval: 100 * time.Millisecond}
+	fleet := startFleetWith(t, plenty, drainTimeout, engine)
+	stream := fleet.stream(call{key: "k1"}, prompt, longTokens)
+	stream.take(1)
+	var group sync.WaitGroup
+	group.Go(func() {
+		response := fleet.send(call{key: "k2", path: "/v1/chat/completions", body: fmt.Sprintf(
+			`{"model":%q,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, demo.ModelName, longTokens, prompt)})
+		assert.Equal(t, string(fault.OutcomeUnknown), response.Header.Get("Wisterialb-Outcome"))
+	})
+	require.Eventually(t, func() bool { return len(fleet.Engines[0].Runs()) == 2 }, testTimeout, time.Millisecond)
+	begun := time.Now()
+	cut, err := fleet.Routers[0].Shutdown(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, 2, cut)
+	require.Less(t, time.Since(begun), bound)
+	_, end := stream.rest()
+	require.Equal(t, string(fault.OutcomeUnknown), end)
+	group.Wait()
+	statement := fleet.statement()
+	require.Equal(t, fleet.usedTokens(), statement.BillTokens+statement.WasteTokens)
+}
+
 func TestAStreamOfAKilledRouterIsResumedElsewhere(t *testing.T) {
 	fleet := startFleet(t, plenty, slowEngine())
 	first := fleet.stream(call{key: "k1"}, prompt, maxTokens)
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -25,6 +25,9 @@
 	sweepInterval = 50 * time.Millisecond
 	// flushWait is how long a shutdown waits for written answers to leave.
 	flushWait = 200 * time.Millisecond
+	// cutOffWait is how long a shutdown waits for the answers of requests that
+	// it had to end. Each cancels its attempt at the engine.
+	cutOffWait = 5 * time.Second
 	// bodySlack is how many times the body bound is read before the
 	// connection is closed, so that a body over the bound gets an answer.
 	bodySlack = 8
@@ -79,6 +82,14 @@
 	Outcome: fault.OutcomeUnknown,
 })
 
+// errCutOff is the cause of the context of a request that a shutdown ended.
+var errCutOff = fault.New(fault.Config{
+	Kind:    fault.Draining,
+	Message: "the router's drain timeout has passed",
+	Remedy:  "retry at another address with the same Idempotency-Key",
+	Outcome: fault.OutcomeUnknown,
+})
+
 // NewServer starts a server.
 func NewServer(config ServerConfig) (*Server, error) {
 	server := &Server{
@@ -145,13 +156,33 @@
 }
 
 // Shutdown waits until no request is running, or until ctx ends, and closes
-// all connections. It returns how many requests were cut off.
+// all connections. Requests that still run are ended first, so that their callers
+// are told the outcome. It returns how many requests were cut off.
 func (server *Server) Shutdown(ctx context.Context) int {
 	left := server.drain(ctx)
+	if left > 0 {
+		server.cutOff(ctx)
+	}
 	server.Abort()
 	return left
 }
 
+// cutOff ends the running requests and waits a bounded time for their answers.
+func (server *Server) cutOff(ctx context.Context) {
+	server.cancelAll()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cutOffWait)
+	defer cancel()
+	server.drain(ctx)
+}
+
+func (server *Server) cancelAll() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for current := range server.exchanges {
+		current.cancel(errCutOff)
+	}
+}
+
 // Abort closes all connections at once.
 func (server *Server) Abort() {
 	server.stopOnce.Do(func() {
