Keep the request ids of two callers apart

Cause: a bill's request id is the caller's name, a colon and the key, and names may hold colons: caller "desk" with key "north:01" and caller "desk:north" with key "01" shared one id, so one bill stood for two requests and the other was charged as waste, and a resume token of one was taken from the other. Ruled out: refusing colons in names, which would refuse published documents; and another order of the parts, since keys may hold colons as well. Change: a colon and a percent sign in a caller's name are escaped in the id. Other names give the ids that they gave. Measured: TestRequestIDsOfTwoCallersDiffer saw "desk:north:01" for both before and passes after. Conclusion: a request id names one caller.

--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -69,7 +69,7 @@
 		return ticket{}, err
 	}
 	return ticket{
-		id:       caller.Name + ":" + key,
+		id:       requestID(caller.Name, key),
 		key:      key,
 		caller:   caller,
 		profile:  profile,
@@ -79,6 +79,14 @@
 	}, nil
 }
 
+// callerEscapes keep the end of a caller's name in a request id unambiguous.
+var callerEscapes = strings.NewReplacer("%", "%25", ":", "%3A")
+
+// requestID returns an id that no other caller's key gives.
+func requestID(caller, key string) string {
+	return callerEscapes.Replace(caller) + ":" + key
+}
+
 func (router *Router) checkServing() error {
 	if router.draining.Load() {
 		return fault.New(fault.Config{
