Answer a booking by its deadline while the table is slow

Cause: behind a booking's run its result was stored for up to ten seconds, apart from the caller's deadline. With a slow table the whole answer came after the caller had stopped waiting. The wait for the bill ended with the deadline itself, when the answer could no longer arrive. Ruled out: answering before the first try to store, since a retry elsewhere would then mostly find the claim running. The result stays queued in the registry, which stores it when the table takes it. Withdrawing and abandoning keep their ten seconds: not_run may only be said once it is proven. Conclusion: a slow table delays no answer past its deadline.

--- a/pkg/router/pipeline.go
+++ b/pkg/router/pipeline.go
@@ -26,6 +26,9 @@
 // has gone.
 const concludeTimeout = 10 * time.Second
 
+// releaseMargin is kept of the caller's time for an answer's end to arrive.
+const releaseMargin = 100 * time.Millisecond
+
 // run takes work through the pipeline. It returns the error that the caller
 // was told, or nil for a whole answer.
 func (router *Router) run(ctx context.Context, current ticket, work dispatch.Work, sink answerSink) error {
@@ -80,7 +83,9 @@
 		return router.answerClaimed(ctx, request, decision, err, plain)
 	}
 	result, err := router.dispatcher.Dispatch(ctx, work, sink)
-	err = router.concludeClaim(ctx, request, plain, err)
+	release, cancel := router.releaseContext(ctx, current)
+	defer cancel()
+	err = router.concludeClaim(release, request, plain, err)
 	router.settle(ctx, current, reservation, result, err)
 	return router.conclude(sink, err)
 }
@@ -114,17 +119,29 @@
 	}
 }
 
+// releaseContext bounds the wait for the result and the bill of an answer whose
+// end is held. What the table has not taken by then it is given later.
+func (router *Router) releaseContext(ctx context.Context, current ticket) (context.Context, context.CancelFunc) {
+	release := time.Now().Add(router.config.BillWait)
+	latest := current.deadline.Add(-releaseMargin)
+	if latest.Before(release) {
+		release = latest
+	}
+	return context.WithDeadline(context.WithoutCancel(ctx), release)
+}
+
 // concludeClaim records how a claimed run ended and returns the error that the
-// caller has to be told.
+// caller has to be told. It waits for a stored result until ctx ends.
 func (router *Router) concludeClaim(ctx context.Context, request claim.Request, sink *plainSink, runErr error) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), concludeTimeout)
-	defer cancel()
-	switch {
-	case runErr == nil:
+	if runErr == nil {
 		if err := router.claims.Finish(ctx, request, sink.result); err != nil {
 			router.logClaim("finish", request, err)
 		}
 		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), concludeTimeout)
+	defer cancel()
+	switch {
 	case fault.OutcomeOf(runErr) == fault.NotRun:
 		if err := router.claims.Withdraw(ctx, request); err != nil {
 			router.logClaim("withdraw", request, err)
@@ -147,11 +164,11 @@
 	if runErr != nil {
 		return
 	}
-	timer := time.NewTimer(router.config.BillWait)
-	defer timer.Stop()
+	release, cancel := router.releaseContext(ctx, current)
+	defer cancel()
 	select {
 	case <-receipt.Held():
-	case <-timer.C:
+	case <-release.Done():
 		router.metrics.billsLate.Inc()
 	case <-ctx.Done():
 	}
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -241,6 +241,32 @@
 	}
 }
 
+func TestABookingIsAnsweredInTimeThoughTheTableIsSlow(t *testing.T) {
+	const deadline, late, slowTable = 3 * time.Second, 5 * time.Second, 20 * time.Second
+	fleet := startFleet(t, plenty, slowEngine())
+	require.NoError(t, fleet.Services[0].SetFaults(standin.ServiceFaults{DelayMS: 500}))
+	key := claim.NewRequestID()
+	var group sync.WaitGroup
+	group.Go(func() {
+		for len(fleet.Services[0].Runs().Runs) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		assert.NoError(t, fleet.Platform.SetFaults(standin.PlatformFaults{DelayMS: slowTable.Milliseconds()}))
+	})
+	begun := time.Now()
+	outcome, first := fleet.book(call{key: key, body: "ring", header: map[string]string{
+		"Wisterialb-Deadline": fmt.Sprint(deadline.Milliseconds()),
+	}})
+	group.Wait()
+	require.Equal(t, fault.Answered, outcome, first)
+	require.Less(t, time.Since(begun), late)
+	require.NoError(t, fleet.Platform.SetFaults(standin.PlatformFaults{}))
+	outcome, again := fleet.book(call{router: 1, key: key, body: "ring"})
+	require.Equal(t, fault.Answered, outcome, again)
+	require.Equal(t, first, again)
+	require.Equal(t, 1, fleet.Services[0].Runs().Counts[key])
+}
+
 func TestABookingIsRefusedAsNotRunWhileTheTableIsDown(t *testing.T) {
 	fleet := startFleet(t, plenty, slowEngine())
 	outcome, body := fleet.book(call{key: claim.NewRequestID(), body: "ring"})
