Let an answer of the allowed length reach its caller

Cause: an answer of a plain service may have 4 MiB and is written at once, but the write buffer of a connection was bounded at 1 MiB. nbio closes a connection when one write is longer than that bound, so every such answer was lost after the call had run and was billed; a booking's retry was told outcome_unknown. Ruled out: writing in pieces, since nbio buffers what the socket does not take and has no wait for it to drain. Change: the bound is the longest answer and 1 MiB for its head. Measured: TestALongAnswerReachesACallerThatReadsLate, with 3 MiB, ended in an unexpected EOF before and passes after, with -race. The memory that a slow caller can hold rises from 1 to 5 MiB a connection; no load was measured. Conclusion: the two bounds agree.

--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -39,8 +39,10 @@
 	defaultMaxTokens  = 1024
 	greatestMaxTokens = 65536
 	maxAnswerBytes    = 4 << 20
-	maxWriteBytes     = 1 << 20
-	maxRequests       = 8192
+	// maxWriteBytes covers the longest answer and its head: nbio closes a
+	// connection when one write is longer.
+	maxWriteBytes = maxAnswerBytes + 1<<20
+	maxRequests   = 8192
 	// billWait bounds how long an answer's end waits for its bill.
 	billWait = 3 * time.Second
 	// reportInterval is how often the router tells the fleet about itself.
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -267,6 +268,21 @@
 	require.Equal(t, 1, fleet.Services[0].Runs().Counts[key])
 }
 
+func TestALongAnswerReachesACallerThatReadsLate(t *testing.T) {
+	const pieceBytes, pieces = 1 << 20, 3
+	fleet := startFleet(t, plenty, slowEngine())
+	piece := strings.Repeat("r", pieceBytes)
+	response := fleet.send(call{
+		key:  claim.NewRequestID(),
+		path: "/v1/services/" + demo.OrderService + "/bookings",
+		body: strings.Repeat(piece, pieces),
+	})
+	time.Sleep(time.Second)
+	var booking standin.Booking
+	require.NoError(t, json.NewDecoder(response.Body).Decode(&booking))
+	require.Len(t, booking.Echo, pieces*pieceBytes)
+}
+
 func TestABookingIsRefusedAsNotRunWhileTheTableIsDown(t *testing.T) {
 	fleet := startFleet(t, plenty, slowEngine())
 	outcome, body := fleet.book(call{key: claim.NewRequestID(), body: "ring"})
