--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -69,7 +69,7 @@
 		return ticket{}, err
 	}
 	return ticket{
-		id:       caller.Name + ":" + key,
+		id:       requestID(caller.Name, key),
 		key:      key,
 		caller:   caller,
 		profile:  profile,
@@ -79,6 +79,14 @@
 	}, nil
 }
 
+// callerEscapes keep the end of a caller's name in a request id unambiguous.
+var callerEscapes = strings.NewReplacer("%", "%25", ":", "%3A")
+
+// requestID returns an id that no other caller's key gives.
+func requestID(caller, key string) string {
+	return callerEscapes.Replace(caller) + ":" + key
+}
+
 func (router *Router) checkServing() error {
 	if router.draining.Load() {
 		return fault.New(fault.Config{
@@ -257,6 +265,27 @@
 	return passed
 }
 
+// checkHeader refuses values that the transport to upstreams would not send.
+func checkHeader(header http.Header) error {
+	for name, values := range header {
+		for _, value := range values {
+			if strings.ContainsFunc(value, isControl) {
+				return fault.New(fault.Config{
+					Kind:    fault.Invalid,
+					Message: "header " + name + " has a control character",
+					Remedy:  "send header values without control characters",
+				})
+			}
+		}
+	}
+	return nil
+}
+
+func isControl(char rune) bool {
+	const lastControl, deletion = 0x1f, 0x7f
+	return char != '\t' && (char <= lastControl || char == deletion)
+}
+
 func forbidden(message, remedy string) error {
 	return fault.New(fault.Config{Kind: fault.Forbidden, Message: message, Remedy: remedy})
 }
--- a/pkg/router/pipeline.go
+++ b/pkg/router/pipeline.go
@@ -9,7 +9,10 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
+	"fmt"
 	"time"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/budget"
@@ -23,6 +26,9 @@
 // has gone.
 const concludeTimeout = 10 * time.Second
 
+// releaseMargin is kept of the caller's time for an answer's end to arrive.
+const releaseMargin = 100 * time.Millisecond
+
 // run takes work through the pipeline. It returns the error that the caller
 // was told, or nil for a whole answer.
 func (router *Router) run(ctx context.Context, current ticket, work dispatch.Work, sink answerSink) error {
@@ -43,6 +49,16 @@
 	if !current.idempotent {
 		return router.runClaimed(ctx, current, reservation, work, sink)
 	}
+	work.Extend = func(ctx context.Context, tokens int64) error {
+		added, err := router.escrow.Reserve(ctx, budget.Demand{
+			Profile:   current.profile.Name,
+			RequestID: current.id,
+			Tokens:    tokens,
+			Deadline:  current.deadline,
+		})
+		reservation.Tokens += added.Tokens
+		return err
+	}
 	result, err := router.dispatcher.Dispatch(ctx, work, sink)
 	err = router.settle(ctx, current, reservation, result, err)
 	return router.conclude(sink, err)
@@ -55,18 +71,35 @@
 		router.release(reservation)
 		return router.conclude(sink, errNotReplayable)
 	}
-	request := claim.Request{Scope: current.caller.Name, RequestID: current.key, Deadline: current.deadline}
+	request := claim.Request{
+		Scope:       current.caller.Name,
+		RequestID:   current.key,
+		Fingerprint: fingerprintOf(work),
+		Deadline:    current.deadline,
+	}
 	decision, err := router.claims.Claim(ctx, request)
 	if err != nil || decision.State != claim.Owned {
 		router.release(reservation)
 		return router.answerClaimed(ctx, request, decision, err, plain)
 	}
 	result, err := router.dispatcher.Dispatch(ctx, work, sink)
-	err = router.concludeClaim(ctx, request, plain, err)
+	release, cancel := router.releaseContext(ctx, current)
+	defer cancel()
+	err = router.concludeClaim(release, request, plain, err)
 	err = router.settle(ctx, current, reservation, result, err)
 	return router.conclude(sink, err)
 }
 
+// fingerprintOf identifies what a claimed request asks for, so that its key does
+// not fetch the stored result of another request.
+func fingerprintOf(work dispatch.Work) string {
+	digest := sha256.New()
+	for _, part := range []string{work.Service, work.Method, work.Path, string(work.Body)} {
+		_, _ = fmt.Fprintf(digest, "%d:%s", len(part), part)
+	}
+	return hex.EncodeToString(digest.Sum(nil))
+}
+
 // answerClaimed answers a request whose claim is not this run's.
 func (router *Router) answerClaimed(ctx context.Context, request claim.Request, decision claim.Decision, err error, sink *plainSink) error {
 	if err == nil && decision.State == claim.Running {
@@ -86,17 +119,29 @@
 	}
 }
 
+// releaseContext bounds the wait for the result and the bill of an answer whose
+// end is held. What the table has not taken by then it is given later.
+func (router *Router) releaseContext(ctx context.Context, current ticket) (context.Context, context.CancelFunc) {
+	release := time.Now().Add(router.config.BillWait)
+	latest := current.deadline.Add(-releaseMargin)
+	if latest.Before(release) {
+		release = latest
+	}
+	return context.WithDeadline(context.WithoutCancel(ctx), release)
+}
+
 // concludeClaim records how a claimed run ended and returns the error that the
-// caller has to be told.
+// caller has to be told. It waits for a stored result until ctx ends.
 func (router *Router) concludeClaim(ctx context.Context, request claim.Request, sink *plainSink, runErr error) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), concludeTimeout)
-	defer cancel()
-	switch {
-	case runErr == nil:
+	if runErr == nil {
 		if err := router.claims.Finish(ctx, request, sink.result); err != nil {
 			router.logClaim("finish", request, err)
 		}
 		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), concludeTimeout)
+	defer cancel()
+	switch {
 	case fault.OutcomeOf(runErr) == fault.NotRun:
 		if err := router.claims.Withdraw(ctx, request); err != nil {
 			router.logClaim("withdraw", request, err)
@@ -121,11 +166,11 @@
 	if runErr != nil {
 		return runErr
 	}
-	timer := time.NewTimer(router.config.BillWait)
-	defer timer.Stop()
+	release, cancel := router.releaseContext(ctx, current)
+	defer cancel()
 	select {
 	case <-receipt.Held():
-	case <-timer.C:
+	case <-release.Done():
 		router.metrics.billsLate.Inc()
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.Canceled) {
@@ -175,13 +220,10 @@
 	if billed {
 		line.Kind = budget.LineBill
 	}
-	waste := min(result.WasteTokens, reservation.Tokens)
+	waste := min(wasteOf(reservation, result), reservation.Tokens)
 	rest := reservation.Tokens - waste
-	switch {
-	case current.service.Protocol == configuration.ProtocolPlain:
-		line.Tokens = rest
-	case !result.Usage.Known || result.WasteUnknown:
-		line.Estimated = true
+	if !result.Usage.Known {
+		line.Estimated = current.service.Protocol != configuration.ProtocolPlain
 		line.Tokens = rest
 	}
 	line.Tokens = min(line.Tokens, rest)
@@ -192,12 +234,31 @@
 		wasted.PromptTokens, wasted.CompletionTokens = 0, 0
 		wasted.Tokens = waste
 		wasted.Attempt = ""
-		wasted.Estimated = false
+		wasted.Estimated = result.WasteUnknown
 		lines = append(lines, wasted)
 	}
 	return lines
 }
 
+// wasteOf returns what the attempts before the last one used. One whose usage
+// is not known counts with its worst case.
+func wasteOf(reservation budget.Reservation, result dispatch.Result) int64 {
+	if !result.WasteUnknown {
+		return result.WasteTokens
+	}
+	earlier := result.Attempts
+	if !result.Usage.Known {
+		earlier = earlier[:len(earlier)-1]
+	}
+	waste := result.WasteTokens
+	for _, attempt := range earlier {
+		if attempt.Started && !attempt.Usage.Known {
+			waste += reservation.Tokens - result.ExtendedTokens
+		}
+	}
+	return waste
+}
+
 // conclude releases the end of the answer or tells the error.
 func (router *Router) conclude(sink answerSink, err error) error {
 	if err != nil {
@@ -218,6 +279,11 @@
 		Message: "a streamed model request cannot be marked non-idempotent",
 		Remedy:  "leave " + headerIdempotent + " out, or call a plain service",
 	})
+	errCollectedPart = fault.New(fault.Config{
+		Kind:    fault.Invalid,
+		Message: "an answer that is not streamed cannot begin behind an event",
+		Remedy:  "leave " + headerLastEventID + " out, or ask for a stream",
+	})
 	errWithdrawn = fault.New(fault.Config{
 		Kind:    fault.Conflict,
 		Message: "this request was refused before and will not run",
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -1,9 +1,14 @@
 package router_test
 
 import (
+	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -51,6 +56,31 @@
 	require.NoError(t, fleet.StartRouter(0))
 }
 
+func TestRequestsBeyondTheDrainTimeoutAreToldSo(t *testing.T) {
+	const longTokens, drainTimeout, bound = 400, 500 * time.Millisecond, 10 * time.Second
+	engine := standin.EngineConfig{Name: "engine-1", Slots: 16, TokenInterval: 100 * time.Millisecond}
+	fleet := startFleetWith(t, plenty, drainTimeout, engine)
+	stream := fleet.stream(call{key: "k1"}, prompt, longTokens)
+	stream.take(1)
+	var group sync.WaitGroup
+	group.Go(func() {
+		response := fleet.send(call{key: "k2", path: "/v1/chat/completions", body: fmt.Sprintf(
+			`{"model":%q,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, demo.ModelName, longTokens, prompt)})
+		assert.Equal(t, string(fault.OutcomeUnknown), response.Header.Get("Wisterialb-Outcome"))
+	})
+	require.Eventually(t, func() bool { return len(fleet.Engines[0].Runs()) == 2 }, testTimeout, time.Millisecond)
+	begun := time.Now()
+	cut, err := fleet.Routers[0].Shutdown(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, 2, cut)
+	require.Less(t, time.Since(begun), bound)
+	_, end := stream.rest()
+	require.Equal(t, string(fault.OutcomeUnknown), end)
+	group.Wait()
+	statement := fleet.statement()
+	require.Equal(t, fleet.usedTokens(), statement.BillTokens+statement.WasteTokens)
+}
+
 func TestAStreamOfAKilledRouterIsResumedElsewhere(t *testing.T) {
 	fleet := startFleet(t, plenty, slowEngine())
 	first := fleet.stream(call{key: "k1"}, prompt, maxTokens)
@@ -130,6 +160,129 @@
 	}
 }
 
+func TestAKeyIsNotAnsweredWithTheResultOfAnotherRequest(t *testing.T) {
+	fleet := startFleet(t, plenty, slowEngine())
+	key := claim.NewRequestID()
+	outcome, first := fleet.book(call{key: key, body: "ring"})
+	require.Equal(t, fault.Answered, outcome, first)
+	outcome, again := fleet.book(call{router: 1, key: key, body: "ring"})
+	require.Equal(t, fault.Answered, outcome, again)
+	require.Equal(t, first, again)
+	outcome, other := fleet.book(call{router: 1, key: key, body: "gasket"})
+	require.Equal(t, fault.NotRun, outcome, other)
+	require.Equal(t, 1, fleet.Services[0].Runs().Counts[key])
+}
+
+func TestTheServiceGetsThePathAsItWasSent(t *testing.T) {
+	fleet := startFleet(t, plenty, slowEngine())
+	for sent, want := range map[string]string{
+		"/bookings%3Fa%2Fb": "/bookings?a/b",
+		"/bookings%23a":     "/bookings#a",
+		"/bookings%25zz":    "/bookings%zz",
+		"/bookings%0A":      "/bookings\n",
+	} {
+		response := fleet.send(call{key: claim.NewRequestID(), path: "/v1/services/" + demo.OrderService + sent, body: "ring"})
+		require.Equal(t, http.StatusOK, response.StatusCode, sent)
+		var booking standin.Booking
+		require.NoError(t, json.NewDecoder(response.Body).Decode(&booking))
+		require.Equal(t, want, booking.Path)
+	}
+}
+
+// A header that cannot be passed on is the caller's fault. It must not count
+// against the upstream, which would be ejected for all callers.
+func TestAHeaderThatCannotBePassedOnIsRefused(t *testing.T) {
+	const tries = 5
+	fleet := startFleet(t, plenty, slowEngine())
+	for range tries {
+		connection, err := net.Dial("tcp", fleet.Routers[0].CallerAddress())
+		require.NoError(t, err)
+		_, err = fmt.Fprintf(connection, "POST /v1/services/%s/bookings HTTP/1.1\r\nHost: router\r\n"+
+			"Authorization: Bearer %s\r\nWisterialb-Profile: %s\r\nIdempotency-Key: %s\r\n"+
+			"X-Note: a\x01b\r\nContent-Length: 4\r\n\r\nring",
+			demo.OrderService, demo.CallerToken, demo.ProfileName, claim.NewRequestID())
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.NoError(t, connection.Close())
+		assert.Equal(t, http.StatusBadRequest, response.StatusCode)
+		assert.Equal(t, string(fault.NotRun), response.Header.Get("Wisterialb-Outcome"))
+	}
+	outcome, body := fleet.book(call{key: claim.NewRequestID(), body: "ring"})
+	require.Equal(t, fault.Answered, outcome, body)
+}
+
+func TestACollectedAnswerDoesNotBeginInTheMiddle(t *testing.T) {
+	fleet := startFleet(t, plenty, slowEngine())
+	stream := fleet.stream(call{key: "k1"}, prompt, maxTokens)
+	resume := stream.response.Header.Get("Wisterialb-Resume")
+	text, end := stream.rest()
+	require.Equal(t, "[DONE]", end)
+	require.Equal(t, wholeAnswer(), text)
+	response := fleet.send(call{key: "k1", path: "/v1/chat/completions", header: map[string]string{
+		"Wisterialb-Resume": resume,
+		"Last-Event-ID":     "5",
+	}, body: fmt.Sprintf(`{"model":%q,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, demo.ModelName, maxTokens, prompt)})
+	require.Equal(t, http.StatusBadRequest, response.StatusCode)
+	require.Equal(t, string(fault.NotRun), response.Header.Get("Wisterialb-Outcome"))
+}
+
+func TestAnEnginesRefusalIsNotAWholeStream(t *testing.T) {
+	fleet := startFleet(t, plenty, slowEngine())
+	for _, stream := range []bool{true, false} {
+		response := fleet.send(call{key: fmt.Sprint("k", stream), path: "/v1/chat/completions", body: fmt.Sprintf(
+			`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}],"user":1}`,
+			demo.ModelName, stream, maxTokens, prompt)})
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadRequest, response.StatusCode, string(body))
+		require.Equal(t, "application/json", response.Header.Get("Content-Type"))
+		require.NotContains(t, string(body), "[DONE]")
+	}
+}
+
+func TestABookingIsAnsweredInTimeThoughTheTableIsSlow(t *testing.T) {
+	const deadline, late, slowTable = 3 * time.Second, 5 * time.Second, 20 * time.Second
+	fleet := startFleet(t, plenty, slowEngine())
+	require.NoError(t, fleet.Services[0].SetFaults(standin.ServiceFaults{DelayMS: 500}))
+	key := claim.NewRequestID()
+	var group sync.WaitGroup
+	group.Go(func() {
+		for len(fleet.Services[0].Runs().Runs) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		assert.NoError(t, fleet.Platform.SetFaults(standin.PlatformFaults{DelayMS: slowTable.Milliseconds()}))
+	})
+	begun := time.Now()
+	outcome, first := fleet.book(call{key: key, body: "ring", header: map[string]string{
+		"Wisterialb-Deadline": fmt.Sprint(deadline.Milliseconds()),
+	}})
+	group.Wait()
+	require.Equal(t, fault.Answered, outcome, first)
+	require.Less(t, time.Since(begun), late)
+	require.NoError(t, fleet.Platform.SetFaults(standin.PlatformFaults{}))
+	outcome, again := fleet.book(call{router: 1, key: key, body: "ring"})
+	require.Equal(t, fault.Answered, outcome, again)
+	require.Equal(t, first, again)
+	require.Equal(t, 1, fleet.Services[0].Runs().Counts[key])
+}
+
+func TestALongAnswerReachesACallerThatReadsLate(t *testing.T) {
+	const pieceBytes, pieces = 1 << 20, 3
+	fleet := startFleet(t, plenty, slowEngine())
+	piece := strings.Repeat("r", pieceBytes)
+	response := fleet.send(call{
+		key:  claim.NewRequestID(),
+		path: "/v1/services/" + demo.OrderService + "/bookings",
+		body: strings.Repeat(piece, pieces),
+	})
+	time.Sleep(time.Second)
+	var booking standin.Booking
+	require.NoError(t, json.NewDecoder(response.Body).Decode(&booking))
+	require.Len(t, booking.Echo, pieces*pieceBytes)
+}
+
 func TestABookingIsRefusedAsNotRunWhileTheTableIsDown(t *testing.T) {
 	fleet := startFleet(t, plenty, slowEngine())
 	outcome, body := fleet.book(call{key: claim.NewRequestID(), body: "ring"})
@@ -194,6 +347,41 @@
 	fleet.statement()
 }
 
+func TestAStreamWhoseEngineDiedUnknownRunsAgain(t *testing.T) {
+	config := slowEngine()
+	config.PrefillPerToken = 20 * time.Millisecond
+	first, second := config, config
+	first.Name, second.Name = "engine-1", "engine-2"
+	fleet := startFleetOf(t, plenty, first, second)
+	died := make(chan int, 1)
+	go func() {
+		for {
+			for index, engine := range fleet.Engines {
+				if len(engine.Runs()) > 0 {
+					_ = engine.Close()
+					died <- index
+					return
+				}
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	text, end := fleet.stream(call{key: "k1"}, prompt, maxTokens).rest()
+	require.Equal(t, "[DONE]", end)
+	require.Equal(t, wholeAnswer(), text)
+	spare := fleet.Engines[1-<-died]
+	require.Len(t, spare.Runs(), 1)
+	run := spare.Runs()[0]
+	used := int64(run.PromptTokens + run.CompletionTokens)
+	require.Eventually(t, func() bool { return len(fleet.lines()) == 2 }, testTimeout, 20*time.Millisecond)
+	statement := fleet.statement()
+	require.Equal(t, used, statement.BillTokens)
+	require.Greater(t, statement.WasteTokens, used, "the lost attempt is charged its worst case")
+	for _, line := range fleet.lines() {
+		require.Equal(t, line.Kind == budget.LineWaste, line.Estimated)
+	}
+}
+
 func TestACallerThatLeavesStopsTheEngineAndIsBilled(t *testing.T) {
 	fleet := startFleet(t, plenty, slowEngine())
 	stream := fleet.stream(call{key: "k1"}, prompt, maxTokens)
