Remove the exchange's count of duplicate events

Cause: nothing read Answer.Repeated, so the field was written for nobody. Change: method and field are gone; duplicates are dropped as before. Measured: `go test -race ./pkg/exchange/` ok. Conclusion: no behaviour changed.

--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -49,9 +49,8 @@
 	scanner    *scanner
 	// delimited is set when the end of the body is marked.
 	delimited bool
-	// repeated counts events that were dropped as duplicates.
-	repeated int64
-	whole    bool
+	// whole is set once the end was read.
+	whole bool
 }
 
 // start begins the bound on silence.
@@ -99,11 +98,6 @@
 	return answer.opening.resumed
 }
 
-// Repeated returns how many duplicate events were dropped.
-func (answer *Answer) Repeated() int64 {
-	return answer.repeated
-}
-
 // Next returns the next part, io.EOF when the answer was whole, or an Error.
 func (answer *Answer) Next() (Part, error) {
 	if answer.whole {
@@ -144,8 +138,7 @@
 		}
 		position := answer.position.Load()
 		if event.id > 0 && event.id <= position {
-			answer.repeated++
-			continue
+			continue // a duplicate
 		}
 		if event.id != position+1 {
 			return Part{}, answer.fail(errDisorder, ReasonDisorder)
