Say in the queue which side of now a deadline is on

Cause: "behind now" meant "after now" in two doc comments, the opposite of what it reads as. Change: the comments say whether a deadline has passed. Measured: `go test -race ./pkg/queue/` ok; no code changed. Conclusion: the comments now agree with the code.

--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -122,7 +122,7 @@
 	return newest
 }
 
-// Pop takes the next entry whose deadline is behind now.
+// Pop takes the next entry whose deadline has not passed.
 func (queue *Queue[T]) Pop(now time.Time) (T, bool) {
 	queue.sweep(now)
 	highest, ok := queue.classes.Min()
@@ -167,8 +167,8 @@
 	queue.length--
 }
 
-// Expire removes and returns the entries whose deadlines are not behind now,
-// with those that Pop and Peek have met.
+// Expire removes and returns the entries whose deadlines have passed, with
+// those that Pop and Peek have met.
 func (queue *Queue[T]) Expire(now time.Time) []T {
 	queue.sweep(now)
 	expired := queue.expired
