--- a/pkg/completion/request.go
+++ b/pkg/completion/request.go
@@ -108,28 +108,28 @@
 	}, nil
 }
 
-func (read envelope) check() error {
+func (envelope envelope) check() error {
 	switch {
-	case read.Model == "":
+	case envelope.Model == "":
 		return invalid("the body names no model", `set "model" to the name of a published model`)
-	case len(read.Messages) == 0:
+	case len(envelope.Messages) == 0:
 		return invalid("the body has no messages", `set "messages" to at least one message with role and content`)
-	case read.N != nil && *read.N != 1:
+	case envelope.N != nil && *envelope.N != 1:
 		return invalid(`"n" is not 1`, "send one request for each answer")
-	case read.BestOf != nil && *read.BestOf != 1:
+	case envelope.BestOf != nil && *envelope.BestOf != 1:
 		return invalid(`"best_of" is not 1`, "leave best_of out")
 	default:
 		return nil
 	}
 }
 
-func (read envelope) bound(config ParseConfig) (int64, error) {
+func (envelope envelope) bound(config ParseConfig) (int64, error) {
 	maxTokens := config.DefaultMaxTokens
-	if read.MaxTokens != nil {
-		maxTokens = *read.MaxTokens
+	if envelope.MaxTokens != nil {
+		maxTokens = *envelope.MaxTokens
 	}
-	if read.MaxCompletionTokens != nil {
-		maxTokens = *read.MaxCompletionTokens
+	if envelope.MaxCompletionTokens != nil {
+		maxTokens = *envelope.MaxCompletionTokens
 	}
 	if maxTokens < 1 || maxTokens > config.GreatestMaxTokens {
 		return 0, invalid(
--- a/pkg/configuration/faulty_test.go
+++ b/pkg/configuration/faulty_test.go
@@ -31,48 +31,50 @@
 }
 
 // strikes draws a fault; the mutex is held.
-func (table *faultyTable) strikes() bool { return table.down || table.random.Float64() < table.share }
+func (faultyTable *faultyTable) strikes() bool {
+	return faultyTable.down || faultyTable.random.Float64() < faultyTable.share
+}
 
-func (table *faultyTable) Transact(ctx context.Context, transaction platform.Transaction) error {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	if len(table.late) > 0 && table.random.IntN(2) == 0 {
-		_ = table.Table.Transact(ctx, table.late[0])
-		table.late = table.late[1:]
+func (faultyTable *faultyTable) Transact(ctx context.Context, transaction platform.Transaction) error {
+	faultyTable.mutex.Lock()
+	defer faultyTable.mutex.Unlock()
+	if len(faultyTable.late) > 0 && faultyTable.random.IntN(2) == 0 {
+		_ = faultyTable.Table.Transact(ctx, faultyTable.late[0])
+		faultyTable.late = faultyTable.late[1:]
 	}
-	if table.strikes() {
+	if faultyTable.strikes() {
 		return errOutOfReach()
 	}
-	if table.strikes() {
-		table.late = append(table.late, transaction)
+	if faultyTable.strikes() {
+		faultyTable.late = append(faultyTable.late, transaction)
 		return errOutOfReach()
 	}
-	err := table.Table.Transact(ctx, transaction)
-	if err == nil && table.strikes() {
+	err := faultyTable.Table.Transact(ctx, transaction)
+	if err == nil && faultyTable.strikes() {
 		return errOutOfReach()
 	}
 	return err
 }
 
-func (table *faultyTable) reachable() error {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	if table.strikes() {
+func (faultyTable *faultyTable) reachable() error {
+	faultyTable.mutex.Lock()
+	defer faultyTable.mutex.Unlock()
+	if faultyTable.strikes() {
 		return errOutOfReach()
 	}
 	return nil
 }
 
-func (table *faultyTable) Get(ctx context.Context, keys ...platform.Key) ([]platform.Item, error) {
-	if err := table.reachable(); err != nil {
+func (faultyTable *faultyTable) Get(ctx context.Context, keys ...platform.Key) ([]platform.Item, error) {
+	if err := faultyTable.reachable(); err != nil {
 		return nil, err
 	}
-	return table.Table.Get(ctx, keys...)
+	return faultyTable.Table.Get(ctx, keys...)
 }
 
-func (table *faultyTable) Query(ctx context.Context, query platform.Query) ([]platform.Item, error) {
-	if err := table.reachable(); err != nil {
+func (faultyTable *faultyTable) Query(ctx context.Context, query platform.Query) ([]platform.Item, error) {
+	if err := faultyTable.reachable(); err != nil {
 		return nil, err
 	}
-	return table.Table.Query(ctx, query)
+	return faultyTable.Table.Query(ctx, query)
 }
--- a/pkg/configuration/follower_test.go
+++ b/pkg/configuration/follower_test.go
@@ -19,18 +19,18 @@
 	lost bool
 }
 
-func (relay *followerRelay) Records(_ context.Context, after uint64) ([]Record, error) {
-	if relay.lost {
+func (followerRelay *followerRelay) Records(_ context.Context, after uint64) ([]Record, error) {
+	if followerRelay.lost {
 		return nil, errOutOfReach()
 	}
-	return relay.of().Recent(after, pageRecords), nil
+	return followerRelay.of().Recent(after, pageRecords), nil
 }
 
-func (relay *followerRelay) Profile(_ context.Context, name string) (*ProfileCopy, error) {
-	if relay.lost {
+func (followerRelay *followerRelay) Profile(_ context.Context, name string) (*ProfileCopy, error) {
+	if followerRelay.lost {
 		return nil, errOutOfReach()
 	}
-	return relay.of().Copy(name)
+	return followerRelay.of().Copy(name)
 }
 
 // followerMachine runs two followers against a table, with a list of all
@@ -59,21 +59,21 @@
 }
 
 // restart replaces a router by a fresh one, which knows nothing.
-func (machine *followerMachine) restart(i int) {
-	machine.followers[i] = newFollower(FollowerConfig{Table: machine.table, Relay: machine.relays[i], HeldProfiles: 2})
-	machine.seen[i] = 0
-	machine.profileSeen[i] = make(map[string]uint64)
+func (followerMachine *followerMachine) restart(i int) {
+	followerMachine.followers[i] = newFollower(FollowerConfig{Table: followerMachine.table, Relay: followerMachine.relays[i], HeldProfiles: 2})
+	followerMachine.seen[i] = 0
+	followerMachine.profileSeen[i] = make(map[string]uint64)
 }
 
 // publish puts or deletes a document with its revision as its content.
-func (machine *followerMachine) publish(t *rapid.T) {
-	next := uint64(len(machine.records) + 1)
+func (followerMachine *followerMachine) publish(t *rapid.T) {
+	next := uint64(len(followerMachine.records) + 1)
 	change := Change{OperationID: fmt.Sprint("op-", next), Operator: "astrid", Reason: "test"}
 	change.Kind = rapid.SampledFrom([]Kind{KindService, KindProfile, KindLimit}).Draw(t, "kind")
 	change.Name = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
-	at := uint64(len(machine.records))
-	_, found := machine.bodyAt(change.Kind, change.Name, at)
-	change.Expected = machine.revisionAt(change.Kind, change.Name, at)
+	at := uint64(len(followerMachine.records))
+	_, found := followerMachine.bodyAt(change.Kind, change.Name, at)
+	change.Expected = followerMachine.revisionAt(change.Kind, change.Name, at)
 	switch change.Kind {
 	case KindService:
 		if !found || rapid.Bool().Draw(t, "put") {
@@ -82,70 +82,70 @@
 	case KindProfile:
 		change.Body = encodeRow(Profile{Name: change.Name, Callers: []string{"x"}, Services: []string{"y"}, Retired: true, Priority: int(next % 10)})
 	default:
-		if _, found = machine.bodyAt(KindProfile, change.Name, at); !found {
+		if _, found = followerMachine.bodyAt(KindProfile, change.Name, at); !found {
 			return
 		}
 		change.Body = encodeRow(Limit{AddTokens: 1})
 	}
-	record, err := machine.publisher.Publish(context.Background(), change)
+	record, err := followerMachine.publisher.Publish(context.Background(), change)
 	require.NoError(t, err)
-	machine.records = append(machine.records, record)
+	followerMachine.records = append(followerMachine.records, record)
 }
 
-func (machine *followerMachine) revisionAt(kind Kind, name string, revision uint64) uint64 {
+func (followerMachine *followerMachine) revisionAt(kind Kind, name string, revision uint64) uint64 {
 	for i := int(revision) - 1; i >= 0; i-- {
-		if change := machine.records[i].Change; change.Kind == kind && change.Name == name {
-			return machine.records[i].Revision
+		if change := followerMachine.records[i].Change; change.Kind == kind && change.Name == name {
+			return followerMachine.records[i].Revision
 		}
 	}
 	return 0
 }
 
 // bodyAt is the oracle: the document as of a revision.
-func (machine *followerMachine) bodyAt(kind Kind, name string, revision uint64) ([]byte, bool) {
-	at := machine.revisionAt(kind, name, revision)
+func (followerMachine *followerMachine) bodyAt(kind Kind, name string, revision uint64) ([]byte, bool) {
+	at := followerMachine.revisionAt(kind, name, revision)
 	if at == 0 {
 		return nil, false
 	}
-	body := machine.records[at-1].Change.Body
+	body := followerMachine.records[at-1].Change.Body
 	return body, len(body) > 0
 }
 
 // offer passes records on, with repeats, gaps and in any order.
-func (machine *followerMachine) offer(t *rapid.T) {
+func (followerMachine *followerMachine) offer(t *rapid.T) {
 	i := rapid.IntRange(0, 1).Draw(t, "follower")
-	if len(machine.records) == 0 {
+	if len(followerMachine.records) == 0 {
 		return
 	}
-	records := rapid.SliceOfN(rapid.SampledFrom(machine.records), 1, 6).Draw(t, "records")
+	records := rapid.SliceOfN(rapid.SampledFrom(followerMachine.records), 1, 6).Draw(t, "records")
 	if rapid.Bool().Draw(t, "next") {
-		start := min(int(machine.followers[i].Revision()), len(machine.records)-1)
-		records = machine.records[start:min(start+3, len(machine.records))]
+		start := min(int(followerMachine.followers[i].Revision()), len(followerMachine.records)-1)
+		records = followerMachine.records[start:min(start+3, len(followerMachine.records))]
 	}
-	machine.followers[i].Offer(context.Background(), records)
+	followerMachine.followers[i].Offer(context.Background(), records)
 }
 
 // profile reads a profile and checks that it is one the router may serve.
-func (machine *followerMachine) profile(t *rapid.T) {
+func (followerMachine *followerMachine) profile(t *rapid.T) {
 	i := rapid.IntRange(0, 1).Draw(t, "follower")
 	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
-	follower := machine.followers[i]
+	follower := followerMachine.followers[i]
 	if !follower.loaded.Load() {
 		return
 	}
-	lowest := max(follower.Revision(), machine.profileSeen[i][name])
+	lowest := max(follower.Revision(), followerMachine.profileSeen[i][name])
 	profile, err := follower.Profile(context.Background(), name)
 	if fault.Is(err, fault.Unavailable) {
 		return
 	}
-	for at := lowest; at <= uint64(len(machine.records)); at++ {
-		body, found := machine.bodyAt(KindProfile, name, at)
+	for at := lowest; at <= uint64(len(followerMachine.records)); at++ {
+		body, found := followerMachine.bodyAt(KindProfile, name, at)
 		var expected Profile
 		if found {
 			require.NoError(t, json.Unmarshal(body, &expected))
 		}
 		if found == (err == nil) && fmt.Sprint(expected) == fmt.Sprint(profile) {
-			machine.profileSeen[i][name] = at
+			followerMachine.profileSeen[i][name] = at
 			return
 		}
 	}
@@ -153,18 +153,18 @@
 }
 
 // check compares each view with the oracle at the view's revision.
-func (machine *followerMachine) check(t *rapid.T) {
-	for i, follower := range machine.followers {
+func (followerMachine *followerMachine) check(t *rapid.T) {
+	for i, follower := range followerMachine.followers {
 		view := follower.View()
-		require.GreaterOrEqual(t, view.Revision(), machine.seen[i], "revision went back")
-		machine.seen[i] = view.Revision()
+		require.GreaterOrEqual(t, view.Revision(), followerMachine.seen[i], "revision went back")
+		followerMachine.seen[i] = view.Revision()
 		if !follower.loaded.Load() {
 			require.False(t, follower.Ready())
 			require.Zero(t, view.Revision())
 			continue
 		}
 		for _, name := range []string{"a", "b", "c"} {
-			body, found := machine.bodyAt(KindService, name, view.Revision())
+			body, found := followerMachine.bodyAt(KindService, name, view.Revision())
 			service, ok := view.Service(name)
 			require.Equal(t, found, ok, "service %s at %d", name, view.Revision())
 			if found {
@@ -203,10 +203,10 @@
 	after func()
 }
 
-func (table *midwayTable) Get(ctx context.Context, keys ...platform.Key) ([]platform.Item, error) {
-	items, err := table.Table.Get(ctx, keys...)
-	if after := table.after; after != nil && len(keys) > 1 {
-		table.after = nil
+func (midwayTable *midwayTable) Get(ctx context.Context, keys ...platform.Key) ([]platform.Item, error) {
+	items, err := midwayTable.Table.Get(ctx, keys...)
+	if after := midwayTable.after; after != nil && len(keys) > 1 {
+		midwayTable.after = nil
 		after()
 	}
 	return items, err
--- a/pkg/configuration/lazy.go
+++ b/pkg/configuration/lazy.go
@@ -30,11 +30,11 @@
 }
 
 // result turns an entry into the answer of a lookup.
-func (entry profileEntry) result(name string) (Profile, error) {
-	if !entry.found {
+func (profileEntry profileEntry) result(name string) (Profile, error) {
+	if !profileEntry.found {
 		return Profile{}, missing("profile/" + name)
 	}
-	return entry.profile, nil
+	return profileEntry.profile, nil
 }
 
 func (follower *Follower) readProfile(ctx context.Context, name string) (profileEntry, error) {
--- a/pkg/configuration/profiles.go
+++ b/pkg/configuration/profiles.go
@@ -36,14 +36,14 @@
 	return &profileCache{entries: entries}
 }
 
-func (cache *profileCache) lookup(name string) (profileEntry, bool) {
-	return cache.entries.Get(name)
+func (profileCache *profileCache) lookup(name string) (profileEntry, bool) {
+	return profileCache.entries.Get(name)
 }
 
 // list returns the held profiles by name.
-func (cache *profileCache) list() []Profile {
+func (profileCache *profileCache) list() []Profile {
 	var profiles []Profile
-	for _, entry := range cache.entries.Values() {
+	for _, entry := range profileCache.entries.Values() {
 		if entry.found {
 			profiles = append(profiles, entry.profile)
 		}
@@ -53,30 +53,30 @@
 }
 
 // apply brings a held profile up to a record. One that is not held stays so.
-func (cache *profileCache) apply(name string, body []byte, revision uint64) error {
-	cache.mutex.Lock()
-	defer cache.mutex.Unlock()
-	entry, ok := cache.entries.Peek(name)
+func (profileCache *profileCache) apply(name string, body []byte, revision uint64) error {
+	profileCache.mutex.Lock()
+	defer profileCache.mutex.Unlock()
+	entry, ok := profileCache.entries.Peek(name)
 	if !ok || entry.asOf >= revision {
 		return nil
 	}
 	next, err := newProfileEntry(name, body, revision, revision)
 	if err != nil {
-		cache.entries.Remove(name)
+		profileCache.entries.Remove(name)
 		return err
 	}
-	cache.entries.Add(name, next)
+	profileCache.entries.Add(name, next)
 	return nil
 }
 
 // add holds an entry that was read from the table, unless a newer one is held.
-func (cache *profileCache) add(name string, entry profileEntry) profileEntry {
-	cache.mutex.Lock()
-	defer cache.mutex.Unlock()
-	if current, ok := cache.entries.Peek(name); ok && current.asOf >= entry.asOf {
+func (profileCache *profileCache) add(name string, entry profileEntry) profileEntry {
+	profileCache.mutex.Lock()
+	defer profileCache.mutex.Unlock()
+	if current, ok := profileCache.entries.Peek(name); ok && current.asOf >= entry.asOf {
 		return current
 	}
-	cache.entries.Add(name, entry)
+	profileCache.entries.Add(name, entry)
 	return entry
 }
 
--- a/pkg/configuration/publisher_test.go
+++ b/pkg/configuration/publisher_test.go
@@ -97,9 +97,9 @@
 	transactions []platform.Transaction
 }
 
-func (table *recordingTable) Transact(ctx context.Context, transaction platform.Transaction) error {
-	table.transactions = append(table.transactions, transaction)
-	return table.Table.Transact(ctx, transaction)
+func (recordingTable *recordingTable) Transact(ctx context.Context, transaction platform.Transaction) error {
+	recordingTable.transactions = append(recordingTable.transactions, transaction)
+	return recordingTable.Table.Transact(ctx, transaction)
 }
 
 // Head, record, operation id and document each guard against a second writer,
--- a/pkg/demo/run.go
+++ b/pkg/demo/run.go
@@ -86,9 +86,9 @@
 	entry string
 }
 
-func (show *presentation) run(ctx context.Context) error {
+func (presentation *presentation) run(ctx context.Context) error {
 	steps := []func(context.Context) error{
-		show.start, show.publish, show.askEntry, show.stream, show.book, show.bills, show.audit,
+		presentation.start, presentation.publish, presentation.askEntry, presentation.stream, presentation.book, presentation.bills, presentation.audit,
 	}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
@@ -98,28 +98,28 @@
 	return nil
 }
 
-func (show *presentation) printf(format string, values ...any) {
-	_, _ = fmt.Fprintf(show.out, format, values...)
+func (presentation *presentation) printf(format string, values ...any) {
+	_, _ = fmt.Fprintf(presentation.out, format, values...)
 }
 
-func (show *presentation) start(ctx context.Context) error {
-	show.printf("platform  %s\n", show.fleet.Platform.Address())
-	for _, node := range show.fleet.Routers {
-		show.printf("router    %s in %s, operators at %s\n", node.CallerAddress(), node.Settings.Zone, node.Settings.OperatorAddress)
+func (presentation *presentation) start(ctx context.Context) error {
+	presentation.printf("platform  %s\n", presentation.fleet.Platform.Address())
+	for _, node := range presentation.fleet.Routers {
+		presentation.printf("router    %s in %s, operators at %s\n", node.CallerAddress(), node.Settings.Zone, node.Settings.OperatorAddress)
 	}
-	return show.fleet.WaitLive(ctx)
+	return presentation.fleet.WaitLive(ctx)
 }
 
-func (show *presentation) publish(ctx context.Context) error {
-	if err := show.fleet.Publish(ctx, ProfileLimit); err != nil {
+func (presentation *presentation) publish(ctx context.Context) error {
+	if err := presentation.fleet.Publish(ctx, ProfileLimit); err != nil {
 		return err
 	}
-	show.printf("\npublished profile %s with %d tokens\n", ProfileName, ProfileLimit)
+	presentation.printf("\npublished profile %s with %d tokens\n", ProfileName, ProfileLimit)
 	return nil
 }
 
-func (show *presentation) askEntry(ctx context.Context) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+show.fleet.Routers[0].CallerAddress()+"/v1/entry?profile="+ProfileName, nil)
+func (presentation *presentation) askEntry(ctx context.Context) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+presentation.fleet.Routers[0].CallerAddress()+"/v1/entry?profile="+ProfileName, nil)
 	if err != nil {
 		return err
 	}
@@ -135,19 +135,19 @@
 	if len(answer.Addresses) == 0 {
 		return fault.New(fault.Config{Kind: fault.Unavailable, Message: "no router takes requests", Remedy: "look at the routers' logs"})
 	}
-	show.entry = answer.Addresses[0]
-	show.printf("entry     %s for %d ms\n", strings.Join(answer.Addresses, ", "), answer.LifetimeMS)
+	presentation.entry = answer.Addresses[0]
+	presentation.printf("entry     %s for %d ms\n", strings.Join(answer.Addresses, ", "), answer.LifetimeMS)
 	return nil
 }
 
-func (show *presentation) stream(ctx context.Context) error {
+func (presentation *presentation) stream(ctx context.Context) error {
 	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"Which ring fits a six litre pot from 1974?"}]}`, ModelName, answerTokens)
-	response, err := show.call(ctx, "/v1/chat/completions", body)
+	response, err := presentation.call(ctx, "/v1/chat/completions", body)
 	if err != nil {
 		return err
 	}
 	defer response.Body.Close()
-	show.printf("\nstreamed answer: ")
+	presentation.printf("\nstreamed answer: ")
 	scanner := bufio.NewScanner(response.Body)
 	for scanner.Scan() {
 		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
@@ -155,7 +155,7 @@
 			continue
 		}
 		if data == completion.Done {
-			show.printf("\n")
+			presentation.printf("\n")
 			return nil
 		}
 		chunk, err := completion.ParseChunk([]byte(data))
@@ -163,14 +163,14 @@
 			return err
 		}
 		for _, choice := range chunk.Choices {
-			show.printf("%s", choice.Delta.Content)
+			presentation.printf("%s", choice.Delta.Content)
 		}
 	}
 	return fault.New(fault.Config{Kind: fault.Upstream, Message: "the stream had no end", Remedy: "look at the routers' logs", Outcome: fault.OutcomeUnknown})
 }
 
-func (show *presentation) book(ctx context.Context) error {
-	response, err := show.call(ctx, "/v1/services/"+OrderService+"/bookings", `{"ring":"6l-1974","count":1}`)
+func (presentation *presentation) book(ctx context.Context) error {
+	response, err := presentation.call(ctx, "/v1/services/"+OrderService+"/bookings", `{"ring":"6l-1974","count":1}`)
 	if err != nil {
 		return err
 	}
@@ -179,12 +179,12 @@
 	if err != nil {
 		return err
 	}
-	show.printf("booking: %s %s\n", response.Header.Get("Wisterialb-Outcome"), bytes.TrimSpace(body))
+	presentation.printf("booking: %s %s\n", response.Header.Get("Wisterialb-Outcome"), bytes.TrimSpace(body))
 	return nil
 }
 
-func (show *presentation) call(ctx context.Context, path, body string) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+show.entry+path, strings.NewReader(body))
+func (presentation *presentation) call(ctx context.Context, path, body string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+presentation.entry+path, strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -204,8 +204,8 @@
 	return nil, fault.New(fault.Config{Kind: fault.Upstream, Message: response.Status + ": " + string(text), Remedy: "look at the routers' logs"})
 }
 
-func (show *presentation) bills(ctx context.Context) error {
-	client, err := show.fleet.Operator()
+func (presentation *presentation) bills(ctx context.Context) error {
+	client, err := presentation.fleet.Operator()
 	if err != nil {
 		return err
 	}
@@ -213,9 +213,9 @@
 	if err != nil {
 		return err
 	}
-	show.printf("\nbills of %s\n", ProfileName)
+	presentation.printf("\nbills of %s\n", ProfileName)
 	for _, line := range lines {
-		show.printf("  %-5s %s %s: %d prompt + %d generated, charged %d\n",
+		presentation.printf("  %-5s %s %s: %d prompt + %d generated, charged %d\n",
 			line.Kind, line.RequestID, line.Service, line.PromptTokens, line.CompletionTokens, line.Tokens)
 	}
 	statement, err := client.Budget(ctx, ProfileName)
@@ -226,7 +226,7 @@
 	for _, holder := range statement.Holders {
 		granted += holder.GrantedTokens
 	}
-	show.printf("budget: limit %d = free %d + granted %d + settled %d (bills %d, waste %d, unattributed %d)\n",
+	presentation.printf("budget: limit %d = free %d + granted %d + settled %d (bills %d, waste %d, unattributed %d)\n",
 		statement.LimitTokens, statement.FreeTokens, granted, statement.SettledTokens,
 		statement.BillTokens, statement.WasteTokens, statement.UnattributedTokens)
 	return nil
@@ -253,8 +253,8 @@
 	}
 }
 
-func (show *presentation) audit(ctx context.Context) error {
-	client, err := show.fleet.Operator()
+func (presentation *presentation) audit(ctx context.Context) error {
+	client, err := presentation.fleet.Operator()
 	if err != nil {
 		return err
 	}
@@ -262,19 +262,19 @@
 	if err != nil {
 		return err
 	}
-	show.printf("\naudit trail\n")
+	presentation.printf("\naudit trail\n")
 	for _, record := range records {
-		show.printf("  %d %s %s put %s %s: %s\n", record.Revision, record.At.Format(time.RFC3339),
+		presentation.printf("  %d %s %s put %s %s: %s\n", record.Revision, record.At.Format(time.RFC3339),
 			record.Change.Operator, record.Change.Kind, record.Change.Name, record.Change.Reason)
 	}
 	return nil
 }
 
-func (show *presentation) keep(ctx context.Context) {
-	show.printf("\nThe fleet keeps running until the process is interrupted. Call it with\n\n")
-	show.printf("  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Wisterialb-Profile: %s' \\\n"+
+func (presentation *presentation) keep(ctx context.Context) {
+	presentation.printf("\nThe fleet keeps running until the process is interrupted. Call it with\n\n")
+	presentation.printf("  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Wisterialb-Profile: %s' \\\n"+
 		"    -d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Which ring?\"}]}'\n",
-		show.entry, CallerToken, ProfileName, ModelName)
-	show.printf("\nand as operator with --address %s and the token %s\n", show.fleet.Routers[0].Settings.OperatorAddress, OperatorToken)
+		presentation.entry, CallerToken, ProfileName, ModelName)
+	presentation.printf("\nand as operator with --address %s and the token %s\n", presentation.fleet.Routers[0].Settings.OperatorAddress, OperatorToken)
 	<-ctx.Done()
 }
--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -90,15 +90,15 @@
 	return client
 }
 
-func (config ClientConfig) withDefaults() ClientConfig {
-	config.ConnectTimeout = positive(config.ConnectTimeout, DefaultConnectTimeout)
-	config.FirstTimeout = positive(config.FirstTimeout, DefaultFirstTimeout)
-	config.BetweenTimeout = positive(config.BetweenTimeout, DefaultBetweenTimeout)
-	config.SuspectTimeout = positive(config.SuspectTimeout, DefaultSuspectTimeout)
-	config.ControlTimeout = positive(config.ControlTimeout, DefaultControlTimeout)
-	config.IdleTimeout = positive(config.IdleTimeout, DefaultIdleTimeout)
-	config.MaxIdle = positive(config.MaxIdle, DefaultMaxIdle)
-	return config
+func (clientConfig ClientConfig) withDefaults() ClientConfig {
+	clientConfig.ConnectTimeout = positive(clientConfig.ConnectTimeout, DefaultConnectTimeout)
+	clientConfig.FirstTimeout = positive(clientConfig.FirstTimeout, DefaultFirstTimeout)
+	clientConfig.BetweenTimeout = positive(clientConfig.BetweenTimeout, DefaultBetweenTimeout)
+	clientConfig.SuspectTimeout = positive(clientConfig.SuspectTimeout, DefaultSuspectTimeout)
+	clientConfig.ControlTimeout = positive(clientConfig.ControlTimeout, DefaultControlTimeout)
+	clientConfig.IdleTimeout = positive(clientConfig.IdleTimeout, DefaultIdleTimeout)
+	clientConfig.MaxIdle = positive(clientConfig.MaxIdle, DefaultMaxIdle)
+	return clientConfig
 }
 
 // positive returns value, or fallback when value is not above zero.
--- a/pkg/exchange/control.go
+++ b/pkg/exchange/control.go
@@ -23,8 +23,8 @@
 }
 
 // Error returns the status.
-func (err *StatusError) Error() string {
-	return fmt.Sprintf("the upstream refused a control request with status %d", err.Status)
+func (statusError *StatusError) Error() string {
+	return fmt.Sprintf("the upstream refused a control request with status %d", statusError.Status)
 }
 
 // State is what an engine says of an attempt.
--- a/pkg/exchange/events.go
+++ b/pkg/exchange/events.go
@@ -64,7 +64,7 @@
 }
 
 // add takes one line of the event.
-func (event *scanned) add(line []byte) error {
+func (scanned *scanned) add(line []byte) error {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
@@ -73,23 +73,23 @@
 		if err != nil || id < 1 {
 			return errDisorder
 		}
-		event.id = id
+		scanned.id = id
 	case "data":
-		return event.addData(value)
+		return scanned.addData(value)
 	}
 	return nil
 }
 
-func (event *scanned) addData(value []byte) error {
-	if len(event.data)+len(value) >= MaxEventBytes {
+func (scanned *scanned) addData(value []byte) error {
+	if len(scanned.data)+len(value) >= MaxEventBytes {
 		return errOversized
 	}
-	if event.data == nil {
-		event.data = make([]byte, 0, len(value))
+	if scanned.data == nil {
+		scanned.data = make([]byte, 0, len(value))
 	} else {
-		event.data = append(event.data, '\n')
+		scanned.data = append(scanned.data, '\n')
 	}
-	event.data = append(event.data, value...)
+	scanned.data = append(scanned.data, value...)
 	return nil
 }
 
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -32,26 +32,26 @@
 	err     error
 }
 
-func (publisher *fakePublisher) Publish(_ context.Context, change configuration.Change) (configuration.Record, error) {
-	publisher.mutex.Lock()
-	defer publisher.mutex.Unlock()
-	if publisher.err != nil {
-		return configuration.Record{}, publisher.err
+func (fakePublisher *fakePublisher) Publish(_ context.Context, change configuration.Change) (configuration.Record, error) {
+	fakePublisher.mutex.Lock()
+	defer fakePublisher.mutex.Unlock()
+	if fakePublisher.err != nil {
+		return configuration.Record{}, fakePublisher.err
 	}
-	for _, record := range publisher.records {
+	for _, record := range fakePublisher.records {
 		if record.Change.OperationID == change.OperationID {
 			return record, nil
 		}
 	}
-	record := configuration.Record{Revision: uint64(len(publisher.records) + 1), Change: change, At: time.UnixMilli(1000).UTC()}
-	publisher.records = append(publisher.records, record)
+	record := configuration.Record{Revision: uint64(len(fakePublisher.records) + 1), Change: change, At: time.UnixMilli(1000).UTC()}
+	fakePublisher.records = append(fakePublisher.records, record)
 	return record, nil
 }
 
-func (publisher *fakePublisher) Audit(_ context.Context, after uint64, limit int) ([]configuration.Record, error) {
-	publisher.mutex.Lock()
-	defer publisher.mutex.Unlock()
-	rest := publisher.records[min(after, uint64(len(publisher.records))):]
+func (fakePublisher *fakePublisher) Audit(_ context.Context, after uint64, limit int) ([]configuration.Record, error) {
+	fakePublisher.mutex.Lock()
+	defer fakePublisher.mutex.Unlock()
+	rest := fakePublisher.records[min(after, uint64(len(fakePublisher.records))):]
 	return rest[:min(limit, len(rest))], nil
 }
 
@@ -73,13 +73,13 @@
 func (fakeFollower) Offer(context.Context, []configuration.Record) {}
 func (fakeFollower) Hint(uint64)                                   {}
 
-func (publisher *fakePublisher) Head(context.Context) (uint64, error) { return 7, nil }
+func (fakePublisher *fakePublisher) Head(context.Context) (uint64, error) { return 7, nil }
 
-func (publisher *fakePublisher) Document(_ context.Context, kind configuration.Kind, name string) (configuration.Stored, error) {
+func (fakePublisher *fakePublisher) Document(_ context.Context, kind configuration.Kind, name string) (configuration.Stored, error) {
 	return configuration.Stored{Kind: kind, Name: name, Revision: 3, Body: []byte("{}")}, nil
 }
 
-func (publisher *fakePublisher) Documents(_ context.Context, kind configuration.Kind, after string, limit int) ([]configuration.Stored, string, error) {
+func (fakePublisher *fakePublisher) Documents(_ context.Context, kind configuration.Kind, after string, limit int) ([]configuration.Stored, string, error) {
 	stored := []configuration.Stored{{Kind: kind, Name: after + "a", Revision: uint64(limit), Body: []byte("{}")}}
 	if after != "" {
 		return stored, "", nil
@@ -181,10 +181,10 @@
 	lost int
 }
 
-func (transport *lossyTransport) Do(request *http.Request) (*http.Response, error) {
+func (lossyTransport *lossyTransport) Do(request *http.Request) (*http.Response, error) {
 	response, err := http.DefaultClient.Do(request)
-	if transport.lost > 0 && err == nil {
-		transport.lost--
+	if lossyTransport.lost > 0 && err == nil {
+		lossyTransport.lost--
 		return nil, errors.Join(errors.New("connection reset"), response.Body.Close())
 	}
 	return response, err
--- a/pkg/platform/retry.go
+++ b/pkg/platform/retry.go
@@ -35,26 +35,26 @@
 	defaultRetryBurst       = 200
 )
 
-func (config RetryConfig) withDefaults() RetryConfig {
-	if config.CallTimeout <= 0 {
-		config.CallTimeout = defaultCallTimeout
+func (retryConfig RetryConfig) withDefaults() RetryConfig {
+	if retryConfig.CallTimeout <= 0 {
+		retryConfig.CallTimeout = defaultCallTimeout
 	}
-	if config.InitialDelay <= 0 {
-		config.InitialDelay = defaultInitialDelay
+	if retryConfig.InitialDelay <= 0 {
+		retryConfig.InitialDelay = defaultInitialDelay
 	}
-	if config.MaxDelay <= 0 {
-		config.MaxDelay = defaultMaxDelay
+	if retryConfig.MaxDelay <= 0 {
+		retryConfig.MaxDelay = defaultMaxDelay
 	}
-	if config.MaxTries == 0 {
-		config.MaxTries = defaultMaxTries
+	if retryConfig.MaxTries == 0 {
+		retryConfig.MaxTries = defaultMaxTries
 	}
-	if config.RetriesPerSecond <= 0 {
-		config.RetriesPerSecond = defaultRetriesPerSecond
+	if retryConfig.RetriesPerSecond <= 0 {
+		retryConfig.RetriesPerSecond = defaultRetriesPerSecond
 	}
-	if config.RetryBurst <= 0 {
-		config.RetryBurst = defaultRetryBurst
+	if retryConfig.RetryBurst <= 0 {
+		retryConfig.RetryBurst = defaultRetryBurst
 	}
-	return config
+	return retryConfig
 }
 
 // Retrier repeats attempts that read, decide and write. Because each attempt
--- a/pkg/platform/services.go
+++ b/pkg/platform/services.go
@@ -13,7 +13,7 @@
 }
 
 // Transact applies all writes or none.
-func (client *tableClient) Transact(ctx context.Context, transaction Transaction) error {
+func (tableClient *tableClient) Transact(ctx context.Context, transaction Transaction) error {
 	if len(transaction.Writes) > MaxTransactionWrites {
 		return fault.New(fault.Config{
 			Kind:    fault.Invalid,
@@ -21,13 +21,13 @@
 			Remedy:  "split the transaction",
 		})
 	}
-	_, err := exchange(ctx, client.link, client.stub.Transact, EncodeTransaction(transaction))
+	_, err := exchange(ctx, tableClient.link, tableClient.stub.Transact, EncodeTransaction(transaction))
 	return err
 }
 
 // Get reads items in one consistent snapshot.
-func (client *tableClient) Get(ctx context.Context, keys ...Key) ([]Item, error) {
-	response, err := exchange(ctx, client.link, client.stub.Get, &platformpb.GetRequest{Keys: EncodeKeys(keys)})
+func (tableClient *tableClient) Get(ctx context.Context, keys ...Key) ([]Item, error) {
+	response, err := exchange(ctx, tableClient.link, tableClient.stub.Get, &platformpb.GetRequest{Keys: EncodeKeys(keys)})
 	if err != nil {
 		return nil, err
 	}
@@ -51,8 +51,8 @@
 }
 
 // Query reads items of one partition.
-func (client *tableClient) Query(ctx context.Context, query Query) ([]Item, error) {
-	response, err := exchange(ctx, client.link, client.stub.Query, EncodeQuery(query))
+func (tableClient *tableClient) Query(ctx context.Context, query Query) ([]Item, error) {
+	response, err := exchange(ctx, tableClient.link, tableClient.stub.Query, EncodeQuery(query))
 	if err != nil {
 		return nil, err
 	}
@@ -65,14 +65,14 @@
 }
 
 // Put stores an object whole.
-func (client *objectsClient) Put(ctx context.Context, name string, value []byte) error {
-	_, err := exchange(ctx, client.link, client.stub.PutObject, &platformpb.PutObjectRequest{Name: name, Value: value})
+func (objectsClient *objectsClient) Put(ctx context.Context, name string, value []byte) error {
+	_, err := exchange(ctx, objectsClient.link, objectsClient.stub.PutObject, &platformpb.PutObjectRequest{Name: name, Value: value})
 	return err
 }
 
 // Get reads an object.
-func (client *objectsClient) Get(ctx context.Context, name string) ([]byte, error) {
-	response, err := exchange(ctx, client.link, client.stub.GetObject, &platformpb.GetObjectRequest{Name: name})
+func (objectsClient *objectsClient) Get(ctx context.Context, name string) ([]byte, error) {
+	response, err := exchange(ctx, objectsClient.link, objectsClient.stub.GetObject, &platformpb.GetObjectRequest{Name: name})
 	if err != nil {
 		return nil, err
 	}
@@ -80,9 +80,9 @@
 }
 
 // List returns names in order.
-func (client *objectsClient) List(ctx context.Context, prefix, after string, limit int) ([]string, error) {
+func (objectsClient *objectsClient) List(ctx context.Context, prefix, after string, limit int) ([]string, error) {
 	request := &platformpb.ListObjectsRequest{Prefix: prefix, After: after, Limit: int32(limit)}
-	response, err := exchange(ctx, client.link, client.stub.ListObjects, request)
+	response, err := exchange(ctx, objectsClient.link, objectsClient.stub.ListObjects, request)
 	if err != nil {
 		return nil, err
 	}
@@ -90,8 +90,8 @@
 }
 
 // Delete removes an object.
-func (client *objectsClient) Delete(ctx context.Context, name string) error {
-	_, err := exchange(ctx, client.link, client.stub.DeleteObject, &platformpb.DeleteObjectRequest{Name: name})
+func (objectsClient *objectsClient) Delete(ctx context.Context, name string) error {
+	_, err := exchange(ctx, objectsClient.link, objectsClient.stub.DeleteObject, &platformpb.DeleteObjectRequest{Name: name})
 	return err
 }
 
@@ -101,8 +101,8 @@
 }
 
 // List returns the VMs that the platform knows.
-func (client *vmsClient) List(ctx context.Context) ([]VM, error) {
-	response, err := exchange(ctx, client.link, client.stub.ListVMs, &platformpb.ListVMsRequest{})
+func (vmsClient *vmsClient) List(ctx context.Context) ([]VM, error) {
+	response, err := exchange(ctx, vmsClient.link, vmsClient.stub.ListVMs, &platformpb.ListVMsRequest{})
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/standin/completion.go
+++ b/pkg/standin/completion.go
@@ -51,11 +51,11 @@
 }
 
 // limit returns the greatest number of completion tokens; zero means none.
-func (request CompletionRequest) limit() int {
-	if request.MaxCompletionTokens > 0 {
-		return request.MaxCompletionTokens
+func (completionRequest CompletionRequest) limit() int {
+	if completionRequest.MaxCompletionTokens > 0 {
+		return completionRequest.MaxCompletionTokens
 	}
-	return request.MaxTokens
+	return completionRequest.MaxTokens
 }
 
 // Usage is the report of used tokens.
--- a/pkg/standin/endpoint.go
+++ b/pkg/standin/endpoint.go
@@ -89,12 +89,12 @@
 }
 
 // Accept wraps the next connection.
-func (listener *silentListener) Accept() (net.Conn, error) {
-	conn, err := listener.Listener.Accept()
+func (silentListener *silentListener) Accept() (net.Conn, error) {
+	conn, err := silentListener.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return listener.conns.wrap(conn), nil
+	return silentListener.conns.wrap(conn), nil
 }
 
 // silentConn drops what passes through it once silent is set.
@@ -105,25 +105,25 @@
 }
 
 // Read returns what the other end sent, or drops it on a silent connection.
-func (conn *silentConn) Read(buffer []byte) (int, error) {
+func (silentConn *silentConn) Read(buffer []byte) (int, error) {
 	for {
-		n, err := conn.Conn.Read(buffer)
-		if err != nil || !conn.silent.Load() {
+		n, err := silentConn.Conn.Read(buffer)
+		if err != nil || !silentConn.silent.Load() {
 			return n, err
 		}
 	}
 }
 
 // Write sends to the other end, or drops the bytes on a silent connection.
-func (conn *silentConn) Write(buffer []byte) (int, error) {
-	if conn.silent.Load() {
+func (silentConn *silentConn) Write(buffer []byte) (int, error) {
+	if silentConn.silent.Load() {
 		return len(buffer), nil
 	}
-	return conn.Conn.Write(buffer)
+	return silentConn.Conn.Write(buffer)
 }
 
 // Close closes the connection.
-func (conn *silentConn) Close() error {
-	conn.owner.forget(conn)
-	return conn.Conn.Close()
+func (silentConn *silentConn) Close() error {
+	silentConn.owner.forget(silentConn)
+	return silentConn.Conn.Close()
 }
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -67,20 +67,20 @@
 	Seed uint64
 }
 
-func (config EngineConfig) withDefaults() EngineConfig {
-	if config.Slots <= 0 {
-		config.Slots = defaultSlots
+func (engineConfig EngineConfig) withDefaults() EngineConfig {
+	if engineConfig.Slots <= 0 {
+		engineConfig.Slots = defaultSlots
 	}
-	if config.TokenInterval <= 0 {
-		config.TokenInterval = defaultTokenInterval
+	if engineConfig.TokenInterval <= 0 {
+		engineConfig.TokenInterval = defaultTokenInterval
 	}
-	if config.CacheBlocks <= 0 {
-		config.CacheBlocks = defaultCacheBlocks
+	if engineConfig.CacheBlocks <= 0 {
+		engineConfig.CacheBlocks = defaultCacheBlocks
 	}
-	if config.KeptAttempts <= 0 {
-		config.KeptAttempts = defaultKeptAttempts
+	if engineConfig.KeptAttempts <= 0 {
+		engineConfig.KeptAttempts = defaultKeptAttempts
 	}
-	return config
+	return engineConfig
 }
 
 // Engine is a model engine that batches continuously.
--- a/pkg/standin/enginehttp.go
+++ b/pkg/standin/enginehttp.go
@@ -42,8 +42,8 @@
 }
 
 // admin serves the switches and records.
-func (handler *engineHandler) admin() http.Handler {
-	engine := handler.engine
+func (engineHandler *engineHandler) admin() http.Handler {
+	engine := engineHandler.engine
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /admin/faults", answerWith(engine.Faults))
 	mux.HandleFunc("POST /admin/faults", accept(engine.SetFaults))
@@ -63,13 +63,13 @@
 func (engine *Engine) runList() RunList { return RunList{Runs: engine.Runs()} }
 
 // withHold answers admin requests always, and others unless the engine holds.
-func (handler *engineHandler) withHold(next, admin http.Handler) http.Handler {
+func (engineHandler *engineHandler) withHold(next, admin http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if strings.HasPrefix(request.URL.Path, "/admin/") {
 			admin.ServeHTTP(writer, request)
 			return
 		}
-		if handler.engine.Faults().Hold {
+		if engineHandler.engine.Faults().Hold {
 			<-request.Context().Done()
 			return
 		}
@@ -78,22 +78,22 @@
 }
 
 // complete runs a completion.
-func (handler *engineHandler) complete(writer http.ResponseWriter, request *http.Request) {
-	attempt, stream, err := handler.submit(writer, request)
+func (engineHandler *engineHandler) complete(writer http.ResponseWriter, request *http.Request) {
+	attempt, stream, err := engineHandler.submit(writer, request)
 	if err != nil {
 		writeFault(writer, err)
 		return
 	}
 	if stream {
-		handler.stream(writer, request, attempt, 0)
+		engineHandler.stream(writer, request, attempt, 0)
 		return
 	}
-	handler.whole(writer, request, attempt)
+	engineHandler.whole(writer, request, attempt)
 }
 
 // submit queues the attempt of a request; it reports whether to stream.
-func (handler *engineHandler) submit(writer http.ResponseWriter, request *http.Request) (*attempt, bool, error) {
-	if handler.engine.Faults().Refuse {
+func (engineHandler *engineHandler) submit(writer http.ResponseWriter, request *http.Request) (*attempt, bool, error) {
+	if engineHandler.engine.Faults().Refuse {
 		return nil, false, fault.New(fault.Config{
 			Kind:    fault.Unavailable,
 			Message: "engine refuses requests",
@@ -117,7 +117,7 @@
 		return nil, false, err
 	}
 	attempt := newAttempt(id, request.Header.Get(IdempotencyKeyHeader), priority, body)
-	return attempt, body.Stream, handler.engine.submit(attempt)
+	return attempt, body.Stream, engineHandler.engine.submit(attempt)
 }
 
 // number reads a decimal number; empty is zero.
@@ -138,15 +138,15 @@
 }
 
 // stream writes the attempt's events behind the position.
-func (handler *engineHandler) stream(writer http.ResponseWriter, request *http.Request, attempt *attempt, position int) {
-	fault := handler.engine.faults.draw()
+func (engineHandler *engineHandler) stream(writer http.ResponseWriter, request *http.Request, attempt *attempt, position int) {
+	fault := engineHandler.engine.faults.draw()
 	if fault == StreamWrongAttempt {
-		attempt = handler.engine.other(attempt)
+		attempt = engineHandler.engine.other(attempt)
 	}
 	writer.Header().Set(contentType, streamContentType)
 	writer.Header().Set(AttemptHeader, attempt.id)
 	writer.WriteHeader(http.StatusOK)
-	err := handler.engine.follow(&stream{
+	err := engineHandler.engine.follow(&stream{
 		ctx:     request.Context(),
 		writer:  writer,
 		flusher: http.NewResponseController(writer),
@@ -160,9 +160,9 @@
 }
 
 // whole answers with the whole completion when the attempt has ended.
-func (handler *engineHandler) whole(writer http.ResponseWriter, request *http.Request, attempt *attempt) {
+func (engineHandler *engineHandler) whole(writer http.ResponseWriter, request *http.Request, attempt *attempt) {
 	for {
-		_, ended, changed, err := handler.engine.eventsAfter(attempt, 0)
+		_, ended, changed, err := engineHandler.engine.eventsAfter(attempt, 0)
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
@@ -176,36 +176,36 @@
 		}
 	}
 	writer.Header().Set(AttemptHeader, attempt.id)
-	writeJSON(writer, http.StatusOK, handler.engine.completion(attempt))
+	writeJSON(writer, http.StatusOK, engineHandler.engine.completion(attempt))
 }
 
-func (handler *engineHandler) attempt(writer http.ResponseWriter, request *http.Request) {
-	handler.withAttempt(writer, request, func(attempt *attempt) {
-		writeJSON(writer, http.StatusOK, handler.engine.recordOf(attempt))
+func (engineHandler *engineHandler) attempt(writer http.ResponseWriter, request *http.Request) {
+	engineHandler.withAttempt(writer, request, func(attempt *attempt) {
+		writeJSON(writer, http.StatusOK, engineHandler.engine.recordOf(attempt))
 	})
 }
 
-func (handler *engineHandler) cancel(writer http.ResponseWriter, request *http.Request) {
-	handler.withAttempt(writer, request, func(attempt *attempt) {
-		writeJSON(writer, http.StatusOK, handler.engine.cancel(attempt))
+func (engineHandler *engineHandler) cancel(writer http.ResponseWriter, request *http.Request) {
+	engineHandler.withAttempt(writer, request, func(attempt *attempt) {
+		writeJSON(writer, http.StatusOK, engineHandler.engine.cancel(attempt))
 	})
 }
 
 // events resumes a stream.
-func (handler *engineHandler) events(writer http.ResponseWriter, request *http.Request) {
-	handler.withAttempt(writer, request, func(attempt *attempt) {
+func (engineHandler *engineHandler) events(writer http.ResponseWriter, request *http.Request) {
+	engineHandler.withAttempt(writer, request, func(attempt *attempt) {
 		after, err := number(request.URL.Query().Get("after"))
 		if err != nil || after < 0 {
 			writeFault(writer, fault.New(fault.Config{Kind: fault.Invalid, Message: "bad position", Remedy: "send after >= 0"}))
 			return
 		}
-		handler.stream(writer, request, attempt, after)
+		engineHandler.stream(writer, request, attempt, after)
 	})
 }
 
-func (handler *engineHandler) withAttempt(writer http.ResponseWriter, request *http.Request, serve func(*attempt)) {
+func (engineHandler *engineHandler) withAttempt(writer http.ResponseWriter, request *http.Request, serve func(*attempt)) {
 	id := request.PathValue(attemptPathValue)
-	attempt := handler.engine.find(id)
+	attempt := engineHandler.engine.find(id)
 	if attempt == nil {
 		writeFault(writer, fault.New(fault.Config{
 			Kind:    fault.NotFound,
@@ -217,22 +217,22 @@
 	serve(attempt)
 }
 
-func (handler *engineHandler) cacheEvents(writer http.ResponseWriter, request *http.Request) {
+func (engineHandler *engineHandler) cacheEvents(writer http.ResponseWriter, request *http.Request) {
 	after, err := number(request.URL.Query().Get("after"))
 	if err != nil {
 		writeFault(writer, err)
 		return
 	}
-	writeJSON(writer, http.StatusOK, handler.engine.CacheEvents(uint64(max(after, 0))))
+	writeJSON(writer, http.StatusOK, engineHandler.engine.CacheEvents(uint64(max(after, 0))))
 }
 
-func (handler *engineHandler) order(writer http.ResponseWriter, request *http.Request) {
+func (engineHandler *engineHandler) order(writer http.ResponseWriter, request *http.Request) {
 	var order Order
 	if err := readJSON(writer, request, &order); err != nil {
 		writeFault(writer, err)
 		return
 	}
-	state, err := handler.engine.Order(order)
+	state, err := engineHandler.engine.Order(order)
 	if err != nil {
 		writeFault(writer, err)
 		return
--- a/pkg/standin/fault.go
+++ b/pkg/standin/fault.go
@@ -48,8 +48,8 @@
 	Streams map[StreamFault]Chance `json:"streams,omitempty"`
 }
 
-func (faults EngineFaults) validate() error {
-	for kind, chance := range faults.Streams {
+func (engineFaults EngineFaults) validate() error {
+	for kind, chance := range engineFaults.Streams {
 		_, known := streamFaults[kind]
 		if !known || chance.Next < 0 || chance.Rate < 0 || chance.Rate > 1 {
 			return fault.New(fault.Config{
@@ -73,43 +73,43 @@
 	return &engineFaults{random: rand.New(rand.NewPCG(seed, seed))}
 }
 
-func (faults *engineFaults) set(value EngineFaults) error {
+func (engineFaults *engineFaults) set(value EngineFaults) error {
 	if err := value.validate(); err != nil {
 		return err
 	}
 	value.Streams = maps.Clone(value.Streams)
-	faults.mutex.Lock()
-	defer faults.mutex.Unlock()
-	faults.faults = value
+	engineFaults.mutex.Lock()
+	defer engineFaults.mutex.Unlock()
+	engineFaults.faults = value
 	return nil
 }
 
-func (faults *engineFaults) get() EngineFaults {
-	faults.mutex.Lock()
-	defer faults.mutex.Unlock()
-	value := faults.faults
+func (engineFaults *engineFaults) get() EngineFaults {
+	engineFaults.mutex.Lock()
+	defer engineFaults.mutex.Unlock()
+	value := engineFaults.faults
 	value.Streams = maps.Clone(value.Streams)
 	return value
 }
 
-func (faults *engineFaults) slowFactor() float64 {
-	faults.mutex.Lock()
-	defer faults.mutex.Unlock()
-	return max(faults.faults.SlowFactor, 1)
+func (engineFaults *engineFaults) slowFactor() float64 {
+	engineFaults.mutex.Lock()
+	defer engineFaults.mutex.Unlock()
+	return max(engineFaults.faults.SlowFactor, 1)
 }
 
 // draw returns the fault that hits the next stream, or the empty string.
-func (faults *engineFaults) draw() StreamFault {
-	faults.mutex.Lock()
-	defer faults.mutex.Unlock()
+func (engineFaults *engineFaults) draw() StreamFault {
+	engineFaults.mutex.Lock()
+	defer engineFaults.mutex.Unlock()
 	for _, kind := range streamFaultOrder {
-		chance := faults.faults.Streams[kind]
+		chance := engineFaults.faults.Streams[kind]
 		if chance.Next > 0 {
 			chance.Next--
-			faults.faults.Streams[kind] = chance
+			engineFaults.faults.Streams[kind] = chance
 			return kind
 		}
-		if chance.Rate > 0 && faults.random.Float64() < chance.Rate {
+		if chance.Rate > 0 && engineFaults.random.Float64() < chance.Rate {
 			return kind
 		}
 	}
--- a/pkg/standin/faulty.go
+++ b/pkg/standin/faulty.go
@@ -58,88 +58,88 @@
 }
 
 // SetFaults replaces the faults.
-func (table *FaultyTable) SetFaults(faults TableFaults) {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	table.faults = faults
+func (faultyTable *FaultyTable) SetFaults(faults TableFaults) {
+	faultyTable.mutex.Lock()
+	defer faultyTable.mutex.Unlock()
+	faultyTable.faults = faults
 }
 
 // Counts returns how many calls were made.
-func (table *FaultyTable) Counts() TableCounts {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	return table.counts
+func (faultyTable *FaultyTable) Counts() TableCounts {
+	faultyTable.mutex.Lock()
+	defer faultyTable.mutex.Unlock()
+	return faultyTable.counts
 }
 
 // Deliver lets the oldest transaction in transit arrive. It returns false when
 // there is none.
-func (table *FaultyTable) Deliver(ctx context.Context) bool {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	if len(table.inTransit) == 0 {
+func (faultyTable *FaultyTable) Deliver(ctx context.Context) bool {
+	faultyTable.mutex.Lock()
+	defer faultyTable.mutex.Unlock()
+	if len(faultyTable.inTransit) == 0 {
 		return false
 	}
-	_ = table.table.Transact(ctx, table.inTransit[0])
-	table.inTransit = table.inTransit[1:]
+	_ = faultyTable.table.Transact(ctx, faultyTable.inTransit[0])
+	faultyTable.inTransit = faultyTable.inTransit[1:]
 	return true
 }
 
 // Transact applies all writes or none, or fails as the faults say.
-func (table *FaultyTable) Transact(ctx context.Context, transaction platform.Transaction) error {
-	if err := table.enter(ctx); err != nil {
+func (faultyTable *FaultyTable) Transact(ctx context.Context, transaction platform.Transaction) error {
+	if err := faultyTable.enter(ctx); err != nil {
 		return err
 	}
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	table.counts.Transactions++
+	faultyTable.mutex.Lock()
+	defer faultyTable.mutex.Unlock()
+	faultyTable.counts.Transactions++
 	switch {
-	case table.faults.Delays > 0:
-		table.faults.Delays--
-		table.faults.Down = table.faults.DownAfterDelay
-		table.faults.DownAfterDelay = false
-		table.inTransit = append(table.inTransit, transaction)
+	case faultyTable.faults.Delays > 0:
+		faultyTable.faults.Delays--
+		faultyTable.faults.Down = faultyTable.faults.DownAfterDelay
+		faultyTable.faults.DownAfterDelay = false
+		faultyTable.inTransit = append(faultyTable.inTransit, transaction)
 		return errLostAnswer
-	case table.faults.LoseAnswers > 0:
-		table.faults.LoseAnswers--
-		table.inTransit = append(table.inTransit, transaction)
-		_ = table.table.Transact(ctx, transaction)
+	case faultyTable.faults.LoseAnswers > 0:
+		faultyTable.faults.LoseAnswers--
+		faultyTable.inTransit = append(faultyTable.inTransit, transaction)
+		_ = faultyTable.table.Transact(ctx, transaction)
 		return errLostAnswer
 	}
-	return table.table.Transact(ctx, transaction)
+	return faultyTable.table.Transact(ctx, transaction)
 }
 
 // Get reads items in one snapshot.
-func (table *FaultyTable) Get(ctx context.Context, keys ...platform.Key) ([]platform.Item, error) {
-	if err := table.enter(ctx); err != nil {
+func (faultyTable *FaultyTable) Get(ctx context.Context, keys ...platform.Key) ([]platform.Item, error) {
+	if err := faultyTable.enter(ctx); err != nil {
 		return nil, err
 	}
-	table.countRead()
-	return table.table.Get(ctx, keys...)
+	faultyTable.countRead()
+	return faultyTable.table.Get(ctx, keys...)
 }
 
 // Query reads items of one partition.
-func (table *FaultyTable) Query(ctx context.Context, query platform.Query) ([]platform.Item, error) {
-	if err := table.enter(ctx); err != nil {
+func (faultyTable *FaultyTable) Query(ctx context.Context, query platform.Query) ([]platform.Item, error) {
+	if err := faultyTable.enter(ctx); err != nil {
 		return nil, err
 	}
-	table.countRead()
-	return table.table.Query(ctx, query)
+	faultyTable.countRead()
+	return faultyTable.table.Query(ctx, query)
 }
 
-func (table *FaultyTable) countRead() {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	table.counts.Reads++
+func (faultyTable *FaultyTable) countRead() {
+	faultyTable.mutex.Lock()
+	defer faultyTable.mutex.Unlock()
+	faultyTable.counts.Reads++
 }
 
 // enter fails or holds a call as the faults say.
-func (table *FaultyTable) enter(ctx context.Context) error {
-	if table.pause != nil {
-		table.pause()
+func (faultyTable *FaultyTable) enter(ctx context.Context) error {
+	if faultyTable.pause != nil {
+		faultyTable.pause()
 	}
-	table.mutex.Lock()
-	faults := table.faults
-	table.mutex.Unlock()
+	faultyTable.mutex.Lock()
+	faults := faultyTable.faults
+	faultyTable.mutex.Unlock()
 	if faults.Hang {
 		<-ctx.Done()
 		return errLostAnswer
--- a/pkg/standin/gate.go
+++ b/pkg/standin/gate.go
@@ -40,8 +40,8 @@
 }
 
 // validate reports values out of range.
-func (faults PlatformFaults) validate() error {
-	valid := faults.DelayMS >= 0 && faults.LoseRate >= 0 && faults.LoseRate <= 1 && faults.LoseNext >= 0
+func (platformFaults PlatformFaults) validate() error {
+	valid := platformFaults.DelayMS >= 0 && platformFaults.LoseRate >= 0 && platformFaults.LoseRate <= 1 && platformFaults.LoseNext >= 0
 	if valid {
 		return nil
 	}
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -120,12 +120,12 @@
 	client  string
 }
 
-func (view platformView) Table() platform.Table     { return tableView(view) }
-func (view platformView) Objects() platform.Objects { return objectsView(view) }
-func (view platformView) VMs() platform.VMList      { return vmsView(view) }
+func (platformView platformView) Table() platform.Table     { return tableView(platformView) }
+func (platformView platformView) Objects() platform.Objects { return objectsView(platformView) }
+func (platformView platformView) VMs() platform.VMList      { return vmsView(platformView) }
 
-func (view platformView) pass(ctx context.Context, kind callKind, units int, effect func() error) error {
-	return view.standin.gate.pass(ctx, call{client: view.client, kind: kind, units: units}, effect)
+func (platformView platformView) pass(ctx context.Context, kind callKind, units int, effect func() error) error {
+	return platformView.standin.gate.pass(ctx, call{client: platformView.client, kind: kind, units: units}, effect)
 }
 
 // read passes a call that returns a value.
@@ -141,54 +141,54 @@
 
 type tableView platformView
 
-func (view tableView) Transact(ctx context.Context, transaction platform.Transaction) error {
-	return platformView(view).pass(ctx, callTransact, len(transaction.Writes), func() error {
-		return view.standin.table.Transact(ctx, transaction)
+func (tableView tableView) Transact(ctx context.Context, transaction platform.Transaction) error {
+	return platformView(tableView).pass(ctx, callTransact, len(transaction.Writes), func() error {
+		return tableView.standin.table.Transact(ctx, transaction)
 	})
 }
 
-func (view tableView) Get(ctx context.Context, keys ...platform.Key) ([]platform.Item, error) {
-	return read(ctx, platformView(view), callGet, len(keys), func() ([]platform.Item, error) {
-		return view.standin.table.Get(ctx, keys...)
+func (tableView tableView) Get(ctx context.Context, keys ...platform.Key) ([]platform.Item, error) {
+	return read(ctx, platformView(tableView), callGet, len(keys), func() ([]platform.Item, error) {
+		return tableView.standin.table.Get(ctx, keys...)
 	})
 }
 
-func (view tableView) Query(ctx context.Context, query platform.Query) ([]platform.Item, error) {
-	return read(ctx, platformView(view), callQuery, 1, func() ([]platform.Item, error) {
-		return view.standin.table.Query(ctx, query)
+func (tableView tableView) Query(ctx context.Context, query platform.Query) ([]platform.Item, error) {
+	return read(ctx, platformView(tableView), callQuery, 1, func() ([]platform.Item, error) {
+		return tableView.standin.table.Query(ctx, query)
 	})
 }
 
 type objectsView platformView
 
-func (view objectsView) Put(ctx context.Context, name string, value []byte) error {
-	return platformView(view).pass(ctx, callPutObject, 1, func() error {
-		return view.standin.objects.Put(ctx, name, value)
+func (objectsView objectsView) Put(ctx context.Context, name string, value []byte) error {
+	return platformView(objectsView).pass(ctx, callPutObject, 1, func() error {
+		return objectsView.standin.objects.Put(ctx, name, value)
 	})
 }
 
-func (view objectsView) Get(ctx context.Context, name string) ([]byte, error) {
-	return read(ctx, platformView(view), callGetObject, 1, func() ([]byte, error) {
-		return view.standin.objects.Get(ctx, name)
+func (objectsView objectsView) Get(ctx context.Context, name string) ([]byte, error) {
+	return read(ctx, platformView(objectsView), callGetObject, 1, func() ([]byte, error) {
+		return objectsView.standin.objects.Get(ctx, name)
 	})
 }
 
-func (view objectsView) List(ctx context.Context, prefix, after string, limit int) ([]string, error) {
-	return read(ctx, platformView(view), callListObjects, 1, func() ([]string, error) {
-		return view.standin.objects.List(ctx, prefix, after, limit)
+func (objectsView objectsView) List(ctx context.Context, prefix, after string, limit int) ([]string, error) {
+	return read(ctx, platformView(objectsView), callListObjects, 1, func() ([]string, error) {
+		return objectsView.standin.objects.List(ctx, prefix, after, limit)
 	})
 }
 
-func (view objectsView) Delete(ctx context.Context, name string) error {
-	return platformView(view).pass(ctx, callDeleteObject, 1, func() error {
-		return view.standin.objects.Delete(ctx, name)
+func (objectsView objectsView) Delete(ctx context.Context, name string) error {
+	return platformView(objectsView).pass(ctx, callDeleteObject, 1, func() error {
+		return objectsView.standin.objects.Delete(ctx, name)
 	})
 }
 
 type vmsView platformView
 
-func (view vmsView) List(ctx context.Context) ([]platform.VM, error) {
-	return read(ctx, platformView(view), callListVMs, 1, func() ([]platform.VM, error) {
-		return view.standin.vms.List(ctx)
+func (vmsView vmsView) List(ctx context.Context) ([]platform.VM, error) {
+	return read(ctx, platformView(vmsView), callListVMs, 1, func() ([]platform.VM, error) {
+		return vmsView.standin.vms.List(ctx)
 	})
 }
--- a/pkg/standin/platform_test.go
+++ b/pkg/standin/platform_test.go
@@ -38,32 +38,32 @@
 	service *standin.Platform
 }
 
-func (script *platformScript) start(t *testing.T, writesPerSecond int) {
+func (platformScript *platformScript) start(t *testing.T, writesPerSecond int) {
 	t.Helper()
 	service, err := standin.NewPlatform(standin.PlatformConfig{WritesPerSecond: writesPerSecond})
 	require.NoError(t, err)
 	t.Cleanup(func() { assert.NoError(t, service.Close()) })
-	script.service = service
+	platformScript.service = service
 }
 
-func (script *platformScript) client(t *testing.T, name string) *platform.Client {
+func (platformScript *platformScript) client(t *testing.T, name string) *platform.Client {
 	t.Helper()
-	client := platform.Dial(platform.ClientConfig{Address: script.service.Address(), Timeout: scriptTimeout, Name: name})
+	client := platform.Dial(platform.ClientConfig{Address: platformScript.service.Address(), Timeout: scriptTimeout, Name: name})
 	t.Cleanup(client.Close)
 	return client
 }
 
-func (script *platformScript) run(t *testing.T, data *datadriven.TestData) string {
+func (platformScript *platformScript) run(t *testing.T, data *datadriven.TestData) string {
 	t.Helper()
 	ctx := context.Background()
 	name := ""
 	data.MaybeScanArgs(t, "client", &name)
-	client := script.client(t, name)
+	client := platformScript.client(t, name)
 	switch data.Cmd {
 	case "platform":
 		rate := 0
 		data.ScanArgs(t, "writes_per_second", &rate)
-		script.start(t, rate)
+		platformScript.start(t, rate)
 		return ""
 	case "transact":
 		return kindOf(client.Table().Transact(ctx, parseTransaction(t, data.Input)))
@@ -74,9 +74,9 @@
 	case "query":
 		return runQuery(ctx, t, client, data)
 	case "faults":
-		return script.postFaults(t, data.Input)
+		return platformScript.postFaults(t, data.Input)
 	case "counts":
-		counts := script.service.Counts()[data.CmdArgs[0].Key]
+		counts := platformScript.service.Counts()[data.CmdArgs[0].Key]
 		return fmt.Sprintf("calls=%d failed=%d limited=%d lost=%d\n", counts.Calls, counts.Failed, counts.Limited, counts.Lost)
 	default:
 		t.Fatalf("unknown command %s", data.Cmd)
@@ -120,9 +120,9 @@
 	return strings.Join(parts, " ") + "\n"
 }
 
-func (script *platformScript) postFaults(t *testing.T, body string) string {
+func (platformScript *platformScript) postFaults(t *testing.T, body string) string {
 	t.Helper()
-	return post(t, "http://"+script.service.Address()+"/admin/faults", body)
+	return post(t, "http://"+platformScript.service.Address()+"/admin/faults", body)
 }
 
 func post(t *testing.T, url, body string) string {
--- a/pkg/standin/prefix.go
+++ b/pkg/standin/prefix.go
@@ -101,46 +101,46 @@
 
 // admit returns how many of the prompt's tokens are cached, and caches its
 // blocks.
-func (cache *prefixCache) admit(attempt *attempt) int {
+func (prefixCache *prefixCache) admit(attempt *attempt) int {
 	known := 0
 	for known < len(attempt.blocks) {
-		if _, ok := cache.blocks.Get(attempt.blocks[known]); !ok {
+		if _, ok := prefixCache.blocks.Get(attempt.blocks[known]); !ok {
 			break
 		}
 		known++
 	}
 	for _, block := range attempt.blocks[known:] {
-		if !cache.blocks.Contains(block) {
-			cache.publish(CacheStored, block)
+		if !prefixCache.blocks.Contains(block) {
+			prefixCache.publish(CacheStored, block)
 		}
-		cache.blocks.Add(block, struct{}{})
+		prefixCache.blocks.Add(block, struct{}{})
 	}
 	cached := min(known*BlockTokens, attempt.prompt)
-	cache.counts.CachedTokens += int64(cached)
-	cache.counts.UncachedTokens += int64(attempt.prompt - cached)
+	prefixCache.counts.CachedTokens += int64(cached)
+	prefixCache.counts.UncachedTokens += int64(attempt.prompt - cached)
 	return cached
 }
 
 // clear empties the cache, as loading another model does.
-func (cache *prefixCache) clear() { cache.blocks.Purge() }
+func (prefixCache *prefixCache) clear() { prefixCache.blocks.Purge() }
 
-func (cache *prefixCache) publish(kind CacheEventKind, block uint64) {
-	cache.position++
-	if cache.random.Float64() < cache.gapRate {
+func (prefixCache *prefixCache) publish(kind CacheEventKind, block uint64) {
+	prefixCache.position++
+	if prefixCache.random.Float64() < prefixCache.gapRate {
 		return
 	}
-	event := CacheEvent{Position: cache.position, Kind: kind, Block: strconv.FormatUint(block, 16)}
-	cache.events = append(cache.events, datedCacheEvent{at: time.Now(), event: event})
-	if len(cache.events) > keptCacheEvents {
-		cache.events = cache.events[len(cache.events)-keptCacheEvents:]
+	event := CacheEvent{Position: prefixCache.position, Kind: kind, Block: strconv.FormatUint(block, 16)}
+	prefixCache.events = append(prefixCache.events, datedCacheEvent{at: time.Now(), event: event})
+	if len(prefixCache.events) > keptCacheEvents {
+		prefixCache.events = prefixCache.events[len(prefixCache.events)-keptCacheEvents:]
 	}
 }
 
 // published returns the events behind the position that are old enough.
-func (cache *prefixCache) published(after uint64, now time.Time) CacheEvents {
-	visible := now.Add(-cache.lag)
+func (prefixCache *prefixCache) published(after uint64, now time.Time) CacheEvents {
+	visible := now.Add(-prefixCache.lag)
 	answer := CacheEvents{Events: []CacheEvent{}}
-	for _, dated := range cache.events {
+	for _, dated := range prefixCache.events {
 		if dated.event.Position > after && !dated.at.After(visible) {
 			answer.Events = append(answer.Events, dated.event)
 		}
--- a/pkg/standin/report.go
+++ b/pkg/standin/report.go
@@ -27,27 +27,27 @@
 }
 
 // read returns the report that a reader sees now, given the true one.
-func (lagged *laggedReport) read(truth LoadReport, now time.Time) LoadReport {
-	if lagged.lag <= 0 {
+func (laggedReport *laggedReport) read(truth LoadReport, now time.Time) LoadReport {
+	if laggedReport.lag <= 0 {
 		return truth
 	}
-	lagged.observe(truth, now)
-	sample := lagged.samples[0]
+	laggedReport.observe(truth, now)
+	sample := laggedReport.samples[0]
 	sample.report.AgeMS = now.Sub(sample.at).Milliseconds()
 	return sample.report
 }
 
 // observe takes a sample when one is due and drops those past the lag, but for
 // the youngest of these.
-func (lagged *laggedReport) observe(truth LoadReport, now time.Time) {
-	if lagged.lag <= 0 {
+func (laggedReport *laggedReport) observe(truth LoadReport, now time.Time) {
+	if laggedReport.lag <= 0 {
 		return
 	}
-	last := len(lagged.samples) - 1
-	if last < 0 || now.Sub(lagged.samples[last].at) >= lagged.lag/reportSamples {
-		lagged.samples = append(lagged.samples, loadSample{at: now, report: truth})
+	last := len(laggedReport.samples) - 1
+	if last < 0 || now.Sub(laggedReport.samples[last].at) >= laggedReport.lag/reportSamples {
+		laggedReport.samples = append(laggedReport.samples, loadSample{at: now, report: truth})
 	}
-	for len(lagged.samples) > 1 && now.Sub(lagged.samples[1].at) >= lagged.lag {
-		lagged.samples = lagged.samples[1:]
+	for len(laggedReport.samples) > 1 && now.Sub(laggedReport.samples[1].at) >= laggedReport.lag {
+		laggedReport.samples = laggedReport.samples[1:]
 	}
 }
--- a/pkg/standin/rpc.go
+++ b/pkg/standin/rpc.go
@@ -61,56 +61,56 @@
 	standin *Platform
 }
 
-func (server *platformServer) view(ctx context.Context) platform.Platform {
+func (platformServer *platformServer) view(ctx context.Context) platform.Platform {
 	client, _ := ctx.Value(clientKey{}).(string)
-	return server.standin.For(client)
+	return platformServer.standin.For(client)
 }
 
 // Transact applies all writes or none.
-func (server *platformServer) Transact(ctx context.Context, request *platformpb.TransactRequest) (*platformpb.TransactResponse, error) {
-	err := server.view(ctx).Table().Transact(ctx, platform.DecodeTransaction(request))
+func (platformServer *platformServer) Transact(ctx context.Context, request *platformpb.TransactRequest) (*platformpb.TransactResponse, error) {
+	err := platformServer.view(ctx).Table().Transact(ctx, platform.DecodeTransaction(request))
 	return &platformpb.TransactResponse{}, twirpError(err)
 }
 
 // Get reads items.
-func (server *platformServer) Get(ctx context.Context, request *platformpb.GetRequest) (*platformpb.GetResponse, error) {
-	items, err := server.view(ctx).Table().Get(ctx, platform.DecodeKeys(request.GetKeys())...)
+func (platformServer *platformServer) Get(ctx context.Context, request *platformpb.GetRequest) (*platformpb.GetResponse, error) {
+	items, err := platformServer.view(ctx).Table().Get(ctx, platform.DecodeKeys(request.GetKeys())...)
 	return &platformpb.GetResponse{Items: platform.EncodeItems(items)}, twirpError(err)
 }
 
 // Query reads items of one partition.
-func (server *platformServer) Query(ctx context.Context, request *platformpb.QueryRequest) (*platformpb.QueryResponse, error) {
-	items, err := server.view(ctx).Table().Query(ctx, platform.DecodeQuery(request))
+func (platformServer *platformServer) Query(ctx context.Context, request *platformpb.QueryRequest) (*platformpb.QueryResponse, error) {
+	items, err := platformServer.view(ctx).Table().Query(ctx, platform.DecodeQuery(request))
 	return &platformpb.QueryResponse{Items: platform.EncodeItems(items)}, twirpError(err)
 }
 
 // PutObject stores an object.
-func (server *platformServer) PutObject(ctx context.Context, request *platformpb.PutObjectRequest) (*platformpb.PutObjectResponse, error) {
-	err := server.view(ctx).Objects().Put(ctx, request.GetName(), request.GetValue())
+func (platformServer *platformServer) PutObject(ctx context.Context, request *platformpb.PutObjectRequest) (*platformpb.PutObjectResponse, error) {
+	err := platformServer.view(ctx).Objects().Put(ctx, request.GetName(), request.GetValue())
 	return &platformpb.PutObjectResponse{}, twirpError(err)
 }
 
 // GetObject reads an object.
-func (server *platformServer) GetObject(ctx context.Context, request *platformpb.GetObjectRequest) (*platformpb.GetObjectResponse, error) {
-	value, err := server.view(ctx).Objects().Get(ctx, request.GetName())
+func (platformServer *platformServer) GetObject(ctx context.Context, request *platformpb.GetObjectRequest) (*platformpb.GetObjectResponse, error) {
+	value, err := platformServer.view(ctx).Objects().Get(ctx, request.GetName())
 	return &platformpb.GetObjectResponse{Value: value}, twirpError(err)
 }
 
 // ListObjects lists names of objects.
-func (server *platformServer) ListObjects(ctx context.Context, request *platformpb.ListObjectsRequest) (*platformpb.ListObjectsResponse, error) {
-	names, err := server.view(ctx).Objects().List(ctx, request.GetPrefix(), request.GetAfter(), int(request.GetLimit()))
+func (platformServer *platformServer) ListObjects(ctx context.Context, request *platformpb.ListObjectsRequest) (*platformpb.ListObjectsResponse, error) {
+	names, err := platformServer.view(ctx).Objects().List(ctx, request.GetPrefix(), request.GetAfter(), int(request.GetLimit()))
 	return &platformpb.ListObjectsResponse{Names: names}, twirpError(err)
 }
 
 // DeleteObject removes an object.
-func (server *platformServer) DeleteObject(ctx context.Context, request *platformpb.DeleteObjectRequest) (*platformpb.DeleteObjectResponse, error) {
-	err := server.view(ctx).Objects().Delete(ctx, request.GetName())
+func (platformServer *platformServer) DeleteObject(ctx context.Context, request *platformpb.DeleteObjectRequest) (*platformpb.DeleteObjectResponse, error) {
+	err := platformServer.view(ctx).Objects().Delete(ctx, request.GetName())
 	return &platformpb.DeleteObjectResponse{}, twirpError(err)
 }
 
 // ListVMs lists the VMs.
-func (server *platformServer) ListVMs(ctx context.Context, _ *platformpb.ListVMsRequest) (*platformpb.ListVMsResponse, error) {
-	vms, err := server.view(ctx).VMs().List(ctx)
+func (platformServer *platformServer) ListVMs(ctx context.Context, _ *platformpb.ListVMsRequest) (*platformpb.ListVMsResponse, error) {
+	vms, err := platformServer.view(ctx).VMs().List(ctx)
 	response := &platformpb.ListVMsResponse{}
 	for _, vm := range vms {
 		response.Vms = append(response.Vms, &platformpb.VM{Address: vm.Address, Zone: vm.Zone, Leaving: vm.Leaving})
--- a/pkg/standin/service.go
+++ b/pkg/standin/service.go
@@ -46,8 +46,8 @@
 	DelayMS int64 `json:"delay_ms"`
 }
 
-func (faults ServiceFaults) validate() error {
-	if faults.DropNext >= 0 && faults.StallNext >= 0 && faults.DelayMS >= 0 {
+func (serviceFaults ServiceFaults) validate() error {
+	if serviceFaults.DropNext >= 0 && serviceFaults.StallNext >= 0 && serviceFaults.DelayMS >= 0 {
 		return nil
 	}
 	return fault.New(fault.Config{Kind: fault.Invalid, Message: "fault out of range", Remedy: "use no negative numbers"})
--- a/pkg/standin/state.go
+++ b/pkg/standin/state.go
@@ -65,9 +65,9 @@
 
 // obey applies an order, or refuses it for its fence. It reports whether the
 // weights change.
-func (state *engineState) obey(order Order, now time.Time) (bool, error) {
-	obeyed := state.ignoresFencing || order.Fence >= state.fence
-	state.records = append(state.records, OrderRecord{Order: order, Obeyed: obeyed, At: now})
+func (engineState *engineState) obey(order Order, now time.Time) (bool, error) {
+	obeyed := engineState.ignoresFencing || order.Fence >= engineState.fence
+	engineState.records = append(engineState.records, OrderRecord{Order: order, Obeyed: obeyed, At: now})
 	if !obeyed {
 		return false, fault.New(fault.Config{
 			Kind:    fault.Conflict,
@@ -75,38 +75,38 @@
 			Remedy:  "take the lease anew before ordering",
 		})
 	}
-	reload := !order.sameWeights(state.order)
+	reload := !order.sameWeights(engineState.order)
 	if reload {
-		state.loadedAt = state.weights.reserve(state.weightBytes, now).Add(state.loadTime)
+		engineState.loadedAt = engineState.weights.reserve(engineState.weightBytes, now).Add(engineState.loadTime)
 	}
-	state.order = order
-	state.fence = max(state.fence, order.Fence)
+	engineState.order = order
+	engineState.fence = max(engineState.fence, order.Fence)
 	return reload, nil
 }
 
 // view returns the state at a time.
-func (state *engineState) view(now time.Time) EngineState {
+func (engineState *engineState) view(now time.Time) EngineState {
 	return EngineState{
-		Model:   state.order.Model,
-		Adapter: state.order.Adapter,
-		Version: state.order.Version,
-		Role:    state.order.Role,
-		Fence:   state.fence,
-		Loading: now.Before(state.loadedAt),
+		Model:   engineState.order.Model,
+		Adapter: engineState.order.Adapter,
+		Version: engineState.order.Version,
+		Role:    engineState.order.Role,
+		Fence:   engineState.fence,
+		Loading: now.Before(engineState.loadedAt),
 	}
 }
 
 // refusal returns why a request for the model cannot be served, or nil.
-func (state *engineState) refusal(model string, now time.Time) error {
-	if now.Before(state.loadedAt) {
+func (engineState *engineState) refusal(model string, now time.Time) error {
+	if now.Before(engineState.loadedAt) {
 		return fault.New(fault.Config{
 			Kind:       fault.Unavailable,
 			Message:    "engine is loading a model",
 			Remedy:     "retry elsewhere or after the load",
-			RetryAfter: state.loadedAt.Sub(now),
+			RetryAfter: engineState.loadedAt.Sub(now),
 		})
 	}
-	if state.order.Model == "" || state.order.Model == model {
+	if engineState.order.Model == "" || engineState.order.Model == model {
 		return nil
 	}
 	return fault.New(fault.Config{
--- a/pkg/standin/stream.go
+++ b/pkg/standin/stream.go
@@ -16,7 +16,7 @@
 // streamFaultError ends a stream without its end marker.
 type streamFaultError struct{ abort bool }
 
-func (err streamFaultError) Error() string { return "stream ended without its end marker" }
+func (streamFaultError streamFaultError) Error() string { return "stream ended without its end marker" }
 
 // streamFaultFunc writes an event under a fault, from its trigger position on.
 type streamFaultFunc func(stream *stream, position int, data []byte) error
--- a/pkg/upstream/limit.go
+++ b/pkg/upstream/limit.go
@@ -26,20 +26,20 @@
 // decreaseFactor is applied to the limit once in each latency above the target.
 const decreaseFactor = 0.9
 
-func (config LimitConfig) withDefaults() LimitConfig {
-	if config.Initial <= 0 {
-		config.Initial = DefaultInitialLimit
+func (limitConfig LimitConfig) withDefaults() LimitConfig {
+	if limitConfig.Initial <= 0 {
+		limitConfig.Initial = DefaultInitialLimit
 	}
-	if config.Min <= 0 {
-		config.Min = DefaultMinLimit
+	if limitConfig.Min <= 0 {
+		limitConfig.Min = DefaultMinLimit
 	}
-	if config.Max <= 0 {
-		config.Max = DefaultMaxLimit
+	if limitConfig.Max <= 0 {
+		limitConfig.Max = DefaultMaxLimit
 	}
-	if config.Target <= 0 {
-		config.Target = DefaultLatencyTarget
+	if limitConfig.Target <= 0 {
+		limitConfig.Target = DefaultLatencyTarget
 	}
-	return config
+	return limitConfig
 }
 
 // limiter adapts a limit by additive increase and multiplicative decrease.
