Hash the demonstration's tokens with the operators' function

Change: TokenHash calls HashToken and stays for the testbed, which uses it; the constants are unexported; the comments say zone and index.

--- a/pkg/demo/documents.go
+++ b/pkg/demo/documents.go
@@ -19,14 +19,14 @@
 	OrderService = "order-desk"
 	// ProfileName is the profile that callers run under.
 	ProfileName = "home-cooks"
-	// CallerName is the calling service.
-	CallerName = "web-chat"
+	// callerName is the calling service.
+	callerName = "web-chat"
 	// CallerToken is the calling service's bearer token.
 	CallerToken = "demonstration-caller"
 	// ProfileLimit is the prepaid limit in tokens.
 	ProfileLimit = 1_000_000
-	// BookingTokens is what one call of the order service costs.
-	BookingTokens = 25
+	// bookingTokens is what one call of the order service costs.
+	bookingTokens = 25
 )
 
 // document is one document to publish.
@@ -81,7 +81,7 @@
 			Name: ModelService, Protocol: configuration.ProtocolModel, Model: ModelName,
 		}},
 		{configuration.KindService, OrderService, configuration.Service{
-			Name: OrderService, Protocol: configuration.ProtocolPlain, CallTokens: BookingTokens,
+			Name: OrderService, Protocol: configuration.ProtocolPlain, CallTokens: bookingTokens,
 		}},
 	}
 	for index, engine := range fleet.Engines {
@@ -91,12 +91,12 @@
 		documents = append(documents, fleet.upstream(OrderService, "desk", index, service.Address()))
 	}
 	return append(documents,
-		document{configuration.KindCaller, CallerName, configuration.Caller{
-			Name: CallerName, Team: "kitchen", Weight: 1, TokenHash: TokenHash(CallerToken),
+		document{configuration.KindCaller, callerName, configuration.Caller{
+			Name: callerName, Team: "kitchen", Weight: 1, TokenHash: operator.HashToken(CallerToken),
 		}},
 		document{configuration.KindProfile, ProfileName, configuration.Profile{
 			Name: ProfileName, LimitTokens: limit, Priority: 5,
-			Callers:  []string{CallerName},
+			Callers:  []string{callerName},
 			Services: []string{ModelService, OrderService},
 		}},
 	)
--- a/pkg/demo/fleet.go
+++ b/pkg/demo/fleet.go
@@ -1,5 +1,5 @@
 // Package demo runs a small fleet in one process: a stand-in platform, model
-// engines, a plain service and routers on loopback addresses in three places.
+// engines, a plain service and routers on loopback addresses in three zones.
 // Tests and measurements use the same fleet.
 //
 // The flow: StartFleet starts the stand-ins and the routers and publishes the
@@ -9,8 +9,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"net"
@@ -20,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/operator"
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 	"gitlab.com/wisterialb/wisterialb/pkg/router"
 	"gitlab.com/wisterialb/wisterialb/pkg/settings"
@@ -27,19 +26,19 @@
 )
 
 const (
-	// PeerKey proves the demonstration's routers to each other.
-	PeerKey = "demonstration-peer-key-not-a-secret"
+	// peerKey proves the demonstration's routers to each other.
+	peerKey = "demonstration-peer-key-not-a-secret"
 	// OperatorToken is the demonstration's operator token.
 	OperatorToken = "demonstration-operator"
-	// OperatorName is written to the demonstration's audit trail.
-	OperatorName = "demo"
+	// operatorName is written to the demonstration's audit trail.
+	operatorName = "demo"
 
 	platformTimeout = 2 * time.Second
 )
 
 // FleetConfig describes a Fleet.
 type FleetConfig struct {
-	// Zones has the place of each router; its length is their number.
+	// Zones has the zone of each router; its length is their number.
 	Zones []string
 	// Engines describe the model engines.
 	Engines []standin.EngineConfig
@@ -112,8 +111,8 @@
 	return nil
 }
 
-// StartRouter starts the router of a place, again after it has ended or for
-// the first time.
+// StartRouter starts the router with an index of FleetConfig.Zones, for the
+// first time or again after it has ended.
 func (fleet *Fleet) StartRouter(index int) error {
 	config, err := fleet.settingsOf(index)
 	if err != nil {
@@ -145,8 +144,8 @@
 	return nil
 }
 
-// settingsOf returns the settings of the router of a place, which a later router
-// of the same place keeps.
+// settingsOf returns the settings of the router with an index, which a restart
+// keeps.
 func (fleet *Fleet) settingsOf(index int) (settings.Settings, error) {
 	if index < len(fleet.Routers) {
 		return fleet.Routers[index].Settings, nil
@@ -165,8 +164,8 @@
 	config.CallerAddress = addresses[0]
 	config.PeerAddress = addresses[1]
 	config.OperatorAddress = addresses[2]
-	config.PeerKey = PeerKey
-	config.Operators = []settings.Operator{{Name: OperatorName, TokenHash: TokenHash(OperatorToken)}}
+	config.PeerKey = peerKey
+	config.Operators = []settings.Operator{{Name: operatorName, TokenHash: operator.HashToken(OperatorToken)}}
 	config.Platform = settings.Platform{
 		Kind:    settings.PlatformTwirp,
 		Address: fleet.Platform.Address(),
@@ -178,8 +177,8 @@
 	return config, nil
 }
 
-// KillRouter ends the router of a place as a crash does. StartRouter starts one
-// in its place.
+// KillRouter ends the router with an index as a crash does. StartRouter restarts
+// it.
 func (fleet *Fleet) KillRouter(index int) {
 	node := fleet.Routers[index]
 	node.Dialer.Freeze()
@@ -207,10 +206,7 @@
 }
 
 // TokenHash returns the hexadecimal SHA-256 of a bearer token.
-func TokenHash(token string) string {
-	digest := sha256.Sum256([]byte(token))
-	return hex.EncodeToString(digest[:])
-}
+func TokenHash(token string) string { return operator.HashToken(token) }
 
 // freeAddresses returns distinct free ports of a loopback host.
 func freeAddresses(host string, count int) ([]string, error) {
