Remove or unexport what nothing outside its package uses

Cause: View.Profiles, the tool list of a request's envelope, the stand-in's user field and its count of reads had no reader; the defaults of exchange and upstream were exported for nobody. Conclusion: no behaviour changed.

--- a/pkg/completion/request.go
+++ b/pkg/completion/request.go
@@ -67,14 +67,13 @@
 
 // envelope holds the fields that the router reads itself.
 type envelope struct {
-	Model               string          `json:"model"`
-	Messages            []Message       `json:"messages"`
-	Stream              bool            `json:"stream"`
-	MaxTokens           *int64          `json:"max_tokens"`
-	MaxCompletionTokens *int64          `json:"max_completion_tokens"`
-	N                   *int64          `json:"n"`
-	BestOf              *int64          `json:"best_of"`
-	Tools               json.RawMessage `json:"tools"`
+	Model               string    `json:"model"`
+	Messages            []Message `json:"messages"`
+	Stream              bool      `json:"stream"`
+	MaxTokens           *int64    `json:"max_tokens"`
+	MaxCompletionTokens *int64    `json:"max_completion_tokens"`
+	N                   *int64    `json:"n"`
+	BestOf              *int64    `json:"best_of"`
 	StreamOptions       struct {
 		IncludeUsage bool `json:"include_usage"`
 	} `json:"stream_options"`
--- a/pkg/configuration/profiles.go
+++ b/pkg/configuration/profiles.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
-	"strings"
 	"sync"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -40,18 +38,6 @@
 	return profileCache.entries.Get(name)
 }
 
-// list returns the held profiles by name.
-func (profileCache *profileCache) list() []Profile {
-	var profiles []Profile
-	for _, entry := range profileCache.entries.Values() {
-		if entry.found {
-			profiles = append(profiles, entry.profile)
-		}
-	}
-	slices.SortFunc(profiles, func(a, b Profile) int { return strings.Compare(a.Name, b.Name) })
-	return profiles
-}
-
 // apply brings a held profile up to a record. One that is not held stays so.
 func (profileCache *profileCache) apply(name string, body []byte, revision uint64) error {
 	profileCache.mutex.Lock()
--- a/pkg/configuration/view.go
+++ b/pkg/configuration/view.go
@@ -52,9 +52,6 @@
 	return entry.profile, true
 }
 
-// Profiles returns the profiles that the router holds, by name.
-func (view *View) Profiles() []Profile { return view.profiles.list() }
-
 // Service returns a service.
 func (view *View) Service(name string) (Service, bool) {
 	found, ok := view.services[name]
--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -55,13 +55,13 @@
 
 // Defaults of ClientConfig.
 const (
-	DefaultConnectTimeout = time.Second
-	DefaultFirstTimeout   = 5 * time.Second
-	DefaultBetweenTimeout = 2 * time.Second
-	DefaultSuspectTimeout = 500 * time.Millisecond
-	DefaultControlTimeout = time.Second
-	DefaultIdleTimeout    = 30 * time.Second
-	DefaultMaxIdle        = 64
+	defaultConnectTimeout = time.Second
+	defaultFirstTimeout   = 5 * time.Second
+	defaultBetweenTimeout = 2 * time.Second
+	defaultSuspectTimeout = 500 * time.Millisecond
+	defaultControlTimeout = time.Second
+	defaultIdleTimeout    = 30 * time.Second
+	defaultMaxIdle        = 64
 )
 
 // The buffers of one connection; most events and request heads fit them.
@@ -91,13 +91,13 @@
 }
 
 func (clientConfig ClientConfig) withDefaults() ClientConfig {
-	clientConfig.ConnectTimeout = positive(clientConfig.ConnectTimeout, DefaultConnectTimeout)
-	clientConfig.FirstTimeout = positive(clientConfig.FirstTimeout, DefaultFirstTimeout)
-	clientConfig.BetweenTimeout = positive(clientConfig.BetweenTimeout, DefaultBetweenTimeout)
-	clientConfig.SuspectTimeout = positive(clientConfig.SuspectTimeout, DefaultSuspectTimeout)
-	clientConfig.ControlTimeout = positive(clientConfig.ControlTimeout, DefaultControlTimeout)
-	clientConfig.IdleTimeout = positive(clientConfig.IdleTimeout, DefaultIdleTimeout)
-	clientConfig.MaxIdle = positive(clientConfig.MaxIdle, DefaultMaxIdle)
+	clientConfig.ConnectTimeout = positive(clientConfig.ConnectTimeout, defaultConnectTimeout)
+	clientConfig.FirstTimeout = positive(clientConfig.FirstTimeout, defaultFirstTimeout)
+	clientConfig.BetweenTimeout = positive(clientConfig.BetweenTimeout, defaultBetweenTimeout)
+	clientConfig.SuspectTimeout = positive(clientConfig.SuspectTimeout, defaultSuspectTimeout)
+	clientConfig.ControlTimeout = positive(clientConfig.ControlTimeout, defaultControlTimeout)
+	clientConfig.IdleTimeout = positive(clientConfig.IdleTimeout, defaultIdleTimeout)
+	clientConfig.MaxIdle = positive(clientConfig.MaxIdle, defaultMaxIdle)
 	return clientConfig
 }
 
--- a/pkg/exchange/control.go
+++ b/pkg/exchange/control.go
@@ -76,7 +76,7 @@
 }
 
 // Load returns the upstream's load report. It asks on a pooled connection, so
-// that a time-out tells of connections that have gone silent.
+// that a timeout tells of connections that have gone silent.
 func (client *Client) Load(ctx context.Context) (LoadReport, error) {
 	var report LoadReport
 	err := client.control(ctx, client.transport(false), http.MethodGet, "/v1/load", &report)
--- a/pkg/standin/completion.go
+++ b/pkg/standin/completion.go
@@ -47,7 +47,6 @@
 	Stream              bool      `json:"stream"`
 	MaxTokens           int       `json:"max_tokens,omitempty"`
 	MaxCompletionTokens int       `json:"max_completion_tokens,omitempty"`
-	User                string    `json:"user,omitempty"`
 }
 
 // limit returns the greatest number of completion tokens; zero means none.
--- a/pkg/standin/faulty.go
+++ b/pkg/standin/faulty.go
@@ -40,7 +40,6 @@
 // TableCounts counts calls.
 type TableCounts struct {
 	Transactions int
-	Reads        int
 }
 
 // FaultyTableConfig configures a FaultyTable.
@@ -113,7 +112,6 @@
 	if err := faultyTable.enter(ctx); err != nil {
 		return nil, err
 	}
-	faultyTable.countRead()
 	return faultyTable.table.Get(ctx, keys...)
 }
 
@@ -122,16 +120,9 @@
 	if err := faultyTable.enter(ctx); err != nil {
 		return nil, err
 	}
-	faultyTable.countRead()
 	return faultyTable.table.Query(ctx, query)
 }
 
-func (faultyTable *FaultyTable) countRead() {
-	faultyTable.mutex.Lock()
-	defer faultyTable.mutex.Unlock()
-	faultyTable.counts.Reads++
-}
-
 // enter fails or holds a call as the faults say.
 func (faultyTable *FaultyTable) enter(ctx context.Context) error {
 	if faultyTable.pause != nil {
--- a/pkg/upstream/limit.go
+++ b/pkg/upstream/limit.go
@@ -17,10 +17,10 @@
 
 // Defaults of LimitConfig.
 const (
-	DefaultInitialLimit  = 32
-	DefaultMinLimit      = 4
-	DefaultMaxLimit      = 256
-	DefaultLatencyTarget = 370 * time.Millisecond
+	defaultInitialLimit  = 32
+	defaultMinLimit      = 4
+	defaultMaxLimit      = 256
+	defaultLatencyTarget = 370 * time.Millisecond
 )
 
 // decreaseFactor is applied to the limit once in each latency above the target.
@@ -28,16 +28,16 @@
 
 func (limitConfig LimitConfig) withDefaults() LimitConfig {
 	if limitConfig.Initial <= 0 {
-		limitConfig.Initial = DefaultInitialLimit
+		limitConfig.Initial = defaultInitialLimit
 	}
 	if limitConfig.Min <= 0 {
-		limitConfig.Min = DefaultMinLimit
+		limitConfig.Min = defaultMinLimit
 	}
 	if limitConfig.Max <= 0 {
-		limitConfig.Max = DefaultMaxLimit
+		limitConfig.Max = defaultMaxLimit
 	}
 	if limitConfig.Target <= 0 {
-		limitConfig.Target = DefaultLatencyTarget
+		limitConfig.Target = defaultLatencyTarget
 	}
 	return limitConfig
 }
--- a/pkg/upstream/monitor.go
+++ b/pkg/upstream/monitor.go
@@ -28,8 +28,8 @@
 
 // Defaults of MonitorConfig.
 const (
-	DefaultPollInterval = 500 * time.Millisecond
-	DefaultPollRate     = 25.0
+	defaultPollInterval = 500 * time.Millisecond
+	defaultPollRate     = 25.0
 )
 
 const (
@@ -52,10 +52,10 @@
 // NewMonitor returns a running monitor.
 func NewMonitor(config MonitorConfig) *Monitor {
 	if config.Interval <= 0 {
-		config.Interval = DefaultPollInterval
+		config.Interval = defaultPollInterval
 	}
 	if config.Rate <= 0 {
-		config.Rate = DefaultPollRate
+		config.Rate = defaultPollRate
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	monitor := &Monitor{config: config, limiter: rate.NewLimiter(rate.Limit(config.Rate), concurrentPolls), cancel: cancel}
@@ -155,7 +155,7 @@
 }
 
 // poll reads a member's load report. An upstream that has none isn't at fault.
-// After a time-out no pooled connection is used again.
+// After a timeout no pooled connection is used again.
 func (monitor *Monitor) poll(ctx context.Context, pool *Pool, member *Member) {
 	own := pool.inFlight(member)
 	report, err := member.client.Load(ctx)
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -47,8 +47,8 @@
 	Now func() time.Time
 }
 
-// DefaultPanicShare is the default of Config.PanicShare.
-const DefaultPanicShare = 0.2
+// defaultPanicShare is the default of Config.PanicShare.
+const defaultPanicShare = 0.2
 
 // Demand is what the choice for one attempt depends on.
 type Demand struct {
@@ -85,7 +85,7 @@
 		return nil, err
 	}
 	if config.PanicShare <= 0 {
-		config.PanicShare = DefaultPanicShare
+		config.PanicShare = defaultPanicShare
 	}
 	if config.Now == nil {
 		config.Now = time.Now
--- a/pkg/upstream/pool_test.go
+++ b/pkg/upstream/pool_test.go
@@ -275,7 +275,7 @@
 	require.Equal(t, 1, pool.Ejected())
 	well.Store(true)
 	require.Eventually(t, func() bool { return pool.Ejected() == 0 }, time.Minute, 5*time.Millisecond)
-	require.Equal(t, DefaultMinLimit, int(take(t, pool, Demand{}).limiter.limit), "a member that came back begins small")
+	require.Equal(t, defaultMinLimit, int(take(t, pool, Demand{}).limiter.limit), "a member that came back begins small")
 }
 
 func TestMonitorReadsLoadReports(t *testing.T) {
