Check the fields of documents in one place

Cause: configuration and the command line each built a validator of documents and turned its errors into path and rule. Change: configuration.FieldFaults does it for both; each keeps the words of its own message. JSON and YAML names of all fields are equal, so the paths are the same as before.

--- a/pkg/command/document.go
+++ b/pkg/command/document.go
@@ -6,11 +6,9 @@
 	"fmt"
 	"io"
 	"os"
-	"reflect"
 	"strconv"
 	"strings"
 
-	"github.com/go-playground/validator/v10"
 	"go.yaml.in/yaml/v3"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
@@ -93,19 +91,13 @@
 
 // check names every field of the body that breaks its validate tag.
 func (documentKind documentKind[Body]) check(body Body) error {
-	validate := validator.New(validator.WithRequiredStructEnabled())
-	validate.RegisterTagNameFunc(func(field reflect.StructField) string {
-		return strings.Split(field.Tag.Get("yaml"), ",")[0]
-	})
-	var invalid validator.ValidationErrors
-	if !errors.As(validate.Struct(body), &invalid) {
+	fields := configuration.FieldFaults(body)
+	if len(fields) == 0 {
 		return nil
 	}
-	lines := make([]string, 0, len(invalid))
-	for _, fieldError := range invalid {
-		_, path, _ := strings.Cut(fieldError.Namespace(), ".")
-		rule := strings.TrimSuffix(fieldError.Tag()+"="+fieldError.Param(), "=")
-		lines = append(lines, fmt.Sprintf("  %s: does not meet %s", path, rule))
+	lines := make([]string, 0, len(fields))
+	for _, field := range fields {
+		lines = append(lines, fmt.Sprintf("  %s: does not meet %s", field.Path, field.Rule))
 	}
 	return fault.New(fault.Config{
 		Kind:    fault.Invalid,
--- a/pkg/configuration/validate.go
+++ b/pkg/configuration/validate.go
@@ -2,14 +2,10 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
-	"reflect"
 	"strings"
 	"unicode"
 
-	"github.com/go-playground/validator/v10"
-
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 )
 
@@ -102,17 +98,6 @@
 	KindCaller:   {check: checkDocument[Caller], read: readDocument[Caller]},
 }
 
-var validate = newValidator()
-
-func newValidator() *validator.Validate {
-	validate := validator.New(validator.WithRequiredStructEnabled())
-	validate.RegisterTagNameFunc(func(field reflect.StructField) string {
-		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
-		return name
-	})
-	return validate
-}
-
 // readDocument reads a stored body.
 func readDocument[T document](body []byte) (document, error) {
 	var decoded T
@@ -133,28 +118,14 @@
 	if decoder.More() {
 		return nil, invalid("body has data behind the document")
 	}
-	if err := validate.Struct(decoded); err != nil {
-		return nil, invalid(fieldFaults(err)...)
-	}
-	return decoded, nil
-}
-
-// fieldFaults names every field that failed and the rule it failed.
-func fieldFaults(err error) []string {
-	var fields validator.ValidationErrors
-	if !errors.As(err, &fields) {
-		return []string{err.Error()}
+	var faults []string
+	for _, field := range FieldFaults(decoded) {
+		faults = append(faults, fmt.Sprintf("%s fails %s", field.Path, field.Rule))
 	}
-	faults := make([]string, 0, len(fields))
-	for _, field := range fields {
-		rule := field.Tag()
-		if field.Param() != "" {
-			rule += "=" + field.Param()
-		}
-		_, path, _ := strings.Cut(field.Namespace(), ".")
-		faults = append(faults, fmt.Sprintf("%s fails %s", path, rule))
+	if len(faults) > 0 {
+		return nil, invalid(faults...)
 	}
-	return faults
+	return decoded, nil
 }
 
 // invalid makes one error of all faults.
