Give the durations of upstreams that are plain numbers their unit

Cause: Member.duration and set.duration are float64 seconds beside parameters of time.Duration with the same name; two files of operator had encoding/json behind the project's imports. Change: durationSeconds, meanSeconds, expectedSeconds, expectedWaitSeconds; the imports are grouped like those of the other files. Measured: `go test -race` ok on upstream and operator; the linter reports 0 issues.

--- a/pkg/operator/publish.go
+++ b/pkg/operator/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -11,8 +12,6 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/fleet"
 	"gitlab.com/wisterialb/wisterialb/pkg/operator/operatorpb"
-
-	"encoding/json"
 )
 
 // propagationPoll is the time between two looks at the routers' revisions.
--- a/pkg/operator/read.go
+++ b/pkg/operator/read.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"time"
-
 	"encoding/json"
+	"time"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
--- a/pkg/upstream/member.go
+++ b/pkg/upstream/member.go
@@ -52,9 +52,9 @@
 	usedAt   time.Time
 	polledAt time.Time
 	report   report
-	// duration is the mean duration of attempts in seconds; zero is unknown.
-	duration   float64
-	durationAt time.Time
+	// durationSeconds is the mean duration of attempts; zero is unknown.
+	durationSeconds float64
+	durationAt      time.Time
 
 	filing filing
 }
@@ -114,20 +114,20 @@
 
 // observeDuration takes in how long an attempt lasted, given the mean of the
 // pool. What was observed before has aged by then.
-func (member *Member) observeDuration(duration time.Duration, now time.Time, meanDuration float64) {
-	member.duration = smooth(member.expectedDuration(now, meanDuration), duration.Seconds())
+func (member *Member) observeDuration(duration time.Duration, now time.Time, meanSeconds float64) {
+	member.durationSeconds = smooth(member.expectedSeconds(now, meanSeconds), duration.Seconds())
 	member.durationAt = now
 }
 
-// expectedDuration returns how long an attempt at the upstream lasts, in
-// seconds, given the mean of the pool. What was observed counts for less as it
+// expectedSeconds returns how long an attempt at the upstream lasts, given
+// the mean of the pool. What was observed counts for less as it
 // ages, so that an upstream that was slow is tried again.
-func (member *Member) expectedDuration(now time.Time, meanDuration float64) float64 {
-	if member.duration == 0 {
-		return meanDuration
+func (member *Member) expectedSeconds(now time.Time, meanSeconds float64) float64 {
+	if member.durationSeconds == 0 {
+		return meanSeconds
 	}
 	age := now.Sub(member.durationAt)
-	return meanDuration + (member.duration-meanDuration)*math.Exp2(-age.Seconds()/durationHalfLife.Seconds())
+	return meanSeconds + (member.durationSeconds-meanSeconds)*math.Exp2(-age.Seconds()/durationHalfLife.Seconds())
 }
 
 // smooth returns the moving mean with a new sample; a mean of zero is unknown.
@@ -139,8 +139,8 @@
 }
 
 // slow reports whether the upstream's attempts last much longer than the mean.
-func (member *Member) slow(now time.Time, meanDuration float64) bool {
-	return meanDuration > 0 && member.expectedDuration(now, meanDuration) > slowShare*meanDuration
+func (member *Member) slow(now time.Time, meanSeconds float64) bool {
+	return meanSeconds > 0 && member.expectedSeconds(now, meanSeconds) > slowShare*meanSeconds
 }
 
 // foreign estimates the attempts of other routers at the upstream. A report
@@ -182,8 +182,8 @@
 	return math.Max(float64(config.Min), float64(member.report.Capacity)/2)
 }
 
-// expectedWait is the time for which a new attempt takes a share of the
-// upstream, in seconds, given the mean duration of the pool.
-func (member *Member) expectedWait(now time.Time, meanDuration float64) float64 {
-	return (member.load(now) + 1) / member.capacity() * member.expectedDuration(now, meanDuration)
+// expectedWaitSeconds is the time for which a new attempt takes a share of the
+// upstream, given the mean duration of the pool.
+func (member *Member) expectedWaitSeconds(now time.Time, meanSeconds float64) float64 {
+	return (member.load(now) + 1) / member.capacity() * member.expectedSeconds(now, meanSeconds)
 }
--- a/pkg/upstream/policy.go
+++ b/pkg/upstream/policy.go
@@ -113,8 +113,8 @@
 	if first == nil || second == nil || first == second {
 		return first
 	}
-	duration := math.Max(set.duration, math.SmallestNonzeroFloat32)
-	if second.expectedWait(set.now, duration) < noticeable*first.expectedWait(set.now, duration) {
+	meanSeconds := math.Max(set.durationSeconds, math.SmallestNonzeroFloat32)
+	if second.expectedWaitSeconds(set.now, meanSeconds) < noticeable*first.expectedWaitSeconds(set.now, meanSeconds) {
 		return second
 	}
 	return first
@@ -160,7 +160,7 @@
 	}
 	bound := math.Ceil(loadBound * (set.meanLoad() + 1))
 	for _, member := range prefixAffinity.rank(set, demand.PrefixHash) {
-		if member == nil || member.filing.open == notOpen || demand.avoids(member) || member.slow(set.now, set.duration) {
+		if member == nil || member.filing.open == notOpen || demand.avoids(member) || member.slow(set.now, set.durationSeconds) {
 			continue
 		}
 		if member.load(set.now) < bound {
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -199,7 +199,7 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	if verdict == Success {
-		member.observeDuration(duration, pool.config.Now(), pool.set.duration)
+		member.observeDuration(duration, pool.config.Now(), pool.set.durationSeconds)
 		pool.set.observeDuration(duration)
 	}
 	pool.judge(member, verdict)
--- a/pkg/upstream/set.go
+++ b/pkg/upstream/set.go
@@ -29,9 +29,9 @@
 	version uint64
 	// load is the sum of the eligible members' loads.
 	load float64
-	// duration is the mean duration of attempts in seconds; zero is unknown.
-	duration float64
-	now      time.Time
+	// durationSeconds is the mean duration of attempts; zero is unknown.
+	durationSeconds float64
+	now             time.Time
 }
 
 // filing is where a member stands in the set.
@@ -116,7 +116,7 @@
 }
 
 func (set *set) observeDuration(duration time.Duration) {
-	set.duration = smooth(set.duration, duration.Seconds())
+	set.durationSeconds = smooth(set.durationSeconds, duration.Seconds())
 }
 
 // meanLoad returns the mean load of the eligible members.
