Split the model tests of queue and pool into one method per action

Cause: both tests were single functions of over 50 lines whose actions shared captured variables. Change: queueMachine and poolMachine hold the state; the actions, draws and assertions are the same.

--- a/pkg/queue/queue_test.go
+++ b/pkg/queue/queue_test.go
@@ -49,63 +49,81 @@
 	model.drop(value)
 }
 
+// queueCapacity is that of the queue under test.
+const queueCapacity = 12
+
+// queueMachine applies each action to the queue and to its model.
+type queueMachine struct {
+	queue *Queue[int]
+	model model
+	now   time.Time
+	next  int
+}
+
+func (queueMachine *queueMachine) push(t *rapid.T) {
+	queueMachine.next++
+	entry := Entry[int]{
+		Value:    queueMachine.next,
+		Team:     rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team"),
+		Weight:   rapid.Float64Range(0.5, 4).Draw(t, "weight"),
+		Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
+		Deadline: queueMachine.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "deadline")) * time.Second),
+	}
+	model := &queueMachine.model
+	ticket, evicted, err := queueMachine.queue.Push(entry)
+	if err != nil {
+		require.Len(t, model.waiting, queueCapacity)
+		for _, waiting := range model.waiting {
+			require.GreaterOrEqual(t, waiting.Priority, entry.Priority, "refused before a lower priority")
+		}
+		return
+	}
+	if evicted != nil {
+		require.LessOrEqual(t, evicted.Priority, entry.Priority)
+		require.NotNil(t, model.drop(evicted.Value))
+	}
+	model.waiting = append(model.waiting, ticket)
+}
+
+func (queueMachine *queueMachine) pop(t *rapid.T) {
+	value, ok := queueMachine.queue.Pop(queueMachine.now)
+	for _, expired := range queueMachine.queue.Expire(queueMachine.now) {
+		require.False(t, queueMachine.model.drop(expired).Deadline.After(queueMachine.now))
+	}
+	require.Equal(t, len(queueMachine.model.waiting) > 0, ok)
+	if ok {
+		queueMachine.model.checkPop(t, value, queueMachine.now)
+	}
+}
+
+func (queueMachine *queueMachine) remove(t *rapid.T) {
+	if len(queueMachine.model.waiting) == 0 {
+		t.Skip("nothing waits")
+	}
+	ticket := rapid.SampledFrom(queueMachine.model.waiting).Draw(t, "ticket")
+	require.True(t, queueMachine.queue.Remove(ticket))
+	require.False(t, queueMachine.queue.Remove(ticket))
+	queueMachine.model.drop(ticket.Value)
+}
+
+func (queueMachine *queueMachine) wait(t *rapid.T) {
+	queueMachine.now = queueMachine.now.Add(time.Duration(rapid.IntRange(1, 5).Draw(t, "seconds")) * time.Second)
+}
+
+func (queueMachine *queueMachine) check(t *rapid.T) {
+	require.Equal(t, len(queueMachine.model.waiting), queueMachine.queue.Len())
+	require.LessOrEqual(t, queueMachine.queue.Len(), queueCapacity)
+}
+
 func TestQueueAgainstModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const capacity = 12
-		queue := New[int](Config{Capacity: capacity})
-		model := &model{}
-		now := time.Unix(1000, 0)
-		next := 0
+		machine := &queueMachine{queue: New[int](Config{Capacity: queueCapacity}), now: time.Unix(1000, 0)}
 		t.Repeat(map[string]func(*rapid.T){
-			"push": func(t *rapid.T) {
-				next++
-				entry := Entry[int]{
-					Value:    next,
-					Team:     rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team"),
-					Weight:   rapid.Float64Range(0.5, 4).Draw(t, "weight"),
-					Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
-					Deadline: now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "deadline")) * time.Second),
-				}
-				ticket, evicted, err := queue.Push(entry)
-				if err != nil {
-					require.Len(t, model.waiting, capacity)
-					for _, waiting := range model.waiting {
-						require.GreaterOrEqual(t, waiting.Priority, entry.Priority, "refused before a lower priority")
-					}
-					return
-				}
-				if evicted != nil {
-					require.LessOrEqual(t, evicted.Priority, entry.Priority)
-					require.NotNil(t, model.drop(evicted.Value))
-				}
-				model.waiting = append(model.waiting, ticket)
-			},
-			"pop": func(t *rapid.T) {
-				value, ok := queue.Pop(now)
-				for _, expired := range queue.Expire(now) {
-					require.False(t, model.drop(expired).Deadline.After(now))
-				}
-				require.Equal(t, len(model.waiting) > 0, ok)
-				if ok {
-					model.checkPop(t, value, now)
-				}
-			},
-			"remove": func(t *rapid.T) {
-				if len(model.waiting) == 0 {
-					t.Skip("nothing waits")
-				}
-				ticket := rapid.SampledFrom(model.waiting).Draw(t, "ticket")
-				require.True(t, queue.Remove(ticket))
-				require.False(t, queue.Remove(ticket))
-				model.drop(ticket.Value)
-			},
-			"wait": func(t *rapid.T) {
-				now = now.Add(time.Duration(rapid.IntRange(1, 5).Draw(t, "seconds")) * time.Second)
-			},
-			"": func(t *rapid.T) {
-				require.Equal(t, len(model.waiting), queue.Len())
-				require.LessOrEqual(t, queue.Len(), capacity)
-			},
+			"push":   machine.push,
+			"pop":    machine.pop,
+			"remove": machine.remove,
+			"wait":   machine.wait,
+			"":       machine.check,
 		})
 	})
 }
--- a/pkg/upstream/pool_test.go
+++ b/pkg/upstream/pool_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -57,57 +58,85 @@
 	return member
 }
 
+// poolMachine applies events to a pool whose configuration changes.
+type poolMachine struct {
+	clock clock
+	list  []configuration.Upstream
+	// current is the part of the list that the configuration has.
+	current []configuration.Upstream
+	pool    *Pool
+	running []*Member
+}
+
+func newPoolMachine(t *rapid.T) *poolMachine {
+	list := upstreams(5)
+	machine := &poolMachine{clock: clock{now: time.Unix(1000, 0)}, list: list, current: list}
+	policy := rapid.SampledFrom(Policies).Draw(t, "policy")
+	pool, err := NewPool(Config{
+		Service: "advice", Policy: policy.Name, Limit: LimitConfig{Initial: 4, Min: 2},
+		Upstreams: func(string) []configuration.Upstream { return machine.current },
+		Now:       func() time.Time { return machine.clock.now },
+	})
+	require.NoError(t, err)
+	machine.pool = pool
+	return machine
+}
+
+func (poolMachine *poolMachine) take(t *rapid.T) {
+	prefix := rapid.Uint64Range(0, 5).Draw(t, "prefix")
+	member, err := poolMachine.pool.Take(Demand{PrefixHash: prefix, Avoid: []string{poolMachine.list[0].Address}})
+	if err != nil {
+		require.Empty(t, poolMachine.pool.set.open)
+		return
+	}
+	require.False(t, member.draining)
+	require.LessOrEqual(t, member.inFlight, member.allowance(poolMachine.clock.now))
+	poolMachine.running = append(poolMachine.running, member)
+}
+
+func (poolMachine *poolMachine) put(t *rapid.T) {
+	if len(poolMachine.running) == 0 {
+		t.Skip("nothing runs")
+	}
+	member := poolMachine.running[0]
+	poolMachine.running = poolMachine.running[1:]
+	poolMachine.pool.First(member, time.Duration(rapid.IntRange(1, 900).Draw(t, "latency"))*time.Millisecond)
+	poolMachine.pool.Put(member, rapid.SampledFrom([]Verdict{Neutral, Success, Failure}).Draw(t, "verdict"), time.Second)
+}
+
+func (poolMachine *poolMachine) drain(t *rapid.T) {
+	changed := slices.Clone(poolMachine.list)
+	changed[rapid.IntRange(0, 4).Draw(t, "drained")].Draining = true
+	poolMachine.current = changed[:rapid.IntRange(1, 5).Draw(t, "kept")]
+}
+
+func (poolMachine *poolMachine) report(t *rapid.T) {
+	for _, member := range poolMachine.pool.members {
+		poolMachine.pool.Observe(member, exchange.LoadReport{
+			Running:  rapid.Int64Range(0, 20).Draw(t, "running"),
+			Capacity: rapid.Int64Range(0, 10).Draw(t, "capacity"),
+		}, member.inFlight)
+	}
+}
+
+func (poolMachine *poolMachine) pass(t *rapid.T) {
+	passed := time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
+	poolMachine.clock.now = poolMachine.clock.now.Add(passed)
+	poolMachine.pool.reconsider()
+}
+
 // Whatever the policy and the order of events, a pool's index agrees with its
 // members, nobody is above the limit, and draining members get no work.
 func TestPoolAgainstModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		list := upstreams(5)
-		current := list
-		policy := rapid.SampledFrom(Policies).Draw(t, "policy")
-		clock := &clock{now: time.Unix(1000, 0)}
-		pool, err := NewPool(Config{
-			Service: "advice", Policy: policy.Name, Limit: LimitConfig{Initial: 4, Min: 2},
-			Upstreams: func(string) []configuration.Upstream { return current },
-			Now:       func() time.Time { return clock.now },
-		})
-		require.NoError(t, err)
-		var running []*Member
+		machine := newPoolMachine(t)
 		t.Repeat(map[string]func(*rapid.T){
-			"take": func(t *rapid.T) {
-				member, err := pool.Take(Demand{PrefixHash: rapid.Uint64Range(0, 5).Draw(t, "prefix"), Avoid: []string{list[0].Address}})
-				if err != nil {
-					require.Empty(t, pool.set.open)
-					return
-				}
-				require.False(t, member.draining)
-				require.LessOrEqual(t, member.inFlight, member.allowance(clock.now))
-				running = append(running, member)
-			},
-			"put": func(t *rapid.T) {
-				if len(running) == 0 {
-					t.Skip("nothing runs")
-				}
-				pool.First(running[0], time.Duration(rapid.IntRange(1, 900).Draw(t, "latency"))*time.Millisecond)
-				pool.Put(running[0], rapid.SampledFrom([]Verdict{Neutral, Success, Failure}).Draw(t, "verdict"), time.Second)
-				running = running[1:]
-			},
-			"drain": func(t *rapid.T) {
-				changed := append([]configuration.Upstream{}, list...)
-				changed[rapid.IntRange(0, 4).Draw(t, "drained")].Draining = true
-				current = changed[:rapid.IntRange(1, 5).Draw(t, "kept")]
-			},
-			"report": func(t *rapid.T) {
-				for _, member := range pool.members {
-					pool.Observe(member, exchange.LoadReport{
-						Running: rapid.Int64Range(0, 20).Draw(t, "running"), Capacity: rapid.Int64Range(0, 10).Draw(t, "capacity"),
-					}, member.inFlight)
-				}
-			},
-			"pass": func(t *rapid.T) {
-				clock.now = clock.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
-				pool.reconsider()
-			},
-			"": func(t *rapid.T) { checkIndex(t, pool) },
+			"take":   machine.take,
+			"put":    machine.put,
+			"drain":  machine.drain,
+			"report": machine.report,
+			"pass":   machine.pass,
+			"":       func(t *rapid.T) { checkIndex(t, machine.pool) },
 		})
 	})
 }
