--- a/pkg/command/load.go
+++ b/pkg/command/load.go
@@ -35,7 +35,7 @@
 	JSON          bool          `help:"Print the report as JSON."`
 }
 
-// Run runs the command. Broken promises end it with an error.
+// Run runs the command. Violations that the report counts are an error.
 func (loadCommand LoadCommand) Run(environment Environment) error {
 	teams, err := loadCommand.teams(environment)
 	if err != nil {
--- a/pkg/configuration/poll.go
+++ b/pkg/configuration/poll.go
@@ -11,7 +11,7 @@
 )
 
 // poll brings the view up to the newest revision that it can reach: from a
-// peer if one has told of a newer revision, else from the table; from a peer
+// peer if one has reported a newer revision, else from the table; from a peer
 // again if the table is out of reach.
 func (follower *Follower) poll(ctx context.Context) {
 	if !follower.loaded.Load() {
--- a/pkg/standin/fault.go
+++ b/pkg/standin/fault.go
@@ -13,7 +13,7 @@
 
 // The faults of streams.
 const (
-	// StreamTruncate ends a stream half way, as if it were complete.
+	// StreamTruncate ends the HTTP body half way, without the end marker.
 	StreamTruncate StreamFault = "truncate"
 	// StreamCut breaks the connection half way.
 	StreamCut StreamFault = "cut"
--- a/pkg/standin/gate.go
+++ b/pkg/standin/gate.go
@@ -92,7 +92,7 @@
 	Lost int64 `json:"lost"`
 }
 
-// service is one limited service: table and objects have rates of their own.
+// limits are the rates of one service; table and objects have their own.
 type limits struct {
 	writes *rate.Limiter
 	reads  *rate.Limiter
@@ -110,6 +110,7 @@
 	return rate.NewLimiter(rate.Limit(perSecond), max(perSecond, platform.MaxTransactionWrites))
 }
 
+// gate applies rates and faults to the calls of the platform and counts them.
 type gate struct {
 	limits map[string]limits
 
--- a/test/measure/series.go
+++ b/test/measure/series.go
@@ -42,7 +42,7 @@
 	return trials
 }
 
-// engineTrials hurt the first engine before the load begins.
+// engineTrials switch a fault of the first engine on before the load begins.
 func engineTrials() []trial {
 	conditions := []struct {
 		name    string
@@ -80,7 +80,7 @@
 	return trials
 }
 
-// The run of the promises.
+// The load of the series promises.
 const (
 	provedRequests = 5000
 	provedRate     = 200
--- a/test/session_test.go
+++ b/test/session_test.go
@@ -30,7 +30,6 @@
 	fleetLimit   = 10_000
 )
 
-// zones are the places of the routers of a fleet.
 var zones = []string{"varnamo", "gislaved", "jonkoping"}
 
 // session is what one script works with.
