Read bearer tokens in one place, and name the right owner of a missing one

A field named Upstream held an address. Change: tokenKind reads and names operators' and callers' tokens; the field is UpstreamAddress, its flag as before. Only the text for an empty token of a caller or of a load team changes.

--- a/pkg/command/caller.go
+++ b/pkg/command/caller.go
@@ -1,10 +1,7 @@
 package command
 
 import (
-	"os"
-
 	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
-	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/operator"
 )
 
@@ -44,16 +41,7 @@
 	if callerPublishCommand.CallerTokenFile == "" {
 		return callerPublishCommand.TokenHash, nil
 	}
-	content, err := os.ReadFile(callerPublishCommand.CallerTokenFile)
-	if err != nil {
-		return "", fault.New(fault.Config{
-			Kind:    fault.Invalid,
-			Message: err.Error(),
-			Remedy:  "name a file that holds the caller's token with --caller-token-file",
-			Cause:   err,
-		})
-	}
-	token, err := tokenOf(string(content))
+	token, err := callerToken.read(callerPublishCommand.CallerTokenFile)
 	return operator.HashToken(token), err
 }
 
--- a/pkg/command/connection.go
+++ b/pkg/command/connection.go
@@ -1,12 +1,9 @@
 package command
 
 import (
-	"fmt"
-	"os"
 	"strings"
 	"time"
 
-	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/operator"
 )
 
@@ -48,28 +45,7 @@
 // the list of processes.
 func (connection Connection) token(environment Environment) (string, error) {
 	if connection.TokenFile == "" {
-		return tokenOf(environment.Getenv(operatorVariable))
+		return operatorToken.parse(environment.Getenv(operatorVariable))
 	}
-	content, err := os.ReadFile(connection.TokenFile)
-	if err != nil {
-		return "", fault.New(fault.Config{
-			Kind:    fault.Invalid,
-			Message: err.Error(),
-			Remedy:  "name a file that holds the operator's token with --token-file",
-			Cause:   err,
-		})
-	}
-	return tokenOf(string(content))
-}
-
-func tokenOf(content string) (string, error) {
-	token := strings.TrimSpace(content)
-	if token == "" {
-		return "", fault.New(fault.Config{
-			Kind:    fault.Invalid,
-			Message: "no operator's token",
-			Remedy:  fmt.Sprintf("name a file with --token-file, or set %s", operatorVariable),
-		})
-	}
-	return token, nil
+	return operatorToken.read(connection.TokenFile)
 }
--- a/pkg/command/load.go
+++ b/pkg/command/load.go
@@ -89,7 +89,7 @@
 	if loadCommand.Teams != "" {
 		return readTeams(loadCommand.Teams)
 	}
-	token, err := tokenOf(environment.Getenv(callerVariable))
+	token, err := callerToken.parse(environment.Getenv(callerVariable))
 	if err != nil || loadCommand.Profile == "" {
 		return nil, fault.New(fault.Config{
 			Kind:    fault.Invalid,
@@ -141,7 +141,7 @@
 	if err != nil {
 		return "", err
 	}
-	return tokenOf(string(content))
+	return callerToken.parse(string(content))
 }
 
 func teamsFault(path string, err error) error {
--- a/pkg/command/upstream.go
+++ b/pkg/command/upstream.go
@@ -19,16 +19,16 @@
 // UpstreamAddCommand adds upstreams.
 type UpstreamAddCommand struct {
 	Change
-	Name          string `arg:"" optional:"" help:"Name of the upstream."`
-	File          string `short:"f" help:"YAML file with one or more upstreams, in place of the name and the flags below." placeholder:"FILE"`
-	Service       string `help:"Service that the upstream belongs to."`
-	Upstream      string `name:"upstream-address" help:"IP number and port of the upstream." placeholder:"IP:PORT"`
-	Zone          string `help:"Availability zone of the upstream."`
-	ChecksFencing bool   `help:"The engine refuses an order with an old fencing number."`
-	Model         string `help:"Model that the engine should have loaded."`
-	Adapter       string `help:"Adapter that the engine should have loaded."`
-	Version       string `help:"Version that the engine should have loaded."`
-	Role          string `help:"Role that the engine should have."`
+	Name            string `arg:"" optional:"" help:"Name of the upstream."`
+	File            string `short:"f" help:"YAML file with one or more upstreams, in place of the name and the flags below." placeholder:"FILE"`
+	Service         string `help:"Service that the upstream belongs to."`
+	UpstreamAddress string `help:"IP number and port of the upstream." placeholder:"IP:PORT"`
+	Zone            string `help:"Availability zone of the upstream."`
+	ChecksFencing   bool   `help:"The engine refuses an order with an old fencing number."`
+	Model           string `help:"Model that the engine should have loaded."`
+	Adapter         string `help:"Adapter that the engine should have loaded."`
+	Version         string `help:"Version that the engine should have loaded."`
+	Role            string `help:"Role that the engine should have."`
 }
 
 // Run runs the command.
@@ -36,7 +36,7 @@
 	upstreams, err := upstreamKind.choose(upstreamAddCommand.File, configuration.Upstream{
 		Name:          upstreamAddCommand.Name,
 		Service:       upstreamAddCommand.Service,
-		Address:       upstreamAddCommand.Upstream,
+		Address:       upstreamAddCommand.UpstreamAddress,
 		Zone:          upstreamAddCommand.Zone,
 		ChecksFencing: upstreamAddCommand.ChecksFencing,
 		Model:         upstreamAddCommand.Model,
