--- a/pkg/configuration/document.go
+++ b/pkg/configuration/document.go
@@ -1,6 +1,11 @@
 // Package configuration holds the operators' configuration: its documents, the
 // publishing of changes as revisions, the audit trail, and the view of it that
 // each router adopts.
+//
+// The flow: a Publisher validates a Change and makes it the next revision, a
+// Record, in one transaction (publisher.go); Confirm passes the Record to the
+// live routers (confirm.go); the Follower of each adopts records in their order
+// into a new View (follower.go, adopt.go), which requests are served by.
 package configuration
 
 import "time"
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -1,11 +1,16 @@
 // Package platform defines what the router fleet needs of the users' platform:
 // a transactional table service, an object store and a list of VMs.
 //
-// Every call may fail in three ways, told apart by the kind of the error:
-// fault.Conflict means that a condition failed and nothing was applied;
-// fault.Overloaded means that the platform refused the call for its rate and
-// nothing was applied; fault.Unavailable means that the call may or may not
-// have been applied, so the caller reads back before it relies on either.
+// The kind of an error says whether a call was applied: fault.Conflict means
+// that a condition failed and nothing was applied; fault.Overloaded, that the
+// platform refused the call for its rate and nothing was applied; fault.Invalid
+// and fault.NotFound, that the call can't succeed as it is; fault.Unavailable,
+// that the call may or may not have been applied, so the caller reads back
+// before it relies on either.
+//
+// The flow: Dial returns a Client of the platform's protocol (client.go); its
+// services send one message for each call (services.go, codec.go); a Retrier
+// repeats attempts that read, decide and write (retry.go).
 package platform
 
 import "context"
