--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -55,13 +55,13 @@
 
 // Defaults of ClientConfig.
 const (
-	DefaultConnectTimeout = time.Second
-	DefaultFirstTimeout   = 5 * time.Second
-	DefaultBetweenTimeout = 2 * time.Second
-	DefaultSuspectTimeout = 500 * time.Millisecond
-	DefaultControlTimeout = time.Second
-	DefaultIdleTimeout    = 30 * time.Second
-	DefaultMaxIdle        = 64
+	defaultConnectTimeout = time.Second
+	defaultFirstTimeout   = 5 * time.Second
+	defaultBetweenTimeout = 2 * time.Second
+	defaultSuspectTimeout = 500 * time.Millisecond
+	defaultControlTimeout = time.Second
+	defaultIdleTimeout    = 30 * time.Second
+	defaultMaxIdle        = 64
 )
 
 // The buffers of one connection; most events and request heads fit them.
@@ -90,15 +90,15 @@
 	return client
 }
 
-func (config ClientConfig) withDefaults() ClientConfig {
-	config.ConnectTimeout = positive(config.ConnectTimeout, DefaultConnectTimeout)
-	config.FirstTimeout = positive(config.FirstTimeout, DefaultFirstTimeout)
-	config.BetweenTimeout = positive(config.BetweenTimeout, DefaultBetweenTimeout)
-	config.SuspectTimeout = positive(config.SuspectTimeout, DefaultSuspectTimeout)
-	config.ControlTimeout = positive(config.ControlTimeout, DefaultControlTimeout)
-	config.IdleTimeout = positive(config.IdleTimeout, DefaultIdleTimeout)
-	config.MaxIdle = positive(config.MaxIdle, DefaultMaxIdle)
-	return config
+func (clientConfig ClientConfig) withDefaults() ClientConfig {
+	clientConfig.ConnectTimeout = positive(clientConfig.ConnectTimeout, defaultConnectTimeout)
+	clientConfig.FirstTimeout = positive(clientConfig.FirstTimeout, defaultFirstTimeout)
+	clientConfig.BetweenTimeout = positive(clientConfig.BetweenTimeout, defaultBetweenTimeout)
+	clientConfig.SuspectTimeout = positive(clientConfig.SuspectTimeout, defaultSuspectTimeout)
+	clientConfig.ControlTimeout = positive(clientConfig.ControlTimeout, defaultControlTimeout)
+	clientConfig.IdleTimeout = positive(clientConfig.IdleTimeout, defaultIdleTimeout)
+	clientConfig.MaxIdle = positive(clientConfig.MaxIdle, defaultMaxIdle)
+	return clientConfig
 }
 
 // positive returns value, or fallback when value is not above zero.
--- a/pkg/exchange/control.go
+++ b/pkg/exchange/control.go
@@ -23,8 +23,8 @@
 }
 
 // Error returns the status.
-func (err *StatusError) Error() string {
-	return fmt.Sprintf("the upstream refused a control request with status %d", err.Status)
+func (statusError *StatusError) Error() string {
+	return fmt.Sprintf("the upstream refused a control request with status %d", statusError.Status)
 }
 
 // State is what an engine says of an attempt.
@@ -76,7 +76,7 @@
 }
 
 // Load returns the upstream's load report. It asks on a pooled connection, so
-// that a time-out tells of connections that have gone silent.
+// that a timeout tells of connections that have gone silent.
 func (client *Client) Load(ctx context.Context) (LoadReport, error) {
 	var report LoadReport
 	err := client.control(ctx, client.transport(false), http.MethodGet, "/v1/load", &report)
--- a/pkg/standin/completion.go
+++ b/pkg/standin/completion.go
@@ -47,15 +47,14 @@
 	Stream              bool      `json:"stream"`
 	MaxTokens           int       `json:"max_tokens,omitempty"`
 	MaxCompletionTokens int       `json:"max_completion_tokens,omitempty"`
-	User                string    `json:"user,omitempty"`
 }
 
 // limit returns the greatest number of completion tokens; zero means none.
-func (request CompletionRequest) limit() int {
-	if request.MaxCompletionTokens > 0 {
-		return request.MaxCompletionTokens
+func (completionRequest CompletionRequest) limit() int {
+	if completionRequest.MaxCompletionTokens > 0 {
+		return completionRequest.MaxCompletionTokens
 	}
-	return request.MaxTokens
+	return completionRequest.MaxTokens
 }
 
 // Usage is the report of used tokens.
--- a/pkg/upstream/limit.go
+++ b/pkg/upstream/limit.go
@@ -17,29 +17,29 @@
 
 // Defaults of LimitConfig.
 const (
-	DefaultInitialLimit  = 32
-	DefaultMinLimit      = 4
-	DefaultMaxLimit      = 1024
-	DefaultLatencyTarget = 370 * time.Millisecond
+	defaultInitialLimit  = 32
+	defaultMinLimit      = 4
+	defaultMaxLimit      = 1024
+	defaultLatencyTarget = 370 * time.Millisecond
 )
 
 // decreaseFactor is applied to the limit once in each latency above the target.
 const decreaseFactor = 0.9
 
-func (config LimitConfig) withDefaults() LimitConfig {
-	if config.Initial <= 0 {
-		config.Initial = DefaultInitialLimit
+func (limitConfig LimitConfig) withDefaults() LimitConfig {
+	if limitConfig.Initial <= 0 {
+		limitConfig.Initial = defaultInitialLimit
 	}
-	if config.Min <= 0 {
-		config.Min = DefaultMinLimit
+	if limitConfig.Min <= 0 {
+		limitConfig.Min = defaultMinLimit
 	}
-	if config.Max <= 0 {
-		config.Max = DefaultMaxLimit
+	if limitConfig.Max <= 0 {
+		limitConfig.Max = defaultMaxLimit
 	}
-	if config.Target <= 0 {
-		config.Target = DefaultLatencyTarget
+	if limitConfig.Target <= 0 {
+		limitConfig.Target = defaultLatencyTarget
 	}
-	return config
+	return limitConfig
 }
 
 // limiter adapts a limit by additive increase and multiplicative decrease.
