Read plain services' event streams and HEAD answers as they are

Cause: the exchange took every text/event-stream for a model engine's, with numbered events and [DONE]. A plain service's own events broke off as out of order after the call had run, and of numbered ones only the data would have been passed on. An answer to HEAD without a stated length counted as truncated, and was retried and then told as outcome_unknown. Ruled out: passing such a stream on event by event, since a plain answer is held whole until its bill is safe; taking any body without a length for whole. Change: only an answer that has to name its attempt is a stream of events, and an answer to HEAD ends with its head. Measured: TestPlainServicesMayAnswerWithEventsOfTheirOwn and TestAnswerToHeadIsWholeWithoutABody failed before and pass after; go test -race ./pkg/exchange and ./pkg/dispatch passed. Conclusion: a plain service's answer reaches the caller byte by byte.

--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -32,7 +32,8 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Stream is set for server-sent events.
+	// Stream is set for a model engine's server-sent events. A plain service's
+	// are a body like any other.
 	Stream bool
 
 	client  *Client
@@ -77,8 +78,9 @@
 	answer.Status = response.StatusCode
 	answer.Header = forwarded(response.Header)
 	answer.body = response.Body
-	answer.Stream = strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
-	answer.delimited = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	answer.Stream = answer.opening.named && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+	answer.delimited = response.ContentLength >= 0 || len(response.TransferEncoding) > 0 ||
+		response.Request.Method == http.MethodHead
 	if answer.Stream {
 		answer.scanner = newScanner(response.Body)
 	}
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -232,6 +232,35 @@
 	require.Equal(t, ReasonCancelled, ErrorOf(err).Reason)
 }
 
+func TestAnswerToHeadIsWholeWithoutABody(t *testing.T) {
+	for _, contentType := range []string{"text/plain", "text/event-stream"} {
+		client, _ := startServer(t, func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("Content-Type", contentType)
+			writer.(http.Flusher).Flush()
+		})
+		answer, err := client.Send(t.Context(), Request{Attempt: "a", Method: http.MethodHead, Path: "/stock"})
+		require.NoError(t, err)
+		parts, err := readAll(answer)
+		answer.Close()
+		require.Empty(t, parts)
+		require.ErrorIs(t, err, io.EOF)
+	}
+}
+
+func TestPlainServicesMayAnswerWithEventsOfTheirOwn(t *testing.T) {
+	const body = "event: stock\ndata: 3 rings\n\n: the end\n\n"
+	client, _ := startServer(t, func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(writer, body)
+	})
+	answer, err := client.Send(t.Context(), Request{Attempt: "a", Method: http.MethodGet, Path: "/stock"})
+	require.NoError(t, err)
+	defer answer.Close()
+	parts, err := readAll(answer)
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, body, strings.Join(parts, ""))
+}
+
 // A body whose end is only the end of the connection can't be told from a cut one.
 func TestUndelimitedBodyIsNotWhole(t *testing.T) {
 	client, _ := startServer(t, func(writer http.ResponseWriter, _ *http.Request) {
