Refuse an engine's document where a stream was asked for

Cause: the router always asks engines for a stream. One that answered 200 with a JSON document was collected to an empty answer, or its bytes were passed on as one event, and both were marked whole. Ruled out: refusing it in pkg/dispatch, which serves work that asks for a document as well. Change: the sink for engines refuses a head that is no event stream; the request ends as outcome_unknown and is charged. Conclusion: only a stream with its end marker is marked whole.

--- a/pkg/router/pipeline.go
+++ b/pkg/router/pipeline.go
@@ -278,6 +278,12 @@
 		Message: "an answer that is not streamed cannot begin behind an event",
 		Remedy:  "leave " + headerLastEventID + " out, or ask for a stream",
 	})
+	errNoStream = fault.New(fault.Config{
+		Kind:    fault.Upstream,
+		Message: "the engine's answer is not a stream of events",
+		Remedy:  "check that the engine heeds stream",
+		Outcome: fault.OutcomeUnknown,
+	})
 	errWithdrawn = fault.New(fault.Config{
 		Kind:    fault.Conflict,
 		Message: "this request was refused before and will not run",
--- a/pkg/router/sink.go
+++ b/pkg/router/sink.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/claim"
 	"gitlab.com/wisterialb/wisterialb/pkg/completion"
@@ -233,9 +234,13 @@
 	return sink.stream
 }
 
-// Head chooses the sink by the status.
+// Head chooses the sink by the status. A document has no events that could be
+// joined to an answer.
 func (sink *engineSink) Head(head dispatch.Head) error {
 	sink.failed = head.Status >= http.StatusBadRequest
+	if !sink.failed && !strings.HasPrefix(head.Header.Get(headerContentType), contentTypeSSE) {
+		return errNoStream
+	}
 	return sink.current().Head(head)
 }
 
