Close the connection of a handler that panicked

Cause: nbio recovers from a panic in a handler and logs it, but writes nothing and leaves the connection open. The caller waited until its own time-out. Ruled out: answering, since a part of the answer may have been written; and settling the reservation there, since what has run is not known. It stays charged, a claim stays running, and both are told as unknown. Change: the server closes the connection and lets the panic go on to nbio's log. Conclusion: such a caller can retry with its key at once.

--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -73,6 +73,19 @@
 	cancel     context.CancelCauseFunc
 }
 
+// closeAfterPanic closes the connection of a handler that panicked: no answer
+// follows. nbio recovers from the panic and logs it.
+func (current *inFlight) closeAfterPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if current.connection != nil {
+		_ = current.connection.Close()
+	}
+	panic(cause)
+}
+
 // errCallerGone is the cause of the context of a request whose caller closed
 // the connection.
 var errCallerGone = fault.New(fault.Config{
@@ -141,6 +154,7 @@
 	current := &inFlight{connection: connectionOf(writer), cancel: cancel}
 	server.add(current)
 	defer server.remove(current)
+	defer current.closeAfterPanic()
 	if headerBytes(request.Header) > server.config.MaxHeaderBytes {
 		respondError(writer, headerTooLarge(server.config.MaxHeaderBytes))
 		return
