Measure choice, open streams and adoption at three sizes each

A test of an engine's refusal needed a field that the stand-in had lost. Change: sizes of the benchmarks; the stand-in reads the user field again.

--- a/pkg/configuration/bench_test.go
+++ b/pkg/configuration/bench_test.go
@@ -26,27 +26,30 @@
 	return view
 }
 
-// BenchmarkAdopt adopts one change of a view with 3800 upstreams and 830
-// callers.
+// BenchmarkAdopt adopts one change of a view, against the upstreams and callers
+// that the view holds.
 func BenchmarkAdopt(b *testing.B) {
-	bodies := map[Kind][]byte{
-		KindUpstream: encodeRow(Upstream{Name: "upstream-7", Service: "s-1", Address: "10.0.0.2:80", Draining: true}),
-		KindCaller:   encodeRow(Caller{Name: "caller-7", Team: "t", Weight: 1, TokenHash: fmt.Sprintf("%064x", 7)}),
-		KindProfile:  encodeRow(Profile{Name: "p", Callers: []string{"caller-7"}, Services: []string{"s"}}),
+	changes := map[Kind]Change{
+		KindUpstream: {Name: "upstream-7", Body: encodeRow(Upstream{Name: "upstream-7", Service: "s-1", Address: "10.0.0.2:80", Draining: true})},
+		KindCaller:   {Name: "caller-7", Body: encodeRow(Caller{Name: "caller-7", Team: "t", Weight: 1, TokenHash: fmt.Sprintf("%064x", 7)})},
+		KindProfile:  {Name: "p", Body: encodeRow(Profile{Name: "p", Callers: []string{"caller-7"}, Services: []string{"s"}})},
 	}
 	for _, kind := range []Kind{KindUpstream, KindCaller, KindProfile} {
-		b.Run(string(kind), func(b *testing.B) {
-			view := benchView(3800, 830)
-			change := Change{Kind: kind, Name: map[Kind]string{KindUpstream: "upstream-7", KindCaller: "caller-7", KindProfile: "p"}[kind], Body: bodies[kind]}
-			b.ReportAllocs()
-			for range b.N {
-				next, err := view.with([]Record{{Revision: view.revision + 1, Change: change}})
-				if err != nil {
-					b.Fatal(err)
+		for _, upstreams := range []int{38, 380, 3800} {
+			b.Run(fmt.Sprintf("%s/upstreams=%d", kind, upstreams), func(b *testing.B) {
+				view := benchView(upstreams, upstreams/4)
+				change := changes[kind]
+				change.Kind = kind
+				b.ReportAllocs()
+				for range b.N {
+					next, err := view.with([]Record{{Revision: view.revision + 1, Change: change}})
+					if err != nil {
+						b.Fatal(err)
+					}
+					view = next
 				}
-				view = next
-			}
-		})
+			})
+		}
 	}
 }
 
--- a/pkg/dispatch/bench_test.go
+++ b/pkg/dispatch/bench_test.go
@@ -179,7 +179,7 @@
 // BenchmarkOpenStreams is the memory of streams that are open at once, with the
 // engine's end of their connections.
 func BenchmarkOpenStreams(b *testing.B) {
-	for _, streams := range []int{1000, 5000} {
+	for _, streams := range []int{1000, 2500, 5000} {
 		b.Run(strconv.Itoa(streams), func(b *testing.B) {
 			for b.Loop() {
 				openStreams(b, streams)
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -399,7 +399,7 @@
 	require.NoError(t, fleet.Services[0].SetFaults(standin.ServiceFaults{StallNext: 1}))
 	key := claim.NewRequestID()
 	go func() {
-		request, err := http.NewRequest(http.MethodPost, "http://"+fleet.Routers[0].CallerAddress()+"/v1/services/"+demo.OrderService+"/bookings", nil)
+		request, err := http.NewRequest(http.MethodPost, "http://"+fleet.Routers[0].CallerAddress()+"/v1/services/"+demo.OrderService+"/bookings", strings.NewReader("ring"))
 		if err != nil {
 			return
 		}
--- a/pkg/standin/completion.go
+++ b/pkg/standin/completion.go
@@ -47,6 +47,8 @@
 	Stream              bool      `json:"stream"`
 	MaxTokens           int       `json:"max_tokens,omitempty"`
 	MaxCompletionTokens int       `json:"max_completion_tokens,omitempty"`
+	// User is not used; a request whose user is no text is refused.
+	User string `json:"user,omitempty"`
 }
 
 // limit returns the greatest number of completion tokens; zero means none.
--- a/pkg/upstream/pool_test.go
+++ b/pkg/upstream/pool_test.go
@@ -333,7 +333,7 @@
 // BenchmarkTake is the cost of a choice with the counting in and out, while a
 // tenth of the room is in use.
 func BenchmarkTake(b *testing.B) {
-	for _, count := range []int{10, 3800} {
+	for _, count := range []int{10, 400, 3800} {
 		for _, policy := range Policies {
 			b.Run(fmt.Sprintf("%s/%d", policy.Name, count), func(b *testing.B) {
 				list := upstreams(count)
