--- a/pkg/budget/batch.go
+++ b/pkg/budget/batch.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	sequence, err := decode[sequenceRow](items[0])
+	sequence, err := platform.DecodeRow[sequenceRow](items[0])
 	if err != nil {
 		return nil, false, err
 	}
@@ -38,7 +38,7 @@
 		return nil, true, nil
 	}
 	plan := newBatchPlan(escrow.config.Incarnation)
-	plan.sequence = replace(items[0], sequenceRow{Sequence: batch.sequence})
+	plan.sequence = platform.PutIfUnchanged(items[0], sequenceRow{Sequence: batch.sequence})
 	if err := plan.readHolders(profiles, items[1:1+len(profiles)]); err != nil {
 		return nil, false, err
 	}
@@ -122,7 +122,7 @@
 		if item.Version == 0 {
 			continue
 		}
-		row, err := decode[lineRow](item)
+		row, err := platform.DecodeRow[lineRow](item)
 		if err != nil {
 			return err
 		}
@@ -193,7 +193,7 @@
 
 func (plan *batchPlan) insert(key platform.Key, row lineRow) {
 	plan.stored[key] = row
-	plan.lines = append(plan.lines, insert(key, row))
+	plan.lines = append(plan.lines, platform.Insert(key, row))
 	charge := plan.charges[row.Line.Profile]
 	if row.Line.Kind == LineBill {
 		charge.BillTokens += row.Line.Tokens
--- a/pkg/budget/change.go
+++ b/pkg/budget/change.go
@@ -49,14 +49,14 @@
 		return nil, nil
 	case !exists:
 		opened := budgetRow{OpeningTokens: profile.LimitTokens, LimitTokens: profile.LimitTokens, Retired: retired}
-		return []platform.Write{insert(budgetKey(change.Name), opened)}, nil
+		return []platform.Write{platform.Insert(budgetKey(change.Name), opened)}, nil
 	case len(change.Body) > 0 && profile.LimitTokens != budget.OpeningTokens:
 		return nil, limitIsFixed(change, profile, budget)
 	case budget.Retired == retired:
 		return nil, nil
 	}
 	budget.Retired = retired
-	return []platform.Write{replace(items[0], budget)}, nil
+	return []platform.Write{platform.PutIfUnchanged(items[0], budget)}, nil
 }
 
 func (ledger *Ledger) limitWrites(ctx context.Context, change configuration.Change) ([]platform.Write, error) {
@@ -83,8 +83,8 @@
 	}
 	budget.LimitTokens += limit.AddTokens
 	return []platform.Write{
-		replace(items[0], budget),
-		insert(operationKey(change.Name, change.OperationID), operationRow{AddTokens: limit.AddTokens}),
+		platform.PutIfUnchanged(items[0], budget),
+		platform.Insert(operationKey(change.Name, change.OperationID), operationRow{AddTokens: limit.AddTokens}),
 	}, nil
 }
 
@@ -92,7 +92,7 @@
 // failed write only makes the operator's retry come too early.
 func (ledger *Ledger) recall(ctx context.Context, item platform.Item, budget budgetRow, tokens int64) {
 	budget.WantedTokens = max(budget.WantedTokens, tokens)
-	_ = ledger.table.Transact(ctx, platform.Transaction{Writes: []platform.Write{replace(item, budget)}})
+	_ = ledger.table.Transact(ctx, platform.Transaction{Writes: []platform.Write{platform.PutIfUnchanged(item, budget)}})
 }
 
 // readBudget reads the budget row and the row of the operation.
@@ -106,7 +106,7 @@
 	if err != nil {
 		return nil, budgetRow{}, err
 	}
-	budget, err := decode[budgetRow](items[0])
+	budget, err := platform.DecodeRow[budgetRow](items[0])
 	return items, budget, err
 }
 
--- a/pkg/budget/finish.go
+++ b/pkg/budget/finish.go
@@ -84,7 +84,7 @@
 			if !grantInTransit || holding.budgetItem.Version == 0 {
 				return nil
 			}
-			writes = []platform.Write{replace(holding.budgetItem, holding.budget)}
+			writes = []platform.Write{platform.PutIfUnchanged(holding.budgetItem, holding.budget)}
 		}
 		return escrow.table.Transact(ctx, platform.Transaction{Writes: writes})
 	})
@@ -103,14 +103,14 @@
 	changed := holding.holder.row.WithReturn(spareTokens)
 	if changed.outstandingTokens() != 0 || changed.Settled.UnattributedTokens != 0 {
 		writes := holding.holder.writes(changed.WithClosed())
-		return append(writes, replace(holding.budgetItem, budget))
+		return append(writes, platform.PutIfUnchanged(holding.budgetItem, budget))
 	}
 	budget.Folded = budget.Folded.plus(changed.Settled)
 	budget.Holders--
 	return []platform.Write{
-		replace(holding.budgetItem, budget),
+		platform.PutIfUnchanged(holding.budgetItem, budget),
 		holding.holder.unattributedWrite(0),
-		{Key: holding.holder.item.Key, Action: platform.Delete, Condition: unchanged(holding.holder.item)},
+		{Key: holding.holder.item.Key, Action: platform.Delete, Condition: platform.Unchanged(holding.holder.item)},
 		{Key: profileKey(holding.holder.incarnation, holding.holder.profile), Action: platform.Delete},
 	}
 }
--- a/pkg/budget/grant.go
+++ b/pkg/budget/grant.go
@@ -27,7 +27,7 @@
 }
 
 func (escrow *Escrow) holdingOf(account *account, budgetItem, holderItem platform.Item) (holding, error) {
-	budget, err := decode[budgetRow](budgetItem)
+	budget, err := platform.DecodeRow[budgetRow](budgetItem)
 	if err != nil {
 		return holding{}, err
 	}
@@ -123,7 +123,7 @@
 		budget.Holders++
 	}
 	changed := holding.holder.row.WithGrant(tokens)
-	writes := append(holding.holder.writes(changed), replace(holding.budgetItem, budget))
+	writes := append(holding.holder.writes(changed), platform.PutIfUnchanged(holding.budgetItem, budget))
 	if err := escrow.table.Transact(ctx, platform.Transaction{Writes: writes}); err != nil {
 		account.noteGrantError(err)
 		return err
@@ -146,7 +146,7 @@
 	if wanted > holding.budget.WantedTokens && wanted <= found.recoverableTokens {
 		budget := holding.budget
 		budget.WantedTokens = wanted
-		err = escrow.table.Transact(ctx, platform.Transaction{Writes: []platform.Write{replace(holding.budgetItem, budget)}})
+		err = escrow.table.Transact(ctx, platform.Transaction{Writes: []platform.Write{platform.PutIfUnchanged(holding.budgetItem, budget)}})
 	}
 	return found, err
 }
--- a/pkg/budget/holder.go
+++ b/pkg/budget/holder.go
@@ -92,18 +92,18 @@
 }
 
 func newHolderRecord(profile, incarnation string, item platform.Item) (holderRecord, error) {
-	row, err := decode[holderRow](item)
+	row, err := platform.DecodeRow[holderRow](item)
 	return holderRecord{profile: profile, incarnation: incarnation, item: item, row: row}, err
 }
 
 // writes returns the writes that store the changed row, the index row of a new
 // holder, and the unattributed line of a closed one.
 func (record holderRecord) writes(changed holderRow) []platform.Write {
-	writes := []platform.Write{replace(record.item, changed)}
+	writes := []platform.Write{platform.PutIfUnchanged(record.item, changed)}
 	if record.item.Version == 0 {
 		writes = append(writes, platform.Write{
 			Key:   profileKey(record.incarnation, record.profile),
-			Value: encode(profileRow{Profile: record.profile}),
+			Value: platform.EncodeRow(profileRow{Profile: record.profile}),
 		})
 	}
 	if record.row.Closed || changed.Closed {
@@ -125,5 +125,5 @@
 		Router:    record.incarnation,
 		At:        time.Now(),
 	}
-	return platform.Write{Key: key, Value: encode(lineRow{Line: line})}
+	return platform.Write{Key: key, Value: platform.EncodeRow(lineRow{Line: line})}
 }
--- a/pkg/budget/ledger.go
+++ b/pkg/budget/ledger.go
@@ -52,14 +52,14 @@
 	if len(items) >= maxHolders {
 		return Statement{}, tooManyHolders(profile)
 	}
-	budget, err := decode[budgetRow](items[0])
+	budget, err := platform.DecodeRow[budgetRow](items[0])
 	if err != nil {
 		return Statement{}, err
 	}
 	statement := Statement{Profile: profile, LimitTokens: budget.LimitTokens, FreeTokens: budget.freeTokens()}
 	settled := budget.Folded
 	for _, item := range items[1:] {
-		row, err := decode[holderRow](item)
+		row, err := platform.DecodeRow[holderRow](item)
 		if err != nil {
 			return Statement{}, err
 		}
@@ -113,7 +113,7 @@
 	}
 	lines := make([]Line, 0, len(items))
 	for _, item := range items {
-		row, err := decode[lineRow](item)
+		row, err := platform.DecodeRow[lineRow](item)
 		if err != nil {
 			return nil, "", err
 		}
@@ -153,7 +153,7 @@
 func (ledger *Ledger) closeHolders(ctx context.Context, incarnation string, items []platform.Item) error {
 	var failures []error
 	for _, item := range items {
-		row, err := decode[profileRow](item)
+		row, err := platform.DecodeRow[profileRow](item)
 		if err == nil {
 			err = ledger.closeHolder(ctx, row.Profile, incarnation)
 		}
--- a/pkg/budget/resize.go
+++ b/pkg/budget/resize.go
@@ -162,5 +162,5 @@
 		return nil
 	}
 	budget := planned.holding.budget.WithReturn(planned.tokens)
-	return append(planned.holding.holder.writes(planned.changed()), replace(planned.holding.budgetItem, budget))
+	return append(planned.holding.holder.writes(planned.changed()), platform.PutIfUnchanged(planned.holding.budgetItem, budget))
 }
--- a/pkg/budget/rows.go
+++ b/pkg/budget/rows.go
@@ -3,9 +3,6 @@
 import (
 	"fmt"
 
-	"github.com/goccy/go-json"
-
-	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
@@ -151,45 +148,3 @@
 	Line   Line   `json:"line"`
 	Number uint64 `json:"number"`
 }
-
-func encode[T any](row T) []byte {
-	value, err := json.Marshal(row)
-	if err != nil {
-		panic(err)
-	}
-	return value
-}
-
-// decode reads the row of an item; an item that does not exist is a zero row.
-func decode[T any](item platform.Item) (T, error) {
-	var row T
-	if item.Version == 0 {
-		return row, nil
-	}
-	if err := json.Unmarshal(item.Value, &row); err != nil {
-		return row, fault.New(fault.Config{
-			Kind:    fault.Internal,
-			Message: "row " + item.Key.Partition + "/" + item.Key.Sort + " cannot be read",
-			Remedy:  "check which program wrote it and restore the row",
-			Cause:   err,
-		})
-	}
-	return row, nil
-}
-
-// replace puts a row on the condition that the item has not changed.
-func replace[T any](item platform.Item, row T) platform.Write {
-	return platform.Write{Key: item.Key, Value: encode(row), Condition: unchanged(item)}
-}
-
-// insert puts a row on the condition that there is none.
-func insert[T any](key platform.Key, row T) platform.Write {
-	return platform.Write{Key: key, Value: encode(row), Condition: platform.Condition{Kind: platform.IfAbsent}}
-}
-
-func unchanged(item platform.Item) platform.Condition {
-	if item.Version == 0 {
-		return platform.Condition{Kind: platform.IfAbsent}
-	}
-	return platform.Condition{Kind: platform.IfVersion, Version: item.Version}
-}
--- a/pkg/budget/transfer.go
+++ b/pkg/budget/transfer.go
@@ -61,7 +61,7 @@
 		})
 	}
 	changed := borrower.row.WithBorrowed(loan.Tokens)
-	writes := []platform.Write{insert(transferKey(loan), transferRow{Loan: loan, Borrower: escrow.config.Incarnation})}
+	writes := []platform.Write{platform.Insert(transferKey(loan), transferRow{Loan: loan, Borrower: escrow.config.Incarnation})}
 	writes = append(writes, lender.writes(lender.row.WithLent(loan.Tokens))...)
 	writes = append(writes, borrower.writes(changed)...)
 	if err := escrow.table.Transact(ctx, platform.Transaction{Writes: writes}); err != nil {
--- a/pkg/claim/group.go
+++ b/pkg/claim/group.go
@@ -143,7 +143,7 @@
 }
 
 func (plan *groupPlan) add(entry *entry, item platform.Item, row claimRow) {
-	plan.writes = append(plan.writes, replace(item, row))
+	plan.writes = append(plan.writes, platform.PutIfUnchanged(item, row))
 	plan.entries = append(plan.entries, entry)
 	if !plan.checked[entry.hour] {
 		plan.checked[entry.hour] = true
--- a/pkg/claim/retention.go
+++ b/pkg/claim/retention.go
@@ -43,7 +43,7 @@
 	}
 	if items[0].Version == 0 {
 		row.Next = hourOf(time.Now().Add(-registry.config.Retention))
-		return false, registry.transact(ctx, replace(items[0], row))
+		return false, registry.transact(ctx, platform.PutIfUnchanged(items[0], row))
 	}
 	start, err := row.Next.start()
 	if err != nil || time.Since(start) < registry.config.Retention+2*hourLength {
@@ -56,13 +56,13 @@
 		return false, err
 	}
 	row.Next = hourOf(start.Add(hourLength))
-	return true, registry.transact(ctx, replace(items[0], row))
+	return true, registry.transact(ctx, platform.PutIfUnchanged(items[0], row))
 }
 
 func (registry *Registry) seal(ctx context.Context, hour hour) error {
 	return registry.transact(ctx, platform.Write{
 		Key:   hour.sealKey(),
-		Value: encode(sealRow{By: registry.config.Incarnation}),
+		Value: platform.EncodeRow(sealRow{By: registry.config.Incarnation}),
 	})
 }
 
--- a/pkg/claim/rows.go
+++ b/pkg/claim/rows.go
@@ -4,8 +4,6 @@
 	"net/url"
 	"time"
 
-	"github.com/goccy/go-json"
-
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
@@ -103,37 +101,12 @@
 	Next hour `json:"next"`
 }
 
-func encode[T any](row T) []byte {
-	value, err := json.Marshal(row)
+// decode reads the row of an item. The error leaves the outcome unknown, since
+// the row may be a claim.
+func decode[Row any](item platform.Item) (Row, error) {
+	row, err := platform.DecodeRow[Row](item)
 	if err != nil {
-		panic(err)
-	}
-	return value
-}
-
-// decode reads the row of an item; an item that does not exist is a zero row.
-func decode[T any](item platform.Item) (T, error) {
-	var row T
-	if item.Version == 0 {
-		return row, nil
-	}
-	if err := json.Unmarshal(item.Value, &row); err != nil {
-		return row, fault.New(fault.Config{
-			Kind:    fault.Internal,
-			Message: "row " + item.Key.Partition + "/" + item.Key.Sort + " cannot be read",
-			Remedy:  "check which program wrote it and restore the row",
-			Outcome: fault.OutcomeUnknown,
-			Cause:   err,
-		})
+		return row, fault.WithOutcome(err, fault.OutcomeUnknown)
 	}
 	return row, nil
 }
-
-// replace puts a row on the condition that the item has not changed.
-func replace[T any](item platform.Item, row T) platform.Write {
-	condition := platform.Condition{Kind: platform.IfVersion, Version: item.Version}
-	if item.Version == 0 {
-		condition = platform.Condition{Kind: platform.IfAbsent}
-	}
-	return platform.Write{Key: item.Key, Value: encode(row), Condition: condition}
-}
--- a/pkg/configuration/bench_test.go
+++ b/pkg/configuration/bench_test.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"testing"
 
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 	"gitlab.com/wisterialb/wisterialb/pkg/standin"
 )
 
@@ -30,9 +31,9 @@
 // that the view holds.
 func BenchmarkAdopt(b *testing.B) {
 	changes := map[Kind]Change{
-		KindUpstream: {Name: "upstream-7", Body: encodeRow(Upstream{Name: "upstream-7", Service: "s-1", Address: "10.0.0.2:80", Draining: true})},
-		KindCaller:   {Name: "caller-7", Body: encodeRow(Caller{Name: "caller-7", Team: "t", Weight: 1, TokenHash: fmt.Sprintf("%064x", 7)})},
-		KindProfile:  {Name: "p", Body: encodeRow(Profile{Name: "p", Callers: []string{"caller-7"}, Services: []string{"s"}})},
+		KindUpstream: {Name: "upstream-7", Body: platform.EncodeRow(Upstream{Name: "upstream-7", Service: "s-1", Address: "10.0.0.2:80", Draining: true})},
+		KindCaller:   {Name: "caller-7", Body: platform.EncodeRow(Caller{Name: "caller-7", Team: "t", Weight: 1, TokenHash: fmt.Sprintf("%064x", 7)})},
+		KindProfile:  {Name: "p", Body: platform.EncodeRow(Profile{Name: "p", Callers: []string{"caller-7"}, Services: []string{"s"}})},
 	}
 	for _, kind := range []Kind{KindUpstream, KindCaller, KindProfile} {
 		for _, upstreams := range []int{38, 380, 3800} {
@@ -67,7 +68,7 @@
 		cache := newProfileCache(defaultHeldProfiles)
 		for i := range defaultHeldProfiles {
 			name := fmt.Sprint("profile-", i)
-			body := encodeRow(Profile{Name: name, Callers: []string{"caller-1", "caller-2"}, Services: []string{"gasket-advice", "order-desk"}})
+			body := platform.EncodeRow(Profile{Name: name, Callers: []string{"caller-1", "caller-2"}, Services: []string{"gasket-advice", "order-desk"}})
 			entry, err := newProfileEntry(name, body, 1, 1)
 			if err != nil {
 				b.Fatal(err)
@@ -89,7 +90,7 @@
 	table := &recordingTable{Table: standin.NewTable()}
 	publisher := NewPublisher(PublisherConfig{Table: table})
 	publish := func(id string, kind Kind, name string, document any) {
-		_, err := publisher.Publish(ctx, Change{OperationID: id, Operator: "o", Reason: "r", Kind: kind, Name: name, Body: encodeRow(document)})
+		_, err := publisher.Publish(ctx, Change{OperationID: id, Operator: "o", Reason: "r", Kind: kind, Name: name, Body: platform.EncodeRow(document)})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/pkg/configuration/follower_test.go
+++ b/pkg/configuration/follower_test.go
@@ -77,15 +77,15 @@
 	switch change.Kind {
 	case KindService:
 		if !found || rapid.Bool().Draw(t, "put") {
-			change.Body = encodeRow(Service{Name: change.Name, Protocol: ProtocolPlain, CallTokens: int64(next)})
+			change.Body = platform.EncodeRow(Service{Name: change.Name, Protocol: ProtocolPlain, CallTokens: int64(next)})
 		}
 	case KindProfile:
-		change.Body = encodeRow(Profile{Name: change.Name, Callers: []string{"x"}, Services: []string{"y"}, Retired: true, Priority: int(next % 10)})
+		change.Body = platform.EncodeRow(Profile{Name: change.Name, Callers: []string{"x"}, Services: []string{"y"}, Retired: true, Priority: int(next % 10)})
 	default:
 		if _, found = followerMachine.bodyAt(KindProfile, change.Name, at); !found {
 			return
 		}
-		change.Body = encodeRow(Limit{AddTokens: 1})
+		change.Body = platform.EncodeRow(Limit{AddTokens: 1})
 	}
 	record, err := followerMachine.publisher.Publish(context.Background(), change)
 	require.NoError(t, err)
@@ -168,7 +168,7 @@
 			service, ok := view.Service(name)
 			require.Equal(t, found, ok, "service %s at %d", name, view.Revision())
 			if found {
-				require.JSONEq(t, string(body), string(encodeRow(service)))
+				require.JSONEq(t, string(body), string(platform.EncodeRow(service)))
 			}
 		}
 		for j, record := range follower.recent {
--- a/pkg/configuration/history_test.go
+++ b/pkg/configuration/history_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
 // historyInput is a publication, or a read of the audit trail when it has no
@@ -135,7 +136,7 @@
 		name := fmt.Sprintf("service-%d", random.IntN(2))
 		items, err := table.Table.Get(context.Background(), documentKey(KindService, name))
 		require.NoError(t, err)
-		row, err := decodeItem[documentRow](items[0])
+		row, err := platform.DecodeRow[documentRow](items[0])
 		require.NoError(t, err)
 		input := historyInput{operationID: fmt.Sprintf("op-%d-%d", client, round), name: name, expected: row.Revision}
 		change := changeOf(t, input.operationID, KindService, input.expected, Service{Name: name, Protocol: ProtocolPlain, CallTokens: int64(round)})
--- a/pkg/configuration/lazy.go
+++ b/pkg/configuration/lazy.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
 // maxProfileReads bounds how often a profile is read again because the view
@@ -78,11 +79,11 @@
 	if err != nil {
 		return profileEntry{}, err
 	}
-	head, err := decodeItem[headRow](items[0])
+	head, err := platform.DecodeRow[headRow](items[0])
 	if err != nil {
 		return profileEntry{}, err
 	}
-	row, err := decodeItem[documentRow](items[1])
+	row, err := platform.DecodeRow[documentRow](items[1])
 	if err != nil {
 		return profileEntry{}, err
 	}
--- a/pkg/configuration/links.go
+++ b/pkg/configuration/links.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	row, err := decodeItem[useRow](items[0])
+	row, err := platform.DecodeRow[useRow](items[0])
 	if err != nil {
 		return err
 	}
@@ -121,7 +121,7 @@
 	}
 	writes := make([]platform.Write, len(items))
 	for i, item := range items {
-		row, err := decodeItem[useRow](item)
+		row, err := platform.DecodeRow[useRow](item)
 		if err != nil {
 			return nil, err
 		}
@@ -130,7 +130,7 @@
 		} else {
 			row.Count++
 		}
-		writes[i] = putIfUnchanged(item, row)
+		writes[i] = platform.PutIfUnchanged(item, row)
 	}
 	return writes, nil
 }
@@ -150,7 +150,7 @@
 	}
 	var faults []string
 	for i, item := range items {
-		row, err := decodeItem[documentRow](item)
+		row, err := platform.DecodeRow[documentRow](item)
 		if err != nil {
 			return err
 		}
@@ -176,7 +176,7 @@
 		if err != nil {
 			return nil, err
 		}
-		row, err := decodeItem[uniqueRow](items[0])
+		row, err := platform.DecodeRow[uniqueRow](items[0])
 		if err != nil {
 			return nil, err
 		}
@@ -187,7 +187,7 @@
 				Remedy:  "choose another value, or change that document first",
 			})
 		}
-		writes = append(writes, putIfUnchanged(items[0], uniqueRow{Holder: name}))
+		writes = append(writes, platform.PutIfUnchanged(items[0], uniqueRow{Holder: name}))
 	}
 	return writes, nil
 }
--- a/pkg/configuration/poll.go
+++ b/pkg/configuration/poll.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return 0, err
 	}
-	row, err := decodeItem[headRow](items[0])
+	row, err := platform.DecodeRow[headRow](items[0])
 	return row.Revision, err
 }
 
@@ -165,7 +165,7 @@
 			return err
 		}
 		for _, item := range items {
-			row, err := decodeItem[documentRow](item)
+			row, err := platform.DecodeRow[documentRow](item)
 			if err != nil {
 				return err
 			}
--- a/pkg/configuration/publication.go
+++ b/pkg/configuration/publication.go
@@ -77,10 +77,10 @@
 		return err
 	}
 	publication.head, publication.operation, publication.stored = items[0], items[1], items[2]
-	if publication.headRow, err = decodeItem[headRow](publication.head); err != nil {
+	if publication.headRow, err = platform.DecodeRow[headRow](publication.head); err != nil {
 		return err
 	}
-	if publication.storedRow, err = decodeItem[documentRow](publication.stored); err != nil {
+	if publication.storedRow, err = platform.DecodeRow[documentRow](publication.stored); err != nil {
 		return err
 	}
 	publication.wasRead = true
@@ -89,7 +89,7 @@
 
 // accepted returns the record that the operation id has made before.
 func (publication *publication) accepted(ctx context.Context) (Record, error) {
-	row, err := decodeItem[operationRow](publication.operation)
+	row, err := platform.DecodeRow[operationRow](publication.operation)
 	if err != nil {
 		return Record{}, err
 	}
@@ -113,7 +113,7 @@
 	if err != nil {
 		return Record{}, err
 	}
-	return decodeItem[Record](items[0])
+	return platform.DecodeRow[Record](items[0])
 }
 
 // sameChange leaves out the expected revision: an operator who reads the
@@ -213,18 +213,18 @@
 // allWrites gathers the writes of the transaction.
 func (publication *publication) allWrites(ctx context.Context, record Record) ([]platform.Write, error) {
 	writes := []platform.Write{
-		putIfUnchanged(publication.head, headRow{Revision: record.Revision}),
+		platform.PutIfUnchanged(publication.head, headRow{Revision: record.Revision}),
 		{
 			Key:       recordKey(record.Revision),
 			Action:    platform.Put,
-			Value:     encodeRow(record),
+			Value:     platform.EncodeRow(record),
 			Condition: platform.Condition{Kind: platform.IfAbsent},
 		},
-		putIfUnchanged(publication.operation, operationRow{Revision: record.Revision}),
+		platform.PutIfUnchanged(publication.operation, operationRow{Revision: record.Revision}),
 	}
 	if publication.change.Kind != KindLimit {
 		row := documentRow{Revision: record.Revision, Body: publication.change.Body}
-		writes = append(writes, putIfUnchanged(publication.stored, row))
+		writes = append(writes, platform.PutIfUnchanged(publication.stored, row))
 		linkWrites, err := publication.linkWrites(ctx)
 		if err != nil {
 			return nil, err
--- a/pkg/configuration/publisher.go
+++ b/pkg/configuration/publisher.go
@@ -170,7 +170,7 @@
 	}
 	records := make([]Record, 0, len(items))
 	for _, item := range items {
-		record, err := decodeItem[Record](item)
+		record, err := platform.DecodeRow[Record](item)
 		if err != nil {
 			return nil, err
 		}
--- a/pkg/configuration/storage.go
+++ b/pkg/configuration/storage.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 
-	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
@@ -68,42 +67,3 @@
 func documentKey(kind Kind, name string) platform.Key {
 	return platform.Key{Partition: partitionDocument + string(kind), Sort: name}
 }
-
-// decodeItem reads the JSON of an item; the zero value stands for no item.
-func decodeItem[T any](item platform.Item) (T, error) {
-	var row T
-	if item.Version == 0 {
-		return row, nil
-	}
-	if err := json.Unmarshal(item.Value, &row); err != nil {
-		return row, fault.New(fault.Config{
-			Kind:    fault.Internal,
-			Message: "table item " + item.Key.Partition + "/" + item.Key.Sort + " is not readable",
-			Remedy:  "compare the versions of the routers that write to this table",
-			Cause:   err,
-		})
-	}
-	return row, nil
-}
-
-// encodeRow writes a row as JSON. Rows hold nothing that JSON can't express.
-func encodeRow(row any) []byte {
-	encoded, err := json.Marshal(row)
-	if err != nil {
-		panic(err)
-	}
-	return encoded
-}
-
-// conditionOf requires that the item is still as it was read.
-func conditionOf(item platform.Item) platform.Condition {
-	if item.Version == 0 {
-		return platform.Condition{Kind: platform.IfAbsent}
-	}
-	return platform.Condition{Kind: platform.IfVersion, Version: item.Version}
-}
-
-// putIfUnchanged stores the row when the item is still as it was read.
-func putIfUnchanged(item platform.Item, row any) platform.Write {
-	return platform.Write{Key: item.Key, Action: platform.Put, Value: encodeRow(row), Condition: conditionOf(item)}
-}
--- a/pkg/configuration/stored.go
+++ b/pkg/configuration/stored.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return 0, err
 	}
-	head, err := decodeItem[headRow](items[0])
+	head, err := platform.DecodeRow[headRow](items[0])
 	return head.Revision, err
 }
 
@@ -35,7 +35,7 @@
 	if err != nil {
 		return Stored{}, err
 	}
-	row, err := decodeItem[documentRow](items[0])
+	row, err := platform.DecodeRow[documentRow](items[0])
 	if err != nil {
 		return Stored{}, err
 	}
@@ -59,7 +59,7 @@
 	}
 	var stored []Stored
 	for _, item := range items {
-		row, err := decodeItem[documentRow](item)
+		row, err := platform.DecodeRow[documentRow](item)
 		if err != nil {
 			return nil, "", err
 		}
--- a/pkg/platform/platformpb/platform.twirp.go
+++ b/pkg/platform/platformpb/platform.twirp.go
@@ -3,23 +3,36 @@
 
 package platformpb
 
-import context "context"
-import fmt "fmt"
-import http "net/http"
-import io "io"
-import json "encoding/json"
-import strconv "strconv"
-import strings "strings"
-
-import protojson "google.golang.org/protobuf/encoding/protojson"
-import proto "google.golang.org/protobuf/proto"
-import twirp "github.com/twitchtv/twirp"
-import ctxsetters "github.com/twitchtv/twirp/ctxsetters"
-
-import bytes "bytes"
-import errors "errors"
-import path "path"
-import url "net/url"
+import (
+	context "context"
+	fmt "fmt"
+
+	http "net/http"
+
+	io "io"
+
+	json "encoding/json"
+
+	strconv "strconv"
+
+	strings "strings"
+
+	protojson "google.golang.org/protobuf/encoding/protojson"
+
+	proto "google.golang.org/protobuf/proto"
+
+	twirp "github.com/twitchtv/twirp"
+
+	ctxsetters "github.com/twitchtv/twirp/ctxsetters"
+
+	bytes "bytes"
+
+	errors "errors"
+
+	path "path"
+
+	url "net/url"
+)
 
 // Version compatibility assertion.
 // If the constant is not defined in the package, that likely means
