Tell callers their key, and remedies that work

Cause: a key that the router made was not told, so a caller could not retry under it; a booking refused behind its claim was told to send again, though its key is refused for good; the remedy of a large body named no setting; an error of the kind outcome_unknown without an outcome said not_run; an empty header counts as a space. Change: answers carry Idempotency-Key; the remedy names a new key; the setting is bounds.body_bytes; the kind decides the outcome; header values are trimmed.

--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -87,7 +87,8 @@
 	Message string
 	// Remedy says what the reader can do about it.
 	Remedy string
-	// Outcome is what happened to the request; empty means NotRun.
+	// Outcome is what happened to the request; empty means NotRun, or
+	// OutcomeUnknown for the kind Lost.
 	Outcome Outcome
 	// RetryAfter is when a retry can succeed; zero means not stated.
 	RetryAfter time.Duration
@@ -102,7 +103,7 @@
 		row = kinds[Internal]
 	}
 	if config.Outcome == "" {
-		config.Outcome = NotRun
+		config.Outcome = defaultOutcome(config.Kind)
 	}
 	builder := errorx.NewErrorBuilder(row.errorType).WithConditionallyFormattedMessage("%s", config.Message)
 	if config.Cause != nil {
@@ -114,6 +115,14 @@
 		WithProperty(retryAfterProperty, config.RetryAfter)
 }
 
+// defaultOutcome is the outcome of an error that states none.
+func defaultOutcome(kind Kind) Outcome {
+	if kind == Lost {
+		return OutcomeUnknown
+	}
+	return NotRun
+}
+
 // KindOf returns the kind of err, or Internal when err has none.
 func KindOf(err error) Kind {
 	typed := typedOf(err)
@@ -199,14 +208,28 @@
 
 // WithOutcome returns err with another outcome, its other properties kept.
 func WithOutcome(err error, outcome Outcome) error {
-	return New(Config{
+	config := configOf(err)
+	config.Outcome = outcome
+	return New(config)
+}
+
+// WithRemedy returns err with another remedy, its other properties kept.
+func WithRemedy(err error, remedy string) error {
+	config := configOf(err)
+	config.Remedy = remedy
+	return New(config)
+}
+
+// configOf returns the configuration of an error that wraps err.
+func configOf(err error) Config {
+	return Config{
 		Kind:       KindOf(err),
 		Message:    MessageOf(err),
 		Remedy:     RemedyOf(err),
-		Outcome:    outcome,
+		Outcome:    OutcomeOf(err),
 		RetryAfter: RetryAfterOf(err),
 		Cause:      err,
-	})
+	}
 }
 
 func typedOf(err error) *errorx.Error {
--- a/pkg/router/admit.go
+++ b/pkg/router/admit.go
@@ -138,7 +138,7 @@
 
 func (router *Router) profileOf(ctx context.Context, request *http.Request, caller configuration.Caller) (configuration.Profile, error) {
 	// nbhttp keeps the space in front of an empty value.
-	name := strings.TrimSpace(request.Header.Get(headerProfile))
+	name := headerText(request, headerProfile)
 	if name == "" {
 		return configuration.Profile{}, fault.New(fault.Config{
 			Kind:    fault.Invalid,
@@ -176,7 +176,7 @@
 // request may run again, or with the default.
 func (current ticket) WithIdempotent(request *http.Request, byDefault bool) (ticket, error) {
 	current.idempotent = byDefault
-	text := request.Header.Get(headerIdempotent)
+	text := headerText(request, headerIdempotent)
 	if text == "" {
 		return current, nil
 	}
@@ -193,8 +193,14 @@
 	return current, nil
 }
 
+// headerText returns a header's value without the space that nbhttp keeps of an
+// empty one.
+func headerText(request *http.Request, name string) string {
+	return strings.TrimSpace(request.Header.Get(name))
+}
+
 func idempotencyKey(request *http.Request) (string, error) {
-	key := request.Header.Get(headerIdempotencyKey)
+	key := headerText(request, headerIdempotencyKey)
 	if key == "" {
 		return ulid.Make().String(), nil
 	}
@@ -213,7 +219,7 @@
 }
 
 func (router *Router) deadlineOf(request *http.Request, now time.Time) (time.Time, error) {
-	text := request.Header.Get(headerDeadline)
+	text := headerText(request, headerDeadline)
 	if text == "" {
 		return now.Add(router.config.DefaultDeadline), nil
 	}
--- a/pkg/router/handlers.go
+++ b/pkg/router/handlers.go
@@ -241,7 +241,10 @@
 	}
 }
 
+// sinkBase tells the caller the key under which it can retry, which may be one
+// that the router made, and returns what the sinks share.
 func (router *Router) sinkBase(writer http.ResponseWriter, current ticket) sinkBase {
+	writer.Header().Set(headerIdempotencyKey, current.key)
 	return sinkBase{writer: writer, resume: func(token dispatch.ResumeToken) string {
 		return router.signer.Sign(token, current.id)
 	}}
@@ -257,7 +260,7 @@
 
 // resumeOf reads the resume token and the position that the caller has.
 func (router *Router) resumeOf(request *http.Request, current ticket) (dispatch.ResumeToken, error) {
-	text := request.Header.Get(headerResume)
+	text := headerText(request, headerResume)
 	if text == "" {
 		return dispatch.ResumeToken{}, nil
 	}
@@ -266,7 +269,7 @@
 		return dispatch.ResumeToken{}, err
 	}
 	token.Position = 0
-	if last := request.Header.Get(headerLastEventID); last != "" {
+	if last := headerText(request, headerLastEventID); last != "" {
 		position, err := strconv.ParseInt(last, 10, 64)
 		if err != nil || position < 0 {
 			return dispatch.ResumeToken{}, fault.New(fault.Config{
--- a/pkg/router/pipeline.go
+++ b/pkg/router/pipeline.go
@@ -13,6 +13,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/budget"
@@ -147,7 +148,7 @@
 			router.logClaim("withdraw", request, err)
 			return fault.WithOutcome(runErr, fault.OutcomeUnknown)
 		}
-		return runErr
+		return fault.WithRemedy(runErr, remedyNewKey)
 	default:
 		if err := router.claims.Abandon(ctx, request); err != nil {
 			router.logClaim("abandon", request, err)
@@ -193,16 +194,34 @@
 // is a run that its own caller gave up; all else that was used is waste. What
 // is not known is charged up to the whole reservation.
 func (router *Router) linesOf(current ticket, reservation budget.Reservation, result dispatch.Result, runErr error, left bool) []budget.Line {
-	billed := runErr == nil || left
-	started := false
-	last := ""
-	for _, attempt := range result.Attempts {
-		started = started || attempt.Started
-		last = attempt.Attempt
-	}
-	if !started && runErr != nil {
+	if runErr != nil && !anyStarted(result.Attempts) {
 		return nil
 	}
+	line := router.lineOf(current, result)
+	if runErr == nil || left {
+		line.Kind = budget.LineBill
+	}
+	waste := min(wasteOf(reservation, result), reservation.Tokens)
+	rest := reservation.Tokens - waste
+	if !result.Usage.Known {
+		line.Estimated = current.service.Protocol != configuration.ProtocolPlain
+		line.Tokens = rest
+	}
+	line.Tokens = min(line.Tokens, rest)
+	if waste == 0 {
+		return []budget.Line{line}
+	}
+	wasted := line
+	wasted.Kind = budget.LineWaste
+	wasted.PromptTokens, wasted.CompletionTokens = 0, 0
+	wasted.Tokens = waste
+	wasted.Attempt = ""
+	wasted.Estimated = result.WasteUnknown
+	return []budget.Line{line, wasted}
+}
+
+// lineOf returns a waste line for what the last attempt reported.
+func (router *Router) lineOf(current ticket, result dispatch.Result) budget.Line {
 	line := budget.Line{
 		Kind:             budget.LineWaste,
 		Profile:          current.profile.Name,
@@ -210,34 +229,21 @@
 		Caller:           current.caller.Name,
 		Team:             current.caller.Team,
 		Service:          current.service.Name,
-		Attempt:          last,
 		PromptTokens:     result.Usage.PromptTokens,
 		CompletionTokens: result.Usage.CompletionTokens,
 		Tokens:           result.Usage.Tokens(),
 		Router:           router.incarnation,
 		At:               time.Now().UTC(),
 	}
-	if billed {
-		line.Kind = budget.LineBill
+	if last := len(result.Attempts) - 1; last >= 0 {
+		line.Attempt = result.Attempts[last].Attempt
 	}
-	waste := min(wasteOf(reservation, result), reservation.Tokens)
-	rest := reservation.Tokens - waste
-	if !result.Usage.Known {
-		line.Estimated = current.service.Protocol != configuration.ProtocolPlain
-		line.Tokens = rest
-	}
-	line.Tokens = min(line.Tokens, rest)
-	lines := []budget.Line{line}
-	if waste > 0 {
-		wasted := line
-		wasted.Kind = budget.LineWaste
-		wasted.PromptTokens, wasted.CompletionTokens = 0, 0
-		wasted.Tokens = waste
-		wasted.Attempt = ""
-		wasted.Estimated = result.WasteUnknown
-		lines = append(lines, wasted)
-	}
-	return lines
+	return line
+}
+
+// anyStarted reports whether bytes of the request can have reached an upstream.
+func anyStarted(attempts []dispatch.AttemptRecord) bool {
+	return slices.ContainsFunc(attempts, func(attempt dispatch.AttemptRecord) bool { return attempt.Started })
 }
 
 // wasteOf returns what the attempts before the last one used. One whose usage
@@ -273,6 +279,10 @@
 	router.warn("event", "claim_"+step+"_failed", "request_id", request.RequestID, "scope", request.Scope, "err", err)
 }
 
+// remedyNewKey is the remedy of a request whose claim was withdrawn: its key is
+// refused from then on.
+const remedyNewKey = "send it again under a new " + headerIdempotencyKey
+
 var (
 	errNotReplayable = fault.New(fault.Config{
 		Kind:    fault.Invalid,
@@ -293,7 +303,7 @@
 	errWithdrawn = fault.New(fault.Config{
 		Kind:    fault.Conflict,
 		Message: "this request was refused before and will not run",
-		Remedy:  "send it again under a new Idempotency-Key",
+		Remedy:  remedyNewKey,
 	})
 	errOutcomeUnknown = fault.New(fault.Config{
 		Kind:    fault.Lost,
--- a/pkg/router/respond.go
+++ b/pkg/router/respond.go
@@ -63,6 +63,6 @@
 	return fault.New(fault.Config{
 		Kind:    fault.TooLarge,
 		Message: fmt.Sprintf("the body has more than %d bytes", limit),
-		Remedy:  "send a shorter body, or ask the operators to raise max_body_bytes",
+		Remedy:  "send a shorter body, or ask the operators to raise bounds.body_bytes",
 	})
 }
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -417,3 +417,18 @@
 	require.Equal(t, fault.OutcomeUnknown, outcome, body)
 	require.Equal(t, 1, fleet.Services[0].Runs().Counts[key])
 }
+
+func TestACallerIsToldTheKeyThatTheRouterMade(t *testing.T) {
+	fleet := startFleet(t, plenty, slowEngine())
+	outcome, first := fleet.book(call{body: "ring"})
+	require.Equal(t, fault.Answered, outcome, first)
+	response := fleet.send(call{path: "/v1/services/" + demo.OrderService + "/bookings", body: "ring"})
+	key := response.Header.Get("Idempotency-Key")
+	require.NotEmpty(t, key)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	outcome, again := fleet.book(call{router: 1, key: key, body: "ring"})
+	require.Equal(t, fault.Answered, outcome)
+	require.Equal(t, string(body), again)
+	require.Equal(t, 1, fleet.Services[0].Runs().Counts[key])
+}
--- a/pkg/router/sink.go
+++ b/pkg/router/sink.go
@@ -9,6 +9,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -200,8 +201,8 @@
 	if int64(len(sink.result.Body)+len(event.Data)) > sink.maxBytes {
 		return fault.New(fault.Config{
 			Kind:    fault.Upstream,
-			Message: "the service's answer is larger than max_answer_bytes",
-			Remedy:  "ask the service for less, or ask the operators to raise max_answer_bytes",
+			Message: fmt.Sprintf("the service's answer is larger than %d bytes", sink.maxBytes),
+			Remedy:  "ask the service for less",
 			Outcome: fault.OutcomeUnknown,
 		})
 	}
