Name the scripted cases' fixture by what it is

Cause: the type was called session, which says nothing of what it holds. Change: fixture, in test/fixture_test.go.

--- a/test/cases_test.go
+++ b/test/cases_test.go
@@ -3,7 +3,7 @@
 // expout. Run with -update to write expout anew.
 //
 // The flow: TestCases hands each cmd to testscript with the commands of
-// session_test.go; each command adds what it printed to a transcript; when the
+// fixture_test.go; each command adds what it printed to a transcript; when the
 // script has ended, the transcript is compared with expout. Everything runs in
 // this process.
 package test
@@ -39,14 +39,14 @@
 
 func runCase(t *testing.T, directory string) {
 	t.Helper()
-	session := &session{}
+	fixture := &fixture{}
 	examples, err := filepath.Abs(filepath.Join("..", "docs", "examples"))
 	require.NoError(t, err)
 	testscript.RunT(sequential{t}, testscript.Params{
 		Files: []string{filepath.Join(directory, scriptName)},
-		Cmds:  session.commands(),
+		Cmds:  fixture.commands(),
 		Setup: func(environment *testscript.Env) error {
-			environment.Defer(session.close)
+			environment.Defer(fixture.close)
 			environment.Setenv(examplesVariable, examples)
 			t.Chdir(environment.WorkDir)
 			return os.CopyFS(environment.WorkDir, os.DirFS(directory))
@@ -54,11 +54,11 @@
 	})
 	expected := filepath.Join(directory, expectedName)
 	if *update {
-		require.NoError(t, os.WriteFile(expected, session.transcript.Bytes(), 0o600))
+		require.NoError(t, os.WriteFile(expected, fixture.transcript.Bytes(), 0o600))
 	}
 	content, err := os.ReadFile(expected)
 	require.NoError(t, err)
-	require.Equal(t, string(content), session.transcript.String())
+	require.Equal(t, string(content), fixture.transcript.String())
 }
 
 // sequential runs scripts one after the other.
--- a/test/session_test.go
+++ b/test/fixture_test.go
@@ -32,8 +32,8 @@
 
 var zones = []string{"varnamo", "gislaved", "jonkoping"}
 
-// session is what one script works with.
-type session struct {
+// fixture is what one script works with.
+type fixture struct {
 	transcript bytes.Buffer
 	fleet      *demo.Fleet
 	listeners  []net.Listener
@@ -41,33 +41,33 @@
 
 // commands is the one table of commands that scripts can use besides those of
 // testscript.
-func (session *session) commands() map[string]func(*testscript.TestScript, bool, []string) {
+func (fixture *fixture) commands() map[string]func(*testscript.TestScript, bool, []string) {
 	return map[string]func(*testscript.TestScript, bool, []string){
-		"fleet":      session.startFleet,
-		"platform":   session.setFaults,
-		"silence":    session.listenSilently,
-		"wisterialb": session.runCommand,
-		"call":       session.call,
-		"runs":       session.printRuns,
-		"metrics":    session.printMetrics,
+		"fleet":      fixture.startFleet,
+		"platform":   fixture.setFaults,
+		"silence":    fixture.listenSilently,
+		"wisterialb": fixture.runCommand,
+		"call":       fixture.call,
+		"runs":       fixture.printRuns,
+		"metrics":    fixture.printMetrics,
 	}
 }
 
-func (session *session) close() {
-	for _, listener := range session.listeners {
+func (fixture *fixture) close() {
+	for _, listener := range fixture.listeners {
 		_ = listener.Close()
 	}
-	if session.fleet != nil {
-		_ = session.fleet.Close(context.Background())
+	if fixture.fleet != nil {
+		_ = fixture.fleet.Close(context.Background())
 	}
 }
 
 // startFleet starts a fleet of N routers, two engines and a service, with the
 // documents of the demonstration or without any: fleet N [bare].
-func (session *session) startFleet(script *testscript.TestScript, _ bool, args []string) {
+func (fixture *fixture) startFleet(script *testscript.TestScript, _ bool, args []string) {
 	count, err := strconv.Atoi(args[0])
 	script.Check(err)
-	session.fleet, err = demo.StartFleet(demo.FleetConfig{
+	fixture.fleet, err = demo.StartFleet(demo.FleetConfig{
 		Zones:    zones[:count],
 		Services: 1,
 		Engines: []standin.EngineConfig{
@@ -83,32 +83,32 @@
 	script.Check(err)
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
-	script.Check(session.fleet.WaitLive(ctx))
+	script.Check(fixture.fleet.WaitLive(ctx))
 	if len(args) == 1 {
-		script.Check(session.fleet.Publish(ctx, fleetLimit))
+		script.Check(fixture.fleet.Publish(ctx, fleetLimit))
 	}
-	script.Setenv("WISTERIALB_ADDRESS", session.fleet.Routers[0].Settings.OperatorAddress)
+	script.Setenv("WISTERIALB_ADDRESS", fixture.fleet.Routers[0].Settings.OperatorAddress)
 	script.Setenv("WISTERIALB_OPERATOR_TOKEN", demo.OperatorToken)
 }
 
 // listenSilently accepts connections and answers none, and names the address in
 // a variable: silence VARIABLE.
-func (session *session) listenSilently(script *testscript.TestScript, _ bool, args []string) {
+func (fixture *fixture) listenSilently(script *testscript.TestScript, _ bool, args []string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	script.Check(err)
-	session.listeners = append(session.listeners, listener)
+	fixture.listeners = append(fixture.listeners, listener)
 	script.Setenv(args[0], listener.Addr().String())
 }
 
 // setFaults switches faults of the platform; {} switches all off: platform JSON.
-func (session *session) setFaults(script *testscript.TestScript, _ bool, args []string) {
+func (fixture *fixture) setFaults(script *testscript.TestScript, _ bool, args []string) {
 	var faults standin.PlatformFaults
 	script.Check(json.Unmarshal([]byte(args[0]), &faults))
-	script.Check(session.fleet.Platform.SetFaults(faults))
+	script.Check(fixture.fleet.Platform.SetFaults(faults))
 }
 
 // runCommand runs the command line with its exit code: wisterialb ARGS...
-func (session *session) runCommand(script *testscript.TestScript, _ bool, args []string) {
+func (fixture *fixture) runCommand(script *testscript.TestScript, _ bool, args []string) {
 	var out, errOut bytes.Buffer
 	code := command.Run(command.Environment{
 		Context: context.Background(),
@@ -116,7 +116,7 @@
 		ErrOut:  &errOut,
 		Getenv:  script.Getenv,
 	}, args)
-	session.record(script, "wisterialb", args, out.String()+errOut.String()+fmt.Sprintf("exit %d\n", code))
+	fixture.record(script, "wisterialb", args, out.String()+errOut.String()+fmt.Sprintf("exit %d\n", code))
 }
 
 // callOptions are the settings of a call: key=value.
@@ -136,7 +136,7 @@
 // call sends a request to a router and prints its status, outcome and, when it
 // is refused, body: call METHOD PATH [router=N] [token=T] [profile=P] [key=K]
 // [body=TEXT] [bytes=N]. With bytes, the body is that long.
-func (session *session) call(script *testscript.TestScript, _ bool, args []string) {
+func (fixture *fixture) call(script *testscript.TestScript, _ bool, args []string) {
 	options := callOptions(args[2:])
 	body := options["body"]
 	if options["bytes"] != "" {
@@ -146,7 +146,7 @@
 	}
 	index, err := strconv.Atoi(options["router"])
 	script.Check(err)
-	address := session.fleet.Routers[index].CallerAddress()
+	address := fixture.fleet.Routers[index].CallerAddress()
 	request, err := http.NewRequest(args[0], "http://"+address+args[1], strings.NewReader(body))
 	script.Check(err)
 	request.Header.Set("Authorization", "Bearer "+options["token"])
@@ -162,32 +162,32 @@
 	if response.StatusCode != http.StatusOK {
 		printed += strings.TrimSpace(string(content)) + "\n"
 	}
-	session.record(script, "call", args, printed)
+	fixture.record(script, "call", args, printed)
 }
 
 // printRuns prints how many requests have run, on all engines and services or on
 // each: runs [each].
-func (session *session) printRuns(script *testscript.TestScript, _ bool, args []string) {
+func (fixture *fixture) printRuns(script *testscript.TestScript, _ bool, args []string) {
 	var out strings.Builder
 	engineRuns, serviceRuns := 0, 0
-	for _, engine := range session.fleet.Engines {
+	for _, engine := range fixture.fleet.Engines {
 		engineRuns += len(engine.Runs())
 		if len(args) > 0 {
 			fmt.Fprintf(&out, "%s %d\n", engine.Name(), len(engine.Runs()))
 		}
 	}
-	for _, service := range session.fleet.Services {
+	for _, service := range fixture.fleet.Services {
 		serviceRuns += len(service.Runs().Runs)
 	}
 	fmt.Fprintf(&out, "engines %d, services %d\n", engineRuns, serviceRuns)
-	session.record(script, "runs", args, out.String())
+	fixture.record(script, "runs", args, out.String())
 }
 
 // printMetrics prints the lines of a router's metrics that match: metrics REGEXP.
-func (session *session) printMetrics(script *testscript.TestScript, _ bool, args []string) {
+func (fixture *fixture) printMetrics(script *testscript.TestScript, _ bool, args []string) {
 	pattern, err := regexp.Compile(args[0])
 	script.Check(err)
-	response, err := http.Get("http://" + session.fleet.Routers[0].Settings.OperatorAddress + "/metrics")
+	response, err := http.Get("http://" + fixture.fleet.Routers[0].Settings.OperatorAddress + "/metrics")
 	script.Check(err)
 	content, err := io.ReadAll(response.Body)
 	script.Check(errors.Join(err, response.Body.Close()))
@@ -197,12 +197,12 @@
 			out.WriteString(line)
 		}
 	}
-	session.record(script, "metrics", args, out.String())
+	fixture.record(script, "metrics", args, out.String())
 }
 
 // record adds a command and what it printed to the transcript, without what
 // differs from run to run.
-func (session *session) record(script *testscript.TestScript, name string, args []string, printed string) {
+func (fixture *fixture) record(script *testscript.TestScript, name string, args []string, printed string) {
 	line := name
 	for _, arg := range args {
 		if arg == "" || strings.Contains(arg, " ") {
@@ -215,7 +215,7 @@
 	for _, mask := range masks {
 		printed = mask.pattern.ReplaceAllString(printed, mask.replacement)
 	}
-	session.transcript.WriteString(printed)
+	fixture.transcript.WriteString(printed)
 	_, err := io.WriteString(script.Stdout(), printed)
 	script.Check(err)
 }
