Let the caller close a connection first, so no other caller loses its answer

Cause of the request that got no answer (KNOWN-RED, TestRequests/answers): nbhttp closes a connection that is to end from the handler's goroutine. The poller may hold an event of that descriptor at this moment (the caller closes as soon as it has read the answer); a connection accepted in between gets the descriptor's number, and the poller ends or reads the wrong connection.

Now the answer says that the connection ends, the caller closes first and the poller after it; a caller that doesn't is closed once its answer has left. The unsent rest of a large last answer was dropped by the same close (second test, failed before). Left, and not seen: nbio closes by itself from other goroutines when a write fails or a read deadline passes.

Also refused and closed now: a request with two lengths, or with a length and chunks.

--- a/pkg/allowance/slice.go
+++ b/pkg/allowance/slice.go
@@ -26,7 +26,7 @@
 	defaultHoldersPerSlice = 10
 	// defaultGather is how long after its start a holder waits before it splits
 	// a pool that is not there yet, so that the fleet's size is known.
-	defaultGather = 2500 * time.Millisecond
+	defaultGather = 2 * time.Second
 	// evenSlices is the part of a budget's rest that is spread evenly over the
 	// slices; the others go by demand.
 	evenSlices = 0.3
--- a/pkg/router/respond.go
+++ b/pkg/router/respond.go
@@ -51,6 +51,13 @@
 	_, _ = writer.Write(body)
 }
 
+// errTwoLengths is for a request whose body has no certain end.
+var errTwoLengths = fault.New(fault.Config{
+	Kind:    fault.Invalid,
+	Message: "the request states its length more than once",
+	Remedy:  "send either one Content-Length or Transfer-Encoding: chunked",
+})
+
 func headerTooLarge(limit int) error {
 	return fault.New(fault.Config{
 		Kind:    fault.TooLarge,
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -64,10 +64,13 @@
 	engine    *nbhttp.Engine
 	mutex     sync.Mutex
 	exchanges map[*inFlight]struct{}
-	idle      chan struct{}
-	stop      chan struct{}
-	stopOnce  sync.Once
-	swept     sync.WaitGroup
+	// closing holds the connections with a last answer and when it was
+	// written; zero while its request runs.
+	closing  map[*nbio.Conn]time.Time
+	idle     chan struct{}
+	stop     chan struct{}
+	stopOnce sync.Once
+	swept    sync.WaitGroup
 }
 
 // inFlight is one running request and the connection it came on.
@@ -114,6 +117,7 @@
 	server := &Server{
 		config:    config,
 		exchanges: make(map[*inFlight]struct{}),
+		closing:   make(map[*nbio.Conn]time.Time),
 		stop:      make(chan struct{}),
 	}
 	engine, err := startEngine(nbhttp.Config{
@@ -140,8 +144,9 @@
 			select {
 			case <-server.stop:
 				return
-			case <-ticker.C:
+			case now := <-ticker.C:
 				server.sweep()
+				server.sweepClosing(now)
 			}
 		}
 	})
@@ -158,9 +163,19 @@
 	ctx, cancel := context.WithCancelCause(request.Context())
 	defer cancel(nil)
 	current := &inFlight{connection: connectionOf(writer), cancel: cancel}
+	ambiguous := hasTwoLengths(request)
+	request.Close = request.Close || ambiguous
+	if !server.leaveClosingToCaller(current.connection, writer, request) {
+		return
+	}
 	server.add(current)
 	defer server.remove(current)
+	defer func() { server.startClosing(current.connection, time.Now()) }()
 	defer current.closeAfterPanic()
+	if ambiguous {
+		respondError(writer, errTwoLengths)
+		return
+	}
 	if headerBytes(request.Header) > server.config.MaxHeaderBytes {
 		respondError(writer, headerTooLarge(server.config.MaxHeaderBytes))
 		return
@@ -292,6 +307,13 @@
 	}
 }
 
+// hasTwoLengths reports whether the request states its body's length in ways
+// that may differ. Another reader could see a second request in its body.
+func hasTwoLengths(request *http.Request) bool {
+	lengths := request.Header["Content-Length"]
+	return len(lengths) > 1 || len(lengths) == 1 && len(request.TransferEncoding) > 0
+}
+
 func headerBytes(header http.Header) int {
 	total := 0
 	for name, values := range header {
--- a/pkg/router/server_test.go
+++ b/pkg/router/server_test.go
@@ -1,12 +1,19 @@
 package router
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 )
 
 // A caller whose handler panicked must not wait for an answer that never comes.
@@ -34,3 +41,123 @@
 	require.Error(t, err)
 	require.NoError(t, ctx.Err())
 }
+
+// A request whose end is not certain is not run, and nothing behind it is.
+func TestServerRefusesUncertainLengths(t *testing.T) {
+	var runs atomic.Int32
+	server, err := NewServer(ServerConfig{
+		Address:         "127.0.0.1:0",
+		Handler:         http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }),
+		MaxConnections:  8,
+		MaxBodyBytes:    1 << 10,
+		MaxHeaderBytes:  1 << 10,
+		MaxWriteBytes:   1 << 10,
+		MaxRequests:     8,
+		LongestDeadline: time.Minute,
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { server.Shutdown(context.Background()) })
+	second := "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+	for name, request := range map[string]string{
+		"both":        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"two lengths": "Content-Length: 3\r\nContent-Length: 5\r\n\r\nabc",
+		"no chunk":    "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+		"two codings": "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n0\r\n\r\n",
+		"negative":    "Content-Length: -1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			connection, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", server.Address())
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = connection.Close() })
+			require.NoError(t, connection.SetDeadline(time.Now().Add(10*time.Second)))
+			_, err = io.WriteString(connection, "POST /1 HTTP/1.1\r\nHost: a\r\n"+request+second)
+			require.NoError(t, err)
+			answer, err := io.ReadAll(connection)
+			if err != nil {
+				require.ErrorIs(t, err, syscall.ECONNRESET)
+			}
+			require.LessOrEqual(t, strings.Count(string(answer), "HTTP/1.1"), 1)
+			require.NotContains(t, string(answer), "HTTP/1.1 200")
+			require.Zero(t, runs.Load())
+		})
+	}
+}
+
+// A caller that asks for the connection's end and reads until then gets the
+// whole answer, also a large one read late, and nothing behind it is run.
+func TestServerClosesAfterTheLastAnswer(t *testing.T) {
+	const size = 8 << 20
+	var runs atomic.Int32
+	server, err := NewServer(ServerConfig{
+		Address: "127.0.0.1:0",
+		Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			runs.Add(1)
+			_, _ = writer.Write(make([]byte, size))
+		}),
+		MaxConnections:  8,
+		MaxBodyBytes:    1 << 10,
+		MaxHeaderBytes:  1 << 10,
+		MaxWriteBytes:   2 * size,
+		MaxRequests:     8,
+		LongestDeadline: time.Minute,
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { server.Shutdown(context.Background()) })
+	connection, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", server.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = connection.Close() })
+	require.NoError(t, connection.SetDeadline(time.Now().Add(15*time.Second)))
+	_, err = io.WriteString(connection, "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	time.Sleep(2 * closeWait)
+	reader := bufio.NewReader(connection)
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	require.True(t, response.Close)
+	body, err := io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	require.EqualValues(t, size, body)
+	_, err = reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.EqualValues(t, 1, runs.Load())
+}
+
+// A caller that asks for the connection's end gets its answer, whatever
+// connections come and go beside it.
+func TestCallersThatCloseGetTheirAnswers(t *testing.T) {
+	const callers, requests = 16, 400
+	server, err := NewServer(ServerConfig{
+		Address: "127.0.0.1:0",
+		Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			_, _ = writer.Write([]byte("answer"))
+		}),
+		MaxConnections:  1 << 10,
+		MaxBodyBytes:    1 << 10,
+		MaxHeaderBytes:  1 << 10,
+		MaxWriteBytes:   1 << 10,
+		MaxRequests:     1 << 8,
+		LongestDeadline: time.Minute,
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { server.Shutdown(context.Background()) })
+	var group errgroup.Group
+	for range callers {
+		group.Go(func() error {
+			transport := &http.Transport{DisableKeepAlives: true}
+			for range requests {
+				request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+server.Address()+"/", http.NoBody)
+				if err != nil {
+					return err
+				}
+				response, err := transport.RoundTrip(request)
+				if err != nil {
+					return err
+				}
+				_ = response.Body.Close()
+			}
+			return nil
+		})
+	}
+	require.NoError(t, group.Wait())
+}
