Lose fewer tokens when routers die or stop beside a slow store

Three parts of it: - The base of two mean requests, or 15 in 100 of what is held, of every team at every router. Now one and a half, of teams that send, or 5 in 100; a holder that has used it writes its row at once. - Twice the demand from the row's stamp on. Now 1.4 times for 1.5 s, as long as a killed process takes to start again, and 2.5 times after that. - The partition of the pool is slow when the store is; it answered 429 for seconds and the own row was not written either, nor given back at a stop. Out of touch a request waits up to 0.2 s when the pace brings its tokens.

Each has a test that failed before. Also: answers ended on purpose no longer write a stack to the log.

--- a/pkg/allowance/exchange.go
+++ b/pkg/allowance/exchange.go
@@ -33,7 +33,7 @@
 	seen.written(writes, keeper.version)
 	seen.fresh = true
 	holders, _ := keeper.config.Holders()
-	keeper.exchangeAt = now.Add(max(keeper.config.ExchangeInterval, exchangeSpacing*time.Duration(holders)))
+	keeper.exchangeAt = now.Add(max(keeper.config.ExchangeInterval, exchangeSpacing*time.Duration(holders), keeper.sharing(keeper.commitTook)))
 	keeper.setPool(seen, prepaid, now)
 	keeper.logHoldings(seen, prepaid, now)
 	keeper.announce()
@@ -76,7 +76,7 @@
 	return func(name string, need Need) Grant {
 		return Grant{
 			Granted: need.Own.Granted, Reported: need.Own.Reported, Demand: need.Own.Demand,
-			Expected: need.Expected, Wanted: wanted[name],
+			Expected: need.Expected, Wanted: wanted[name], Still: keeper.closing,
 		}
 	}
 }
@@ -90,7 +90,7 @@
 		share := slice.Teams[name]
 		position := Position{
 			Need: need, Prepaid: seen.limit(seen.own, name, prepaid[name]), Pool: share, Wanted: wanted[name], Holders: holders,
-			Idle: !serving,
+			Idle: !serving, Leaving: keeper.leaving.Load(),
 		}
 		target := position.Target()
 		if keeper.closing {
@@ -102,7 +102,7 @@
 		slice.Teams[name] = share
 		return Grant{
 			Granted: target, Reported: need.Own.Charged, Demand: int64(need.Demand),
-			Expected: float64(share.Demand) / float64(holders), Wanted: wanted[name],
+			Expected: float64(share.Demand) / float64(holders), Wanted: wanted[name], Still: keeper.closing,
 		}
 	}
 }
--- a/pkg/allowance/fleet_test.go
+++ b/pkg/allowance/fleet_test.go
@@ -30,6 +30,8 @@
 	delays mode = "delays"
 	// silent applies nothing and doesn't answer.
 	silent mode = "silent"
+	// crowded refuses what touches the pool's partition.
+	crowded mode = "crowded"
 )
 
 // memoryTable is a table in memory with a steady clock.
@@ -94,7 +96,7 @@
 }
 
 // modes are drawn from; a path that answers is the most frequent.
-var modes = []mode{answers, answers, refuses, loses, delays, silent}
+var modes = []mode{answers, answers, refuses, loses, delays, silent, crowded}
 
 // stepsPerRun is the number of actions of one random run.
 const stepsPerRun = 120
@@ -110,6 +112,14 @@
 // Commit applies the transaction as the mode says.
 func (path *path) Commit(_ context.Context, transaction platform.Transaction) (platform.Receipt, error) {
 	switch path.mode {
+	case crowded:
+		for _, write := range transaction.Writes {
+			if write.Key.Partition == poolPartition {
+				return platform.Receipt{}, fault.New(fault.Config{Kind: fault.Overloaded})
+			}
+		}
+		err := path.table.apply(transaction)
+		return platform.Receipt{Version: path.table.version, Now: path.table.now}, err
 	case refuses:
 		return platform.Receipt{}, fault.New(fault.Config{Kind: fault.Overloaded})
 	case silent:
@@ -128,7 +138,7 @@
 
 // Read returns the items with the prefix.
 func (path *path) Read(_ context.Context, query platform.Query) ([]platform.Item, platform.Receipt, error) {
-	if path.mode != answers {
+	if path.mode != answers && path.mode != crowded {
 		return nil, platform.Receipt{}, errLost
 	}
 	var items []platform.Item
@@ -372,10 +382,97 @@
 	}
 	fleet.quiesce()
 	left := prepaid - fleet.table.share("cooks").Charged
-	require.Greater(t, left, before/2, "at least half of what was left is still there")
+	require.Greater(t, left, before-before/5, "at least four fifths of what was left are still there")
 	require.LessOrEqual(t, left, before)
 }
 
+// TestSpendIsKnownBesideACrowdedPool is the pattern of a cut that ends while the store is slow: the
+// pool's partition turns calls away for longer than the router lives.
+func TestSpendIsKnownBesideACrowdedPool(t *testing.T) {
+	const prepaid, request = 400_000, 1_000
+	fleet := newFleet(1, 8, map[string]int64{"cooks": prepaid})
+	fleet.quiesce()
+	vm := fleet.vms[0]
+	vm.path.mode = silent
+	fleet.pass(8 * time.Second)
+	vm.step()
+	vm.path.mode = crowded
+	for range 4 {
+		vm.step()
+		vm.reserve("cooks", request)
+		fleet.settle(vm, request)
+		fleet.pass(defaultSettleInterval)
+	}
+	spent := fleet.committed("cooks")
+	fleet.start(vm)
+	fleet.quiesce()
+	require.LessOrEqual(t, fleet.table.share("cooks").Charged-spent, int64(prepaid/10))
+}
+
+// TestStopBesideACrowdedPoolCostsNothing is the pattern of a rolling restart while the store is slow:
+// what can't be given back in time is not lost.
+func TestStopBesideACrowdedPoolCostsNothing(t *testing.T) {
+	fleet := newFleet(1, 8, map[string]int64{"cooks": 100_000})
+	fleet.quiesce()
+	vm := fleet.vms[0]
+	vm.path.mode = crowded
+	vm.keeper.cancel = func() {}
+	close(vm.keeper.done)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	require.Error(t, vm.keeper.Close(ctx))
+	fleet.pass(10 * time.Second)
+	fleet.start(vm)
+	fleet.quiesce()
+	require.Zero(t, fleet.table.share("cooks").Charged)
+}
+
+// TestLeavingRouterGivesBackBeforeItStops is the pattern of a rolling restart that meets a cut: one team's
+// callers all keep to the router that stops.
+func TestLeavingRouterGivesBackBeforeItStops(t *testing.T) {
+	const prepaid, request = 1_000_000, 5_000
+	fleet := newFleet(4, 8, map[string]int64{"cooks": prepaid})
+	fleet.quiesce()
+	vm := fleet.vms[0]
+	for range 40 {
+		require.True(t, vm.ask("cooks", request))
+		fleet.settle(vm, request)
+		for _, other := range fleet.vms {
+			other.step()
+		}
+		fleet.pass(defaultSettleInterval)
+	}
+	vm.keeper.Leave()
+	vm.keeper.untilUrgent()
+	vm.step()
+	vm.path.mode = silent
+	require.LessOrEqual(t, vm.keeper.holder.unspent("cooks"), int64(prepaid/10))
+	require.True(t, vm.reserve("cooks", request))
+}
+
+// TestCutsNextRequestWaitsForThePace is the pattern of a cut's first seconds: a request that the base
+// doesn't cover waits for the pace when that is near, and is refused when it is not.
+func TestCutsNextRequestWaitsForThePace(t *testing.T) {
+	const request = 1_000
+	fleet := newFleet(1, 8, map[string]int64{"cooks": 60_000})
+	fleet.quiesce()
+	vm := fleet.vms[0]
+	vm.path.mode = silent
+	for vm.reserve("cooks", request) {
+		fleet.settle(vm, request)
+	}
+	_, soon := vm.keeper.holder.until("cooks", request, vm.local, time.Millisecond)
+	require.False(t, soon)
+	fleet.pass(earlyTime)
+	for vm.reserve("cooks", request) {
+		fleet.settle(vm, request)
+	}
+	wait, soon := vm.keeper.holder.until("cooks", request, vm.local, time.Second)
+	require.True(t, soon)
+	fleet.pass(wait)
+	require.True(t, vm.reserve("cooks", request))
+}
+
 // TestSharesServeAHotTeamThroughACut is the pattern of a cut with one hot team: every router can
 // spend its part of the budget without the table.
 func TestSharesServeAHotTeamThroughACut(t *testing.T) {
--- a/pkg/allowance/holder.go
+++ b/pkg/allowance/holder.go
@@ -99,7 +99,7 @@
 }
 
 func (published *published) bound(name string, now time.Time) int64 {
-	return published.row.Teams[name].Bound(now.Sub(published.at))
+	return published.row.Bound(name, now.Sub(published.at))
 }
 
 // Reserve sets the tokens aside if they are at hand.
@@ -136,6 +136,35 @@
 	team.spent += min(max(used, 0), reservation.Tokens)
 }
 
+// until returns how long it takes for the pace to bring the tokens, if it does
+// within the limit.
+func (holder *Holder) until(name string, tokens int64, now time.Time, limit time.Duration) (time.Duration, bool) {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	if holder.room(name, now.Add(limit)) < tokens {
+		return 0, false
+	}
+	early, late := time.Duration(0), limit
+	for late-early > time.Millisecond {
+		if middle := (early + late) / 2; holder.room(name, now.Add(middle)) < tokens {
+			early = middle
+		} else {
+			late = middle
+		}
+	}
+	return late, true
+}
+
+// low reports whether the next request of the team would have to wait for a
+// write though the holder has the tokens.
+func (holder *Holder) low(name string, now time.Time) bool {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	team := holder.team(name)
+	needed := int64(team.needed)
+	return holder.room(name, now) < needed && holder.before[name].Granted-team.charged() >= needed
+}
+
 // Started reports whether the holder's first row is in the table.
 func (holder *Holder) Started() bool {
 	holder.mutex.Lock()
@@ -170,8 +199,8 @@
 	holder.mutex.Lock()
 	defer holder.mutex.Unlock()
 	holder.before = row.Teams
-	for name, terms := range row.Teams {
-		holder.team(name).spent = terms.Bound(elapsed)
+	for name := range row.Teams {
+		holder.team(name).spent = row.Bound(name, elapsed)
 	}
 }
 
@@ -196,6 +225,8 @@
 	Expected float64
 	// Wanted is what waiting requests need at once.
 	Wanted int64
+	// Still is set when nothing more is spent.
+	Still bool
 }
 
 // plan returns a team's grant in the next row.
@@ -228,7 +259,9 @@
 		terms := Terms{
 			Granted: grant.Granted, Charged: own.Charged, Reported: grant.Reported, Demand: grant.Demand,
 		}
-		terms.Base, terms.Pace = paceOf(team, terms.Unspent(), grant.Wanted)
+		if !grant.Still {
+			terms.Base, terms.Pace = paceOf(team, terms.Unspent(), grant.Wanted)
+		}
 		row.Teams[name] = terms
 	}
 	holder.pending = append(holder.pending, published{row: row, at: now})
--- a/pkg/allowance/keeper.go
+++ b/pkg/allowance/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -31,6 +32,9 @@
 	urgentInterval = 60 * time.Millisecond
 	// exchangeWait bounds how long a request waits for an exchange.
 	exchangeWait = 200 * time.Millisecond
+	// paceWait bounds how long a request waits out of touch for its tokens: less
+	// than it takes to ask another router.
+	paceWait = 200 * time.Millisecond
 	// settleSpacing and exchangeSpacing are the least times between two holders'
 	// writes, and between two exchanges, in the whole fleet, and urgentSpacing
 	// that between two exchanges of one slice for requests that wait: the table
@@ -47,6 +51,9 @@
 	// table each, also when it is slow.
 	leastSpread    = 5 * time.Millisecond
 	greatestSpread = 30 * time.Millisecond
+	// overloadedWait is the least time before the next exchange when the pool's
+	// partition turned one away: more than a second of calls waits there.
+	overloadedWait = time.Second
 	// recentExchange is the age up to which an exchange isn't repeated for a
 	// request that it showed to be out of reach.
 	recentExchange = 250 * time.Millisecond
@@ -95,6 +102,8 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	urgent chan struct{}
+	// leaving is set when the router takes no new callers.
+	leaving atomic.Bool
 
 	// The fields below belong to the keeper's goroutine.
 	sequence uint64
@@ -108,10 +117,14 @@
 	seen     *pool
 	counted  platform.Item
 	loggedAt time.Time
+	// left is set when the exchange of a router that leaves was asked for.
+	left bool
 	// closing is set when all that is unspent goes back to the pool.
 	closing bool
-	// commitTook is how long the last commit took.
+	// commitTook is how long the last commit of a pool row took.
 	commitTook time.Duration
+	// steppedAt is the end of the last step.
+	steppedAt time.Time
 
 	mutex sync.Mutex
 	// charged are the charges of all holders by team, as of poolAt.
@@ -177,19 +190,44 @@
 		case <-timer.C:
 		case <-keeper.urgent:
 			timer.Stop()
-			if keeper.short() {
-				holders, _ := keeper.config.Holders()
-				time.Sleep(max(urgentInterval, urgentSpacing*time.Duration(min(holders, keeper.config.HoldersPerSlice))))
-				keeper.exchangeAt = time.Time{}
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(keeper.untilUrgent()):
 			}
 		}
 	}
 }
 
+// Leave gives back what the router will not need before it stops.
+func (keeper *Keeper) Leave() {
+	keeper.leaving.Store(true)
+	keeper.hurry()
+}
+
+// untilUrgent returns the time to a step for requests that wait or will have
+// to: soon for a write of the own row, later for an exchange with the pool. A
+// slow pool is left to its regular exchanges.
+func (keeper *Keeper) untilUrgent() time.Duration {
+	holders, _ := keeper.config.Holders()
+	if keeper.leaving.Load() && !keeper.left {
+		keeper.left, keeper.exchangeAt = true, time.Time{}
+		return 0
+	}
+	if keeper.short() {
+		wait := max(urgentInterval, keeper.sharing(max(urgentSpacing, keeper.commitTook)))
+		if wait <= keeper.config.SettleInterval {
+			keeper.exchangeAt = time.Time{}
+			return wait
+		}
+	}
+	return max(settleSpacing*time.Duration(holders)-keeper.config.Now().Sub(keeper.steppedAt), 0)
+}
+
 // untilNext returns the time to the next step.
 func (keeper *Keeper) untilNext() time.Duration {
 	holders, serving := keeper.config.Holders()
-	if !serving {
+	if !serving && !keeper.leaving.Load() {
 		return idleInterval
 	}
 	wait := max(keeper.config.SettleInterval, settleSpacing*time.Duration(holders))
@@ -199,6 +237,12 @@
 	return wait
 }
 
+// sharing returns the time in which each holder of a slice has one turn.
+func (keeper *Keeper) sharing(turn time.Duration) time.Duration {
+	holders, _ := keeper.config.Holders()
+	return time.Duration(int64(turn) * int64(min(holders, keeper.config.HoldersPerSlice)))
+}
+
 // short reports whether requests wait for more than the holder has; the others
 // wait only for its row.
 func (keeper *Keeper) short() bool {
@@ -214,6 +258,7 @@
 
 // step publishes once: with an exchange when one is due.
 func (keeper *Keeper) step(ctx context.Context) {
+	defer func() { keeper.steppedAt = keeper.config.Now() }()
 	prepaid := keeper.config.Prepaid()
 	if prepaid == nil {
 		return
@@ -237,17 +282,21 @@
 	if holders == 0 || keeper.config.Now().Before(keeper.exchangeAt) || !serving && keeper.unneeded() {
 		return keeper.settle(ctx)
 	}
-	var err error
 	for range exchangeTries {
-		err = keeper.exchange(ctx, prepaid)
-		if !fault.Is(err, fault.Conflict) {
-			return err
-		}
-		if keeper.uncertain {
+		err := keeper.exchange(ctx, prepaid)
+		switch {
+		case fault.Is(err, fault.Overloaded):
+			return errors.Join(keeper.yieldPool(ctx, overloadedWait+keeper.spread(holders)), err)
+		case !fault.Is(err, fault.Conflict) || keeper.uncertain:
 			return err
 		}
 	}
-	keeper.exchangeAt = keeper.config.Now().Add(keeper.spread(holders))
+	return keeper.yieldPool(ctx, keeper.spread(holders))
+}
+
+// yieldPool leaves the pool to others for a while and writes the own row alone.
+func (keeper *Keeper) yieldPool(ctx context.Context, wait time.Duration) error {
+	keeper.exchangeAt = keeper.config.Now().Add(wait)
 	return keeper.settle(ctx)
 }
 
@@ -316,7 +365,7 @@
 func (keeper *Keeper) logAdoption(row Row, elapsed time.Duration) {
 	for name, terms := range row.Teams {
 		_ = keeper.config.Logger.Log("event", "budget_adopted", "team", name, "predecessor", row.Process,
-			"granted", terms.Granted, "charged", terms.Charged, "lost", terms.Bound(elapsed)-terms.Charged, "elapsed", elapsed)
+			"granted", terms.Granted, "charged", terms.Charged, "lost", row.Bound(name, elapsed)-terms.Charged, "elapsed", elapsed)
 	}
 }
 
@@ -356,7 +405,10 @@
 	keeper.sequence++
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
-	return Row{Process: keeper.config.Process, Sequence: keeper.sequence, Stamp: keeper.clock + now.Sub(keeper.clockAt)}
+	return Row{
+		Process: keeper.config.Process, Sequence: keeper.sequence, Stamp: keeper.clock + now.Sub(keeper.clockAt),
+		Early: earlyTime, EarlyPart: earlyFactor / paceFactor,
+	}
 }
 
 func condition(version uint64) platform.Condition {
@@ -378,7 +430,9 @@
 	defer cancel()
 	begun := keeper.config.Now()
 	receipt, err := keeper.config.Table.Commit(ctx, transaction)
-	keeper.commitTook = keeper.config.Now().Sub(begun)
+	if len(slices) > 0 {
+		keeper.commitTook = keeper.config.Now().Sub(begun)
+	}
 	switch {
 	case err == nil:
 		keeper.version = receipt.Version
@@ -442,7 +496,8 @@
 		if ctx.Err() != nil {
 			return errors.Join(err, ctx.Err())
 		}
-		time.Sleep(leastSpread)
+		holders, _ := keeper.config.Holders()
+		time.Sleep(leastSpread + keeper.spread(max(holders, 1)))
 	}
 }
 
--- a/pkg/allowance/plan.go
+++ b/pkg/allowance/plan.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// paceFactor is how many times the expected demand a holder may spend, so
-	// that a team which sends more than usual isn't held up.
-	paceFactor = 2
+	// paceFactor is how many times the expected demand a holder may spend in a
+	// cut, so that a team which sends more than usual isn't held up.
+	paceFactor = 2.5
 	// leastPaceTime and greatestPaceTime bound the time in which all that is
 	// held may be used up: below the first, a crash would lose too much of it;
 	// above the second, a cut could strand it.
@@ -13,10 +13,18 @@
 	greatestPaceTime = 20 * time.Second
 	// baseShare of what is held may be spent at once, for requests far above
 	// the mean size.
-	baseShare = 0.15
-	// baseRequests of the mean size may be spent at once in any case: with fewer, small
-	// holdings are of no use in a cut; with three, too much is lost in a crash.
-	baseRequests = 2
+	baseShare = 0.05
+	// baseRequests of the mean size may be spent at once in any case: the next
+	// one needs no write. All of it is lost in a crash.
+	baseRequests = 1.5
+	// rareTime is the mean time between two requests of a team above which it has no
+	// base of whole requests.
+	rareTime = 4 * time.Second
+	// earlyTime is the time after a row's stamp in which the pace is earlyFactor times
+	// the expected demand: about what a killed process takes to start again, so
+	// that a crash in touch costs little.
+	earlyTime   = 1500 * time.Millisecond
+	earlyFactor = 1.4
 	// priorTime is how long a budget is taken to last until demand shows.
 	priorTime = time.Minute
 	// stickiness weighs what was seen of a holder's demand against an even
@@ -28,6 +36,9 @@
 	pooledShare = 0.35
 	// wantedTime is the demand that is taken along when requests wait.
 	wantedTime = 300 * time.Millisecond
+	// leavingTime is the demand that a holder keeps which stops soon: about as
+	// long as callers still come.
+	leavingTime = 2 * time.Second
 	// slack is how far a holding may be from its target before it is changed.
 	slack = 0.1
 	// wholeRequests is how many mean requests a holding must cover; below that
@@ -39,7 +50,10 @@
 // requests that wait need some at once.
 func paceOf(team *holding, unspent, wanted int64) (base, pace int64) {
 	held := float64(max(unspent, 0))
-	atOnce := max(min(float64(team.greatest), baseShare*held), baseRequests*team.needed, float64(wanted))
+	atOnce := max(min(float64(team.greatest), baseShare*held), float64(wanted))
+	if team.demand*rareTime.Seconds() >= team.needed {
+		atOnce = max(atOnce, baseRequests*team.needed)
+	}
 	seconds := max(team.demand, team.expected) * paceFactor
 	seconds = min(max(seconds, held/greatestPaceTime.Seconds()), held/leastPaceTime.Seconds())
 	return int64(atOnce), int64(seconds)
@@ -59,6 +73,8 @@
 	// is set when this one is not among them.
 	Holders int
 	Idle    bool
+	// Leaving is set when the holder stops soon.
+	Leaving bool
 }
 
 // Remaining returns what of the budget was not charged by anybody.
@@ -92,6 +108,9 @@
 	remaining := max(position.Remaining(), 0)
 	part := position.part(float64(remaining))
 	wanted := float64(remaining) * part * (1 - pooledShare)
+	if position.Leaving {
+		wanted = min(wanted, position.Demand*leavingTime.Seconds())
+	}
 	if wanted < wholeRequests*position.Mean && position.Holders > 1 {
 		wanted = 0
 	}
--- a/pkg/allowance/reserve.go
+++ b/pkg/allowance/reserve.go
@@ -43,10 +43,13 @@
 
 func (keeper *Keeper) reserve(ctx context.Context, team string, tokens int64) (Reservation, Shortage) {
 	if reservation, ok := keeper.holder.Reserve(team, tokens, keeper.config.Now()); ok {
+		if keeper.holder.low(team, keeper.config.Now()) {
+			keeper.hurry()
+		}
 		return reservation, ""
 	}
 	if !keeper.inTouch() {
-		return Reservation{}, OutOfTouch
+		return keeper.awaitPace(ctx, team, tokens)
 	}
 	if keeper.knownShort(team, tokens) {
 		return Reservation{}, Exhausted
@@ -57,7 +60,7 @@
 	select {
 	case <-exchanged:
 	case <-timer.C:
-		return Reservation{}, OutOfTouch
+		return keeper.awaitPace(ctx, team, tokens)
 	case <-ctx.Done():
 		return Reservation{}, OutOfTouch
 	}
@@ -70,16 +73,37 @@
 	return Reservation{}, Elsewhere
 }
 
+// awaitPace waits a short time for tokens that the table isn't needed for.
+func (keeper *Keeper) awaitPace(ctx context.Context, team string, tokens int64) (Reservation, Shortage) {
+	wait, soon := keeper.holder.until(team, tokens, keeper.config.Now(), paceWait)
+	if !soon {
+		return Reservation{}, OutOfTouch
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	if reservation, ok := keeper.holder.Retry(team, tokens, keeper.config.Now()); ok {
+		return reservation, ""
+	}
+	return Reservation{}, OutOfTouch
+}
+
 // want asks for an exchange and returns what is closed at its end.
 func (keeper *Keeper) want(team string, tokens int64) <-chan struct{} {
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
 	keeper.wanted[team] += tokens
+	keeper.hurry()
+	return keeper.exchanged
+}
+
+// hurry asks for a step before the next one is due.
+func (keeper *Keeper) hurry() {
 	select {
 	case keeper.urgent <- struct{}{}:
 	default:
 	}
-	return keeper.exchanged
 }
 
 func (keeper *Keeper) inTouch() bool {
--- a/pkg/allowance/row.go
+++ b/pkg/allowance/row.go
@@ -3,7 +3,8 @@
 //
 // A holder has tokens granted out of the pool. It publishes a pace with
 // them: at most charged + base + pace x (time since the stamp) is spent or
-// reserved. The holder keeps to that on its own steady clock. The process that
+// reserved. The pace is low at first: in touch the stamp is renewed all the time,
+// and a holder that has used its base writes at once. The holder keeps to that on its own steady clock. The process that
 // starts next under the same name knows that its predecessor is dead, so what
 // lies above the pace's bound at its own start is free again.
 //
@@ -29,7 +30,7 @@
 	Charged int64 `json:"c"`
 	// Base may be spent at once on top of Charged.
 	Base int64 `json:"b,omitempty"`
-	// Pace is what may be spent in a second on top of that.
+	// Pace is what may be spent in a second on top of that; see Row.Early.
 	Pace int64 `json:"p,omitempty"`
 	// Reported is the part of Charged that the pool row has.
 	Reported int64 `json:"r"`
@@ -37,14 +38,6 @@
 	Demand int64 `json:"d,omitempty"`
 }
 
-// Bound returns the most that can have been charged when the time has passed
-// since the stamp.
-func (terms Terms) Bound(elapsed time.Duration) int64 {
-	elapsed = max(elapsed, 0)
-	paced := terms.Charged + terms.Base + int64(float64(terms.Pace)*elapsed.Seconds())
-	return min(terms.Granted, paced)
-}
-
 // Unspent returns what was granted and not charged.
 func (terms Terms) Unspent() int64 { return terms.Granted - terms.Charged }
 
@@ -56,10 +49,23 @@
 	Sequence uint64 `json:"sequence"`
 	// Stamp is at or before the platform's time at which the charges were taken.
 	Stamp time.Duration `json:"stamp"`
+	// Early is the time after the stamp in which only the part EarlyPart of the
+	// pace may be spent.
+	Early     time.Duration `json:"early"`
+	EarlyPart float64       `json:"early_part"`
 	// Teams holds the terms by the team's name.
 	Teams map[string]Terms `json:"teams"`
 }
 
+// Bound returns the most that can have been charged to a team when the time
+// has passed since the stamp.
+func (row Row) Bound(name string, elapsed time.Duration) int64 {
+	terms := row.Teams[name]
+	early := min(max(elapsed, 0), row.Early)
+	paced := early.Seconds()*row.EarlyPart + (max(elapsed, 0) - early).Seconds()
+	return min(terms.Granted, terms.Charged+terms.Base+int64(float64(terms.Pace)*paced))
+}
+
 func decode[T any](value []byte) (T, error) {
 	var decoded T
 	if len(value) == 0 {
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -80,7 +81,8 @@
 }
 
 // closeAfterPanic closes the connection of a handler that panicked: no answer
-// follows. nbio recovers from the panic and logs it.
+// follows. nbio recovers from the panic and logs it with its stack, which is of
+// no use when the handler ended an answer on purpose.
 func (current *inFlight) closeAfterPanic() {
 	cause := recover()
 	if cause == nil {
@@ -89,7 +91,9 @@
 	if current.connection != nil {
 		_ = current.connection.Close()
 	}
-	panic(cause)
+	if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		panic(cause)
+	}
 }
 
 // errCallerGone is the cause of the context of a request whose caller closed
