--- a/pkg/router/control.go
+++ b/pkg/router/control.go
@@ -24,7 +24,7 @@
 
 // controlServer serves peers or operators.
 type controlServer struct {
-	engine *nbhttp.Engine
+	engine *httpEngine
 }
 
 func newControlServer(name, address string, handler http.Handler) (*controlServer, error) {
@@ -47,7 +47,7 @@
 }
 
 func (control *controlServer) close(context.Context) {
-	control.engine.Stop()
+	control.engine.stop()
 }
 
 // background runs periodic work on one goroutine.
--- a/pkg/router/engine.go
+++ b/pkg/router/engine.go
@@ -3,6 +3,7 @@
 // Engines of nbio: how they are made, and where they log.
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -17,8 +18,78 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 )
 
+// httpEngine is an HTTP engine with its listener.
+type httpEngine struct {
+	*nbhttp.Engine
+	gate *acceptGate
+}
+
+// stop ends the engine and closes its connections. nbio waits for all of them
+// at its end but closes only those that it knows at the begin, so no more may be
+// accepted before.
+func (engine *httpEngine) stop() {
+	engine.gate.shut()
+	engine.Stop()
+}
+
+// acceptGate is a listener that can be shut before its engine stops.
+type acceptGate struct {
+	net.Listener
+	// closing is closed when no more is to be accepted, idle once the last
+	// connection is in the engine's hands, and closed when the engine stops.
+	closing, idle, closed chan struct{}
+	closeOnce             sync.Once
+	idleOnce              sync.Once
+}
+
+func newAcceptGate(listener net.Listener) *acceptGate {
+	return &acceptGate{
+		Listener: listener, closing: make(chan struct{}), idle: make(chan struct{}), closed: make(chan struct{}),
+	}
+}
+
+// Accept returns the next connection. Once the gate is shut it returns only
+// when the engine stops: the engine would call it again and again.
+func (acceptGate *acceptGate) Accept() (net.Conn, error) {
+	connection, err := acceptGate.Listener.Accept()
+	if err == nil {
+		return connection, nil
+	}
+	select {
+	case <-acceptGate.closing:
+		acceptGate.idleOnce.Do(func() { close(acceptGate.idle) })
+		<-acceptGate.closed
+	default:
+	}
+	return nil, err
+}
+
+func (acceptGate *acceptGate) shut() {
+	close(acceptGate.closing)
+	_ = acceptGate.Listener.Close() // it is listening, or was closed by the engine
+	<-acceptGate.idle
+}
+
+// Close is what the engine calls when it stops.
+func (acceptGate *acceptGate) Close() error {
+	acceptGate.closeOnce.Do(func() { close(acceptGate.closed) })
+	if err := acceptGate.Listener.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
 // startEngine starts an HTTP engine.
-func startEngine(config nbhttp.Config) (*nbhttp.Engine, error) {
+func startEngine(config nbhttp.Config) (*httpEngine, error) {
+	var gate *acceptGate
+	config.Listen = func(network, address string) (net.Listener, error) {
+		listener, err := net.Listen(network, address)
+		if err != nil {
+			return nil, err
+		}
+		gate = newAcceptGate(listener)
+		return gate, nil
+	}
 	engine := nbhttp.NewEngine(config)
 	orderAcceptBeforeRead(engine)
 	if err := engine.Start(); err != nil {
@@ -29,7 +100,7 @@
 			Cause:   err,
 		})
 	}
-	return engine, nil
+	return &httpEngine{Engine: engine, gate: gate}, nil
 }
 
 // orderAcceptBeforeRead makes the accepting of a connection happen before its
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -62,7 +62,7 @@
 // Server is an HTTP server for callers.
 type Server struct {
 	config    ServerConfig
-	engine    *nbhttp.Engine
+	engine    *httpEngine
 	mutex     sync.Mutex
 	exchanges map[*inFlight]struct{}
 	// closing holds the connections with a last answer and when it was
@@ -227,7 +227,7 @@
 	server.stopOnce.Do(func() {
 		close(server.stop)
 		server.swept.Wait()
-		server.engine.Stop()
+		server.engine.stop()
 	})
 }
 
--- a/pkg/router/server_test.go
+++ b/pkg/router/server_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -123,6 +124,54 @@
 	require.EqualValues(t, 1, runs.Load())
 }
 
+// Callers that connect at the moment of the end and stay don't hold it up.
+func TestAbortEndsWhileCallersConnect(t *testing.T) {
+	const rounds, callers = 20, 8
+	for range rounds {
+		server, err := NewServer(ServerConfig{
+			Address:         "127.0.0.1:0",
+			Handler:         http.NotFoundHandler(),
+			MaxConnections:  1 << 10,
+			MaxBodyBytes:    1 << 10,
+			MaxHeaderBytes:  1 << 10,
+			MaxWriteBytes:   1 << 10,
+			MaxRequests:     8,
+			LongestDeadline: time.Minute,
+		})
+		require.NoError(t, err)
+		stop := make(chan struct{})
+		var group sync.WaitGroup
+		for range callers {
+			group.Go(func() {
+				for {
+					connection, err := net.Dial("tcp", server.Address())
+					if err == nil {
+						defer connection.Close()
+					}
+					select {
+					case <-stop:
+						return
+					default:
+					}
+				}
+			})
+		}
+		time.Sleep(5 * time.Millisecond)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			server.Abort()
+		}()
+		select {
+		case <-ended:
+		case <-time.After(5 * time.Second):
+			t.Error("the server did not end")
+		}
+		close(stop)
+		group.Wait()
+	}
+}
+
 // A caller that asks for the connection's end gets its answer, whatever
 // connections come and go beside it.
 func TestCallersThatCloseGetTheirAnswers(t *testing.T) {
