Give each slice of the pool a partition, and slow holders a turn

All slices lay in one partition, which makes one change after the other, 68 routers shared few slices, and a router on a full 10 Mbit/s link (edge-gislaved-15, with all callers of one team) never had its turn after a restart: each of its commits met a change by others.

Now a slice is a partition with three holders, read in parallel and then used as last seen for one interval; a try after a conflict takes from fewer slices. TestSlowHolderGetsItsTurn fails with 15 holders a slice. 402 is said from a read of the pool up to one second old (a quarter before): requests that waited for an exchange that didn't end were told to come back to a spent budget.

--- a/pkg/allowance/exchange.go
+++ b/pkg/allowance/exchange.go
@@ -8,8 +8,9 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
-// exchange reads the pool and changes the grants to their targets.
-func (keeper *Keeper) exchange(ctx context.Context, prepaid map[string]int64) error {
+// exchange reads the pool and changes the grants to their targets, with tokens
+// of at most so many slices beside the own one.
+func (keeper *Keeper) exchange(ctx context.Context, prepaid map[string]int64, donors int) error {
 	seen, err := keeper.readPool(ctx)
 	if err != nil {
 		return err
@@ -21,8 +22,9 @@
 	wanted := keeper.waiting()
 	var writes []platform.Write
 	if !keeper.closing {
-		writes = seen.gather(prepaid, wanted)
+		writes = seen.gather(prepaid, wanted, donors)
 	}
+	defer func() { keeper.exchangedAt = keeper.config.Now() }()
 	keeper.holder.know(prepaid)
 	row := keeper.holder.draft(keeper.row(now), keeper.planner(prepaid, wanted, seen), now)
 	writes = append(writes, seen.write(seen.own))
@@ -32,9 +34,12 @@
 	}
 	seen.written(writes, keeper.version)
 	seen.fresh = true
+	if len(seen.slices) == 1 {
+		seen.readAt = now // the condition on its row has shown that it was up to date
+	}
 	holders, _ := keeper.config.Holders()
 	keeper.exchangeAt = now.Add(max(keeper.config.ExchangeInterval, exchangeSpacing*time.Duration(holders), keeper.sharing(keeper.commitTook)))
-	keeper.setPool(seen, prepaid, now)
+	keeper.setPool(seen, prepaid)
 	keeper.logHoldings(seen, prepaid, now)
 	keeper.announce()
 	return nil
@@ -60,10 +65,10 @@
 	}
 }
 
-func (keeper *Keeper) setPool(seen *pool, prepaid map[string]int64, now time.Time) {
+func (keeper *Keeper) setPool(seen *pool, prepaid map[string]int64) {
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
-	keeper.poolAt = now
+	keeper.poolAt = seen.readAt
 	keeper.charged = make(map[string]int64, len(prepaid))
 	for name := range prepaid {
 		keeper.charged[name] = seen.charged(name)
--- a/pkg/allowance/fleet_test.go
+++ b/pkg/allowance/fleet_test.go
@@ -80,7 +80,7 @@
 func (memoryTable *memoryTable) share(name string) Share {
 	total := Share{}
 	for key, item := range memoryTable.items {
-		if key.Partition != poolPartition || key.Sort == countSort {
+		if !strings.HasPrefix(key.Partition, slicePrefix) {
 			continue
 		}
 		slice, err := decode[Slice](item.Value)
@@ -105,16 +105,21 @@
 type path struct {
 	table *memoryTable
 	mode  mode
+	// before is run before a commit is applied; nil does nothing.
+	before func()
 }
 
 var errLost = fault.New(fault.Config{Kind: fault.Unavailable, Outcome: fault.OutcomeUnknown, Cause: errors.New("no answer")})
 
 // Commit applies the transaction as the mode says.
 func (path *path) Commit(_ context.Context, transaction platform.Transaction) (platform.Receipt, error) {
+	if path.before != nil {
+		path.before()
+	}
 	switch path.mode {
 	case crowded:
 		for _, write := range transaction.Writes {
-			if write.Key.Partition == poolPartition {
+			if strings.HasPrefix(write.Key.Partition, poolPartition) {
 				return platform.Receipt{}, fault.New(fault.Config{Kind: fault.Overloaded})
 			}
 		}
@@ -279,7 +284,7 @@
 func (fleet *fleet) granted(t require.TestingT, team string) int64 {
 	total := int64(0)
 	for key, item := range fleet.table.items {
-		if key.Partition == poolPartition {
+		if strings.HasPrefix(key.Partition, poolPartition) {
 			continue
 		}
 		row, err := decode[Row](item.Value)
@@ -508,12 +513,10 @@
 		first.step()
 		fleet.pass(time.Second)
 	}
-	stale, err := newPool([]platform.Item{
-		fleet.table.items[platform.Key{Partition: poolPartition, Sort: countSort}], fleet.table.items[sliceKey(0)],
-	}, second.name)
+	stale, err := newPool([]platform.Item{fleet.table.items[sliceKey(0)]}, second.name)
 	require.NoError(t, err)
 	stale.items[0].Version-- // as it was before the first holder's exchange
-	second.keeper.seen, second.keeper.counted = stale, fleet.table.items[platform.Key{Partition: poolPartition, Sort: countSort}]
+	second.keeper.seen = stale
 	second.step()
 	require.True(t, second.keeper.holder.Started())
 }
@@ -555,3 +558,27 @@
 	require.Less(t, row.Teams["cooks"].Granted, int64(10_000), "the row that gives back is in the table")
 	require.LessOrEqual(t, vm.keeper.holder.team("cooks").charged(), row.Teams["cooks"].Granted)
 }
+
+// TestSlowHolderGetsItsTurn is the pattern of a small VM whose link is full, in a large fleet: its calls
+// take longer than the others need for a change of the pool.
+func TestSlowHolderGetsItsTurn(t *testing.T) {
+	fleet := newFleet(30, 0, map[string]int64{"cooks": 10_000_000})
+	fleet.quiesce()
+	slow := fleet.vms[0]
+	slow.keeper.want("cooks", 400_000)
+	turns := 0
+	for slow.keeper.holder.unspent("cooks") < 400_000 {
+		turns++
+		require.Less(t, turns, 40, "one of the slow holder's exchanges succeeds")
+		slow.keeper.exchangeAt = time.Time{}
+		slow.path.before = func() {
+			for i := range 10 { // a third of the others meanwhile
+				vm := fleet.vms[1+(turns*7+i)%29]
+				vm.keeper.exchangeAt = time.Time{}
+				vm.step()
+			}
+		}
+		slow.step()
+		fleet.pass(defaultExchangeInterval)
+	}
+}
--- a/pkg/allowance/keeper.go
+++ b/pkg/allowance/keeper.go
@@ -31,7 +31,7 @@
 	// urgentInterval is the least time between two exchanges for waiting requests.
 	urgentInterval = 60 * time.Millisecond
 	// exchangeWait bounds how long a request waits for an exchange.
-	exchangeWait = 200 * time.Millisecond
+	exchangeWait = 250 * time.Millisecond
 	// paceWait bounds how long a request waits out of touch for its tokens: less
 	// than it takes to ask another router.
 	paceWait = 200 * time.Millisecond
@@ -43,9 +43,6 @@
 	settleSpacing   = 3 * time.Millisecond
 	exchangeSpacing = 15 * time.Millisecond
 	urgentSpacing   = 8 * time.Millisecond
-	// exchangeTries is how often an exchange is tried at once: the first time
-	// with the pool row as last seen, then with the row that the conflict showed.
-	exchangeTries = 2
 	// leastSpread and greatestSpread times the holders bound the time over which
 	// those that met a conflict spread their next exchanges: one call of the
 	// table each, also when it is slow.
@@ -54,15 +51,21 @@
 	// overloadedWait is the least time before the next exchange when the pool's
 	// partition turned one away: more than a second of calls waits there.
 	overloadedWait = time.Second
-	// recentExchange is the age up to which an exchange isn't repeated for a
-	// request that it showed to be out of reach.
-	recentExchange = 250 * time.Millisecond
+	// recentRead is the age up to which the pool isn't read again for a request
+	// that it showed to be out of reach: charges only grow, but for what was
+	// reserved for requests that end meanwhile.
+	recentRead = time.Second
 	// holdingsInterval is the time between two log lines on what is held.
 	holdingsInterval = 2 * time.Second
 	// freshness is the age up to which the pool row counts as just read.
 	freshness = time.Second
 )
 
+// donorsOfTries are the greatest numbers of slices that the tries of one exchange
+// take from. Tries after the first have the rows that the conflict showed; the
+// fewer rows one changes, the fewer others it meets.
+var donorsOfTries = []int{3, 1, 0}
+
 // holderKey is the row of one holder.
 func holderKey(name string) platform.Key {
 	return platform.Key{Partition: holderPrefix + name, Sort: holderSort}
@@ -112,10 +115,10 @@
 	uncertain bool
 	// exchangeAt is when the next exchange is due.
 	exchangeAt time.Time
-	// seen is the pool as last read or written, and counted the row that says
-	// into how many slices it is split.
+	// seen is the pool as last read or written, and slices the number of slices
+	// into which it is split, zero while that is not known.
 	seen     *pool
-	counted  platform.Item
+	slices   int
 	loggedAt time.Time
 	// left is set when the exchange of a router that leaves was asked for.
 	left bool
@@ -123,8 +126,9 @@
 	closing bool
 	// commitTook is how long the last commit of a pool row took.
 	commitTook time.Duration
-	// steppedAt is the end of the last step.
-	steppedAt time.Time
+	// steppedAt is the end of the last step, and exchangedAt that of the last
+	// exchange.
+	steppedAt, exchangedAt time.Time
 
 	mutex sync.Mutex
 	// charged are the charges of all holders by team, as of poolAt.
@@ -157,9 +161,6 @@
 	if config.ExchangeInterval <= 0 {
 		config.ExchangeInterval = defaultExchangeInterval
 	}
-	if config.HoldersPerSlice <= 0 {
-		config.HoldersPerSlice = defaultHoldersPerSlice
-	}
 	if config.Gather <= 0 {
 		config.Gather = defaultGather
 	}
@@ -218,7 +219,7 @@
 		wait := max(urgentInterval, keeper.sharing(max(urgentSpacing, keeper.commitTook)))
 		if wait <= keeper.config.SettleInterval {
 			keeper.exchangeAt = time.Time{}
-			return wait
+			return max(wait-keeper.config.Now().Sub(keeper.exchangedAt), 0)
 		}
 	}
 	return max(settleSpacing*time.Duration(holders)-keeper.config.Now().Sub(keeper.steppedAt), 0)
@@ -240,7 +241,7 @@
 // sharing returns the time in which each holder of a slice has one turn.
 func (keeper *Keeper) sharing(turn time.Duration) time.Duration {
 	holders, _ := keeper.config.Holders()
-	return time.Duration(int64(turn) * int64(min(holders, keeper.config.HoldersPerSlice)))
+	return time.Duration(int64(turn) * int64(min(holders, keeper.perSlice(holders))))
 }
 
 // short reports whether requests wait for more than the holder has; the others
@@ -282,8 +283,8 @@
 	if holders == 0 || keeper.config.Now().Before(keeper.exchangeAt) || !serving && keeper.unneeded() {
 		return keeper.settle(ctx)
 	}
-	for range exchangeTries {
-		err := keeper.exchange(ctx, prepaid)
+	for _, donors := range donorsOfTries {
+		err := keeper.exchange(ctx, prepaid, donors)
 		switch {
 		case fault.Is(err, fault.Overloaded):
 			return errors.Join(keeper.yieldPool(ctx, overloadedWait+keeper.spread(holders)), err)
@@ -470,11 +471,16 @@
 	keeper.uncertain = own != keeper.version
 }
 
-// present takes in a slice as it is in the table, when it is the only one.
+// present takes in a slice as it is in the table.
 func (keeper *Keeper) present(item platform.Item) {
-	if keeper.seen != nil && len(keeper.seen.items) == 1 && item.Key == sliceKey(0) {
-		keeper.seen.items[0] = item
-		keeper.seen.fresh = true
+	if keeper.seen == nil {
+		return
+	}
+	for number := range keeper.seen.items {
+		if item.Key == sliceKey(number) {
+			keeper.seen.items[number] = item
+			keeper.seen.fresh = true
+		}
 	}
 }
 
--- a/pkg/allowance/reserve.go
+++ b/pkg/allowance/reserve.go
@@ -60,6 +60,9 @@
 	select {
 	case <-exchanged:
 	case <-timer.C:
+		if keeper.knownShort(team, tokens) {
+			return Reservation{}, Exhausted
+		}
 		return keeper.awaitPace(ctx, team, tokens)
 	case <-ctx.Done():
 		return Reservation{}, OutOfTouch
@@ -115,7 +118,7 @@
 // knownShort reports whether the pool, read just now, can't cover the tokens.
 func (keeper *Keeper) knownShort(team string, tokens int64) bool {
 	keeper.mutex.Lock()
-	recent := keeper.config.Now().Sub(keeper.poolAt) < recentExchange
+	recent := keeper.config.Now().Sub(keeper.poolAt) < recentRead
 	keeper.mutex.Unlock()
 	return recent && keeper.remaining(team) < tokens
 }
--- a/pkg/allowance/slice.go
+++ b/pkg/allowance/slice.go
@@ -6,24 +6,30 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 	"gitlab.com/wisterialb/wisterialb/pkg/rendezvous"
 )
 
 const (
-	// poolPartition holds the slices of the pool and the row that counts them.
+	// poolPartition holds the row that says into how many slices the pool is
+	// split.
 	poolPartition = "budget-pool"
-	// countSort is the row that says into how many slices the pool is split.
-	countSort = "count"
-	// slicePrefix stands before the number of a slice.
-	slicePrefix = "slice/"
-	// defaultHoldersPerSlice bounds how many holders change one row: with more,
-	// most changes meet a conflict.
-	defaultHoldersPerSlice = 10
+	countSort     = "count"
+	// slicePrefix stands before the number of a slice. Each has a partition of its
+	// own: a partition makes one change after the other.
+	slicePrefix = "budget-pool/"
+	sliceSort   = "slice"
+	// mostOfOne is the number of holders up to which the pool is one row: they
+	// meet few conflicts and find all tokens in one place.
+	mostOfOne = 12
+	// defaultHoldersPerSlice is how many holders change one row in larger fleets.
+	// A holder on a slow link only ever gets its turn among few.
+	defaultHoldersPerSlice = 3
 	// defaultGather is how long after its start a holder waits before it splits
 	// a pool that is not there yet, so that the fleet's size is known.
 	defaultGather = 2 * time.Second
@@ -33,8 +39,6 @@
 	// moveBelow is the part of what a slice is to have below which it takes from
 	// others.
 	moveBelow = 0.8
-	// maxDonors bounds the slices that one exchange takes from.
-	maxDonors = 3
 )
 
 // Share is what a slice holds of one team.
@@ -68,25 +72,23 @@
 	own int
 	// fresh is set while the items are taken to be in the table.
 	fresh bool
+	// readAt is when all slices were read.
+	readAt time.Time
 }
 
 func sliceKey(number int) platform.Key {
-	return platform.Key{Partition: poolPartition, Sort: fmt.Sprintf("%s%04d", slicePrefix, number)}
+	return platform.Key{Partition: fmt.Sprintf("%s%04d", slicePrefix, number), Sort: sliceSort}
+}
+
+// countKey is the row that counts the slices.
+func countKey() platform.Key {
+	return platform.Key{Partition: poolPartition, Sort: countSort}
 }
 
-// newPool decodes the rows of the pool's partition; nil if they aren't counted.
+// newPool decodes the slices, in their order.
 func newPool(items []platform.Item, holder string) (*pool, error) {
-	found := make(map[platform.Key]platform.Item, len(items))
+	read := &pool{own: int(rendezvous.Hash(holder) % uint64(len(items))), fresh: true}
 	for _, item := range items {
-		found[item.Key] = item
-	}
-	count, err := decode[sliceCount](found[platform.Key{Partition: poolPartition, Sort: countSort}].Value)
-	if err != nil || count.Slices < 1 {
-		return nil, err
-	}
-	read := &pool{own: int(rendezvous.Hash(holder) % uint64(count.Slices)), fresh: true}
-	for number := range count.Slices {
-		item := found[sliceKey(number)]
 		slice, err := decode[Slice](item.Value)
 		if err != nil {
 			return nil, err
@@ -161,9 +163,9 @@
 	return max(min(lack, pool.free(number, name, prepaid), max(surplus, wanted)), 0)
 }
 
-// gather moves to the own slice what it lacks, from at most maxDonors others,
-// and returns the writes of those.
-func (pool *pool) gather(prepaid, wanted map[string]int64) []platform.Write {
+// gather moves to the own slice what it lacks, from at most so many others, and
+// returns the writes of those.
+func (pool *pool) gather(prepaid, wanted map[string]int64, most int) []platform.Write {
 	var donors []int
 	for name, limit := range prepaid {
 		lack := pool.lack(name, limit, wanted[name])
@@ -174,7 +176,7 @@
 		for _, number := range order {
 			gift := pool.gift(number, name, limit, lack, wanted[name])
 			known := slices.Contains(donors, number)
-			if gift == 0 || !known && len(donors) == maxDonors {
+			if gift == 0 || !known && len(donors) == most {
 				continue
 			}
 			if !known {
@@ -227,48 +229,80 @@
 	}
 }
 
-// readPool reads the slices, unless the only one is known. It splits a pool
-// that isn't there once the fleet had time to gather.
+// readPool reads the slices, unless they were read a short time ago; what is
+// out of date then shows as a conflict. It splits a pool that isn't there once
+// the fleet had time to gather.
 func (keeper *Keeper) readPool(ctx context.Context) (*pool, error) {
-	if known := keeper.seen; known != nil && known.fresh && len(known.slices) == 1 {
-		return newPool(append([]platform.Item{keeper.counted}, known.items...), keeper.config.Name)
+	now := keeper.config.Now()
+	if known := keeper.seen; known != nil && known.fresh && (len(known.slices) == 1 || now.Sub(known.readAt) < keeper.config.ExchangeInterval) {
+		read, err := newPool(known.items, keeper.config.Name)
+		if err == nil {
+			read.readAt = known.readAt
+		}
+		return read, err
 	}
-	items, err := keeper.readAll(ctx, platform.Query{Partition: poolPartition})
-	if err != nil {
+	if keeper.slices == 0 {
+		if err := keeper.countSlices(ctx); err != nil || keeper.slices == 0 {
+			return nil, err
+		}
+	}
+	items := make([]platform.Item, keeper.slices)
+	var reads errgroup.Group
+	for number := range items {
+		reads.Go(func() error {
+			var err error
+			items[number], err = keeper.read(ctx, sliceKey(number))
+			return err
+		})
+	}
+	if err := reads.Wait(); err != nil {
 		return nil, err
 	}
 	read, err := newPool(items, keeper.config.Name)
+	if err == nil {
+		read.readAt = now
+	}
+	return read, err
+}
+
+// countSlices reads how many slices there are, or splits the pool.
+func (keeper *Keeper) countSlices(ctx context.Context) error {
+	item, err := keeper.read(ctx, countKey())
 	if err != nil {
-		return nil, err
+		return err
 	}
-	if read != nil {
-		keeper.countedIn(items)
-		return read, nil
+	count, err := decode[sliceCount](item.Value)
+	if err != nil {
+		return err
 	}
-	if keeper.config.Now().Sub(keeper.config.Started) < keeper.config.Gather {
-		return nil, nil
+	keeper.slices = count.Slices
+	if count.Slices > 0 || keeper.config.Now().Sub(keeper.config.Started) < keeper.config.Gather {
+		return nil
 	}
-	return nil, keeper.split(ctx)
+	return keeper.split(ctx)
 }
 
-// countedIn keeps the row that counts the slices.
-func (keeper *Keeper) countedIn(items []platform.Item) {
-	for _, item := range items {
-		if !strings.HasPrefix(item.Key.Sort, slicePrefix) {
-			keeper.counted = item
-		}
+// perSlice returns how many holders share a slice.
+func (keeper *Keeper) perSlice(holders int) int {
+	switch {
+	case keeper.config.HoldersPerSlice > 0:
+		return keeper.config.HoldersPerSlice
+	case holders <= mostOfOne:
+		return mostOfOne
+	default:
+		return defaultHoldersPerSlice
 	}
 }
 
 // split writes how many slices there are, if nobody has.
 func (keeper *Keeper) split(ctx context.Context) error {
-	perSlice := keeper.config.HoldersPerSlice
 	holders, _ := keeper.config.Holders()
+	perSlice := keeper.perSlice(holders)
 	count := sliceCount{Slices: max(1, (holders+perSlice/2)/perSlice)}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := keeper.config.Table.Commit(ctx, platform.Transaction{Writes: []platform.Write{{
-		Key:       platform.Key{Partition: poolPartition, Sort: countSort},
+		Key:       countKey(),
 		Value:     encode(count),
 		Condition: platform.Condition{Kind: platform.IfAbsent},
 	}}})
@@ -282,5 +316,5 @@
 // tried again.
 func (keeper *Keeper) spread(holders int) time.Duration {
 	each := min(max(keeper.commitTook, leastSpread), greatestSpread)
-	return time.Duration(rand.Int64N(int64(each) * int64(min(holders, keeper.config.HoldersPerSlice))))
+	return time.Duration(rand.Int64N(int64(each) * int64(min(holders, keeper.perSlice(holders)))))
 }
