--- a/pkg/allowance/exchange.go
+++ b/pkg/allowance/exchange.go
@@ -19,6 +19,9 @@
 		return keeper.settle(ctx)
 	}
 	now := keeper.config.Now()
+	if seen.readAt.After(keeper.poolAt) {
+		keeper.setPool(seen, prepaid) // true also if the exchange meets a conflict
+	}
 	wanted := keeper.waiting()
 	var writes []platform.Write
 	if !keeper.closing {
--- a/pkg/allowance/keeper.go
+++ b/pkg/allowance/keeper.go
@@ -28,6 +28,8 @@
 	// callTimeout bounds one call of the table: it answers in a few
 	// milliseconds, or it is slow or gone.
 	callTimeout = 900 * time.Millisecond
+	// retryInterval is the time to the next step when a call failed.
+	retryInterval = 60 * time.Millisecond
 	// urgentInterval is the least time between two exchanges for waiting requests.
 	urgentInterval = 60 * time.Millisecond
 	// exchangeWait bounds how long a request waits for an exchange.
@@ -126,6 +128,8 @@
 	closing bool
 	// commitTook is how long the last commit of a pool row took.
 	commitTook time.Duration
+	// failed is set while the last step's calls failed.
+	failed bool
 	// steppedAt is the end of the last step, and exchangedAt that of the last
 	// exchange.
 	steppedAt, exchangedAt time.Time
@@ -232,6 +236,9 @@
 		return idleInterval
 	}
 	wait := max(keeper.config.SettleInterval, settleSpacing*time.Duration(holders))
+	if keeper.failed {
+		wait = max(retryInterval, settleSpacing*time.Duration(holders))
+	}
 	if until := keeper.exchangeAt.Sub(keeper.config.Now()); until > 0 {
 		wait = min(wait, until)
 	}
@@ -264,7 +271,9 @@
 	if prepaid == nil {
 		return
 	}
-	if err := keeper.publish(ctx, prepaid); err != nil {
+	err := keeper.publish(ctx, prepaid)
+	keeper.failed = err != nil
+	if err != nil {
 		keeper.announce()
 		_ = keeper.config.Logger.Log("event", "budget_publish_failed", "holder", keeper.config.Name, "err", err)
 	}
@@ -394,6 +403,13 @@
 	return items, nil
 }
 
+// TableAge returns the time since the table last answered.
+func (keeper *Keeper) TableAge(now time.Time) (age time.Duration, known bool) {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	return now.Sub(keeper.clockAt), !keeper.clockAt.IsZero()
+}
+
 // setClock takes in the platform's time. By the time of the answer the
 // platform's clock is ahead of it, so stamps made from it are never too late.
 func (keeper *Keeper) setClock(now time.Duration) {
