--- a/pkg/allowance/row.go
+++ b/pkg/allowance/row.go
@@ -9,9 +9,9 @@
 // lies above the pace's bound at its own start is free again.
 //
 // The flow: Holder decides in memory (holder.go) under the rules of row.go;
-// Keeper publishes (keeper.go) and exchanges with its slice of the pool
-// (exchange.go, slice.go), with the amounts of plan.go; Reserve (reserve.go) is
-// what requests call.
+// Keeper publishes (keeper.go, table.go) and exchanges with its slice of the
+// pool (exchange.go, slice.go) when schedule.go says so, with the amounts of
+// plan.go; Reserve (reserve.go) is what requests call.
 package allowance
 
 import (
--- a/pkg/allowance/slice.go
+++ b/pkg/allowance/slice.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -311,10 +310,3 @@
 	}
 	return err
 }
-
-// spread returns a random time after which an exchange that met a conflict is
-// tried again.
-func (keeper *Keeper) spread(holders int) time.Duration {
-	each := min(max(keeper.commitTook, leastSpread), greatestSpread)
-	return time.Duration(rand.Int64N(int64(each) * int64(min(holders, keeper.perSlice(holders)))))
-}
