Give back fragments that serve no request

Routers that lacked a part of a request each took what the pool had, less than one request, and kept it while they waited, so nobody had enough. Now a router that can't reach one request gives its fragment back; the next one that asks finds more.

TestTopUpIsUsedAfterACutWithAHotTeam failed before.

--- a/pkg/allowance/fleet_test.go
+++ b/pkg/allowance/fleet_test.go
@@ -582,3 +582,62 @@
 		fleet.pass(defaultExchangeInterval)
 	}
 }
+
+// serve lets each router ask for a request of the team each quarter of a
+// second, and returns how many were served.
+func (fleet *fleet) serve(rounds int, team string, request int64) int {
+	served := 0
+	for range rounds {
+		for _, vm := range fleet.vms {
+			if vm.ask(team, request) {
+				fleet.settle(vm, request)
+				served++
+			}
+			vm.step()
+		}
+		fleet.pass(defaultSettleInterval)
+	}
+	return served
+}
+
+// TestTopUpIsUsedAfterACutWithAHotTeam is the pattern of a cut of 9 s in which a hot team uses up its
+// budget, and gets more that only the routers in touch hear of.
+func TestTopUpIsUsedAfterACutWithAHotTeam(t *testing.T) {
+	const prepaid, more, request = 400_000, 200_000, 5_000
+	fleet := newFleet(8, 0, map[string]int64{"cooks": prepaid})
+	fleet.quiesce()
+	fleet.serve(8, "cooks", request)
+	for _, vm := range fleet.vms[:6] {
+		vm.path.mode = silent
+	}
+	fleet.serve(18, "cooks", request)
+	fleet.prepaid["cooks"] += more
+	fleet.serve(18, "cooks", request)
+	require.LessOrEqual(t, fleet.committed("cooks"), int64(prepaid+more))
+	fleet.quiesce()
+	before := fleet.committed("cooks")
+	fleet.serve(40, "cooks", request)
+	left := prepaid + more - before
+	require.LessOrEqual(t, fleet.committed("cooks"), int64(prepaid+more))
+	require.GreaterOrEqual(t, fleet.committed("cooks")-before, left*9/10, "nine tenths of what was left are served after the cut")
+}
+
+// TestNearlySpentBudgetOutlivesTheLossOfAllRouters is the pattern of a power failure late in a day.
+func TestNearlySpentBudgetOutlivesTheLossOfAllRouters(t *testing.T) {
+	const prepaid, request = 1_000_000, 2_000
+	fleet := newFleet(8, 0, map[string]int64{"cooks": prepaid})
+	fleet.quiesce()
+	for fleet.committed("cooks") < prepaid*85/100 {
+		fleet.serve(1, "cooks", request)
+	}
+	left := prepaid - fleet.committed("cooks")
+	fleet.pass(1200 * time.Millisecond) // the time to the start of the next processes
+	for _, vm := range fleet.vms {
+		fleet.start(vm)
+	}
+	fleet.quiesce()
+	before := fleet.committed("cooks")
+	fleet.serve(100, "cooks", request)
+	require.LessOrEqual(t, fleet.committed("cooks"), int64(prepaid))
+	require.GreaterOrEqual(t, fleet.committed("cooks")-before, left/4, "a quarter of what was left is served afterwards")
+}
--- a/pkg/allowance/plan.go
+++ b/pkg/allowance/plan.go
@@ -120,6 +120,9 @@
 	}
 	unspent := float64(position.Own.Unspent())
 	free := float64(max(position.Prepaid-position.Pool.Granted, 0))
+	if position.Holders > 1 && unspent+free < min(float64(position.Wanted), position.Mean) {
+		wanted = 0 // it would not do for one request here, but may with another holder's
+	}
 	switch {
 	case wanted < unspent*(1-slack):
 		return position.Own.Charged + int64(wanted)
--- a/pkg/router/server_test.go
+++ b/pkg/router/server_test.go
@@ -17,20 +17,27 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// A caller whose handler panicked must not wait for an answer that never comes.
-func TestAPanicClosesTheCallersConnection(t *testing.T) {
+// newTestServer returns a server that ends with the test.
+func newTestServer(t *testing.T, handler http.Handler, maxWriteBytes int) *Server {
+	t.Helper()
 	server, err := NewServer(ServerConfig{
 		Address:         "127.0.0.1:0",
-		Handler:         http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("test") }),
-		MaxConnections:  8,
+		Handler:         handler,
+		MaxConnections:  1 << 10,
 		MaxBodyBytes:    1 << 10,
 		MaxHeaderBytes:  1 << 10,
-		MaxWriteBytes:   1 << 10,
-		MaxRequests:     8,
+		MaxWriteBytes:   maxWriteBytes,
+		MaxRequests:     1 << 8,
 		LongestDeadline: time.Minute,
 	})
 	require.NoError(t, err)
 	t.Cleanup(func() { server.Shutdown(context.Background()) })
+	return server
+}
+
+// A caller whose handler panicked must not wait for an answer that never comes.
+func TestAPanicClosesTheCallersConnection(t *testing.T) {
+	server := newTestServer(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("test") }), 1<<10)
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+server.Address()+"/", http.NoBody)
@@ -46,18 +53,7 @@
 // A request whose end is not certain is not run, and nothing behind it is.
 func TestServerRefusesUncertainLengths(t *testing.T) {
 	var runs atomic.Int32
-	server, err := NewServer(ServerConfig{
-		Address:         "127.0.0.1:0",
-		Handler:         http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }),
-		MaxConnections:  8,
-		MaxBodyBytes:    1 << 10,
-		MaxHeaderBytes:  1 << 10,
-		MaxWriteBytes:   1 << 10,
-		MaxRequests:     8,
-		LongestDeadline: time.Minute,
-	})
-	require.NoError(t, err)
-	t.Cleanup(func() { server.Shutdown(context.Background()) })
+	server := newTestServer(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }), 1<<10)
 	second := "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
 	for name, request := range map[string]string{
 		"both":        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
@@ -89,21 +85,10 @@
 func TestServerClosesAfterTheLastAnswer(t *testing.T) {
 	const size = 8 << 20
 	var runs atomic.Int32
-	server, err := NewServer(ServerConfig{
-		Address: "127.0.0.1:0",
-		Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-			runs.Add(1)
-			_, _ = writer.Write(make([]byte, size))
-		}),
-		MaxConnections:  8,
-		MaxBodyBytes:    1 << 10,
-		MaxHeaderBytes:  1 << 10,
-		MaxWriteBytes:   2 * size,
-		MaxRequests:     8,
-		LongestDeadline: time.Minute,
-	})
-	require.NoError(t, err)
-	t.Cleanup(func() { server.Shutdown(context.Background()) })
+	server := newTestServer(t, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		_, _ = writer.Write(make([]byte, size))
+	}), 2*size)
 	connection, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", server.Address())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = connection.Close() })
@@ -128,17 +113,7 @@
 func TestAbortEndsWhileCallersConnect(t *testing.T) {
 	const rounds, callers = 20, 8
 	for range rounds {
-		server, err := NewServer(ServerConfig{
-			Address:         "127.0.0.1:0",
-			Handler:         http.NotFoundHandler(),
-			MaxConnections:  1 << 10,
-			MaxBodyBytes:    1 << 10,
-			MaxHeaderBytes:  1 << 10,
-			MaxWriteBytes:   1 << 10,
-			MaxRequests:     8,
-			LongestDeadline: time.Minute,
-		})
-		require.NoError(t, err)
+		server := newTestServer(t, http.NotFoundHandler(), 1<<10)
 		stop := make(chan struct{})
 		var group sync.WaitGroup
 		for range callers {
@@ -176,20 +151,9 @@
 // connections come and go beside it.
 func TestCallersThatCloseGetTheirAnswers(t *testing.T) {
 	const callers, requests = 16, 400
-	server, err := NewServer(ServerConfig{
-		Address: "127.0.0.1:0",
-		Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-			_, _ = writer.Write([]byte("answer"))
-		}),
-		MaxConnections:  1 << 10,
-		MaxBodyBytes:    1 << 10,
-		MaxHeaderBytes:  1 << 10,
-		MaxWriteBytes:   1 << 10,
-		MaxRequests:     1 << 8,
-		LongestDeadline: time.Minute,
-	})
-	require.NoError(t, err)
-	t.Cleanup(func() { server.Shutdown(context.Background()) })
+	server := newTestServer(t, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = writer.Write([]byte("answer"))
+	}), 1<<10)
 	var group errgroup.Group
 	for range callers {
 		group.Go(func() error {
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -83,8 +82,11 @@
 }
 
 func (line commandLine) one(seed uint64) (soak.Report, error) {
-	directory := filepath.Join(line.Logs, fmt.Sprint(seed))
-	if err := os.MkdirAll(directory, 0o700); err != nil {
+	if err := os.MkdirAll(line.Logs, 0o700); err != nil {
+		return soak.Report{}, err
+	}
+	directory, err := os.MkdirTemp(line.Logs, fmt.Sprintf("%d-", seed)) // its own, whatever else runs
+	if err != nil {
 		return soak.Report{}, err
 	}
 	report, err := soak.Run(soak.Config{
