--- a/pkg/allowance/exchange.go
+++ b/pkg/allowance/exchange.go
@@ -43,6 +43,7 @@
 	holders, _ := keeper.config.Holders()
 	keeper.exchangeAt = now.Add(max(keeper.config.ExchangeInterval, exchangeSpacing*time.Duration(holders), keeper.sharing(keeper.commitTook)))
 	keeper.setPool(seen, prepaid)
+	keeper.hasAsked()
 	keeper.logHoldings(seen, prepaid, now)
 	keeper.announce()
 	return nil
@@ -68,6 +69,13 @@
 	}
 }
 
+// hasAsked notes that the pool was asked for tokens and has answered.
+func (keeper *Keeper) hasAsked() {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	keeper.asked = true
+}
+
 func (keeper *Keeper) setPool(seen *pool, prepaid map[string]int64) {
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
--- a/pkg/allowance/keeper.go
+++ b/pkg/allowance/keeper.go
@@ -113,7 +113,9 @@
 	// charged are the charges of all holders by team, as of poolAt.
 	charged map[string]int64
 	poolAt  time.Time
-	clock   time.Duration
+	// asked is set once an exchange has succeeded.
+	asked bool
+	clock time.Duration
 	// clockAt is when the clock was read.
 	clockAt time.Time
 	wanted  map[string]int64
--- a/pkg/allowance/patterns_test.go
+++ b/pkg/allowance/patterns_test.go
@@ -271,3 +271,18 @@
 	require.LessOrEqual(t, fleet.committed("cooks"), int64(prepaid))
 	require.GreaterOrEqual(t, fleet.committed("cooks")-before, left/4, "a quarter of what was left is served afterwards")
 }
+
+// TestRouterIsNotReadyBeforeItsFirstExchange is the pattern of a whole fleet that starts at once: the pool
+// was read, and another router changed it first.
+func TestRouterIsNotReadyBeforeItsFirstExchange(t *testing.T) {
+	fleet := newFleet(1, 8, map[string]int64{"cooks": 100_000})
+	vm := fleet.vms[0]
+	vm.step()
+	vm.path.mode = crowded
+	fleet.pass(defaultExchangeInterval)
+	vm.step()
+	require.True(t, vm.keeper.holder.Started())
+	require.False(t, vm.keeper.Supplied())
+	fleet.quiesce()
+	require.True(t, vm.keeper.Supplied())
+}
--- a/pkg/allowance/reserve.go
+++ b/pkg/allowance/reserve.go
@@ -136,7 +136,7 @@
 // router which callers are not led to.
 func (keeper *Keeper) Supplied() bool {
 	keeper.mutex.Lock()
-	asked := !keeper.poolAt.IsZero()
+	asked := keeper.asked
 	keeper.mutex.Unlock()
 	_, serving := keeper.config.Holders()
 	return keeper.holder.Started() && (asked || !serving || keeper.holder.supplied())
--- a/pkg/budget/escrow_test.go
+++ b/pkg/budget/escrow_test.go
@@ -111,6 +111,7 @@
 			start := time.Now()
 			<-escrow.Settle(bill(reservation, 5)).Durable()
 			require.Equal(t, wait, time.Since(start))
+			synctest.Wait() // what comes while a batch ends is still written with it
 		}
 		require.NoError(t, escrow.Close(context.Background()))
 	})
--- a/pkg/router/closing.go
+++ b/pkg/router/closing.go
@@ -11,6 +11,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -26,71 +27,97 @@
 	// unsentWait is how long a caller may take to read the last answer; nbio
 	// drops what is unsent when it closes.
 	unsentWait = 10 * time.Second
+	// quietSweeps is how many sweeps in a row must find nothing unsent in the
+	// kernel. nbio holds more and hands it over when the kernel has room, which
+	// its poller does long before as many sweeps have passed.
+	quietSweeps = 10
 )
 
-// leaveClosingToCaller makes the connection's last answer say so and keeps
-// nbhttp from closing it. It reports false when an earlier answer was the last:
-// what follows it is not to be answered.
-func (server *Server) leaveClosingToCaller(connection *nbio.Conn, writer http.ResponseWriter, request *http.Request) bool {
+// closing is a connection that ends after an answer.
+type closing struct {
+	// answered is when the answer was written; zero while its request runs.
+	answered time.Time
+	// quiet counts the sweeps in a row that found nothing unsent.
+	quiet int
+}
+
+// closings are the connections of a server that end after an answer.
+type closings struct {
+	mutex       sync.Mutex
+	connections map[*nbio.Conn]*closing
+}
+
+func newClosings() *closings {
+	return &closings{connections: make(map[*nbio.Conn]*closing)}
+}
+
+// begin makes the connection's last answer say so and keeps nbhttp from closing
+// it. It reports false when an earlier answer was the last: what follows it is
+// not to be answered.
+func (closings *closings) begin(connection *nbio.Conn, writer http.ResponseWriter, request *http.Request) bool {
 	if connection == nil {
 		return true
 	}
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	if _, last := server.closing[connection]; last {
+	closings.mutex.Lock()
+	defer closings.mutex.Unlock()
+	if _, last := closings.connections[connection]; last {
 		if response, ok := writer.(*nbhttp.Response); ok {
-			_, _, _ = response.Hijack()
+			_, _, _ = response.Hijack() // only keeps nbhttp from answering
 		}
 		return false
 	}
 	if request.Close {
 		request.Close = false
 		writer.Header().Set("Connection", "close")
-		server.closing[connection] = time.Time{}
+		closings.connections[connection] = &closing{}
 	}
 	return true
 }
 
-// startClosing notes that the connection's last answer is written.
-func (server *Server) startClosing(connection *nbio.Conn, now time.Time) {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	if _, last := server.closing[connection]; last {
-		server.closing[connection] = now
+// end notes that the connection's last answer is written.
+func (closings *closings) end(connection *nbio.Conn, now time.Time) {
+	closings.mutex.Lock()
+	defer closings.mutex.Unlock()
+	if closing, last := closings.connections[connection]; last {
+		closing.answered = now
 	}
 }
 
-// sweepClosing closes the connections whose callers had time enough.
-func (server *Server) sweepClosing(now time.Time) {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	for connection, since := range server.closing {
+// sweep closes the connections whose callers had time enough.
+func (closings *closings) sweep(now time.Time) {
+	closings.mutex.Lock()
+	defer closings.mutex.Unlock()
+	for connection, closing := range closings.connections {
 		if closed, _ := connection.IsClosed(); closed {
-			delete(server.closing, connection)
+			delete(closings.connections, connection)
 			continue
 		}
-		if since.IsZero() || now.Sub(since) < closeWait {
+		waited := now.Sub(closing.answered)
+		if closing.answered.IsZero() || waited < closeWait {
 			continue
 		}
-		if now.Sub(since) >= unsentWait || !hasUnsent(connection) {
-			_ = connection.Close()
-			delete(server.closing, connection)
+		closing.quiet++
+		if hasUnsent(connection) {
+			closing.quiet = 0
+		}
+		if waited >= unsentWait || closing.quiet >= quietSweeps {
+			_ = connection.Close() // it ends either way
+			delete(closings.connections, connection)
 		}
 	}
 }
 
 // hasUnsent reports whether the kernel still holds bytes that the peer has not
-// acknowledged.
+// acknowledged. A socket that can't be asked is taken to hold some, until
+// unsentWait has passed.
 func hasUnsent(connection *nbio.Conn) bool {
 	raw, err := connection.SyscallConn()
 	if err != nil {
-		return false
-	}
-	unsent := 0
-	if err := raw.Control(func(descriptor uintptr) {
-		unsent, err = unix.IoctlGetInt(int(descriptor), syscall.TIOCOUTQ)
-	}); err != nil {
-		return false
+		return true
 	}
-	return err == nil && unsent > 0
+	unsent, askErr := 0, error(nil)
+	err = raw.Control(func(descriptor uintptr) {
+		unsent, askErr = unix.IoctlGetInt(int(descriptor), syscall.TIOCOUTQ)
+	})
+	return err != nil || askErr != nil || unsent > 0
 }
--- a/pkg/router/control.go
+++ b/pkg/router/control.go
@@ -25,14 +25,22 @@
 // controlServer serves peers or operators.
 type controlServer struct {
 	engine *httpEngine
+	sweeps *background
 }
 
 func newControlServer(name, address string, handler http.Handler) (*controlServer, error) {
+	closings := newClosings()
 	engine, err := startEngine(nbhttp.Config{
-		Name:                   name,
-		Network:                "tcp",
-		Addrs:                  []string{address},
-		Handler:                handler,
+		Name:    name,
+		Network: "tcp",
+		Addrs:   []string{address},
+		Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			connection := connectionOf(writer)
+			if closings.begin(connection, writer, request) {
+				defer func() { closings.end(connection, time.Now()) }()
+				handler.ServeHTTP(&pieceWriter{ResponseWriter: writer}, request)
+			}
+		}),
 		MaxLoad:                maxControlConnections,
 		MaxHTTPBodySize:        maxControlBodyBytes,
 		ReadLimit:              maxControlBodyBytes * 2,
@@ -43,10 +51,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &controlServer{engine: engine}, nil
+	sweeps := newBackground(sweepInterval, func(context.Context) { closings.sweep(time.Now()) })
+	return &controlServer{engine: engine, sweeps: sweeps}, nil
 }
 
 func (control *controlServer) close(context.Context) {
+	control.sweeps.stop()
 	control.engine.stop()
 }
 
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -65,13 +65,11 @@
 	engine    *httpEngine
 	mutex     sync.Mutex
 	exchanges map[*inFlight]struct{}
-	// closing holds the connections with a last answer and when it was
-	// written; zero while its request runs.
-	closing  map[*nbio.Conn]time.Time
-	idle     chan struct{}
-	stop     chan struct{}
-	stopOnce sync.Once
-	swept    sync.WaitGroup
+	closings  *closings
+	idle      chan struct{}
+	stop      chan struct{}
+	stopOnce  sync.Once
+	swept     sync.WaitGroup
 }
 
 // inFlight is one running request and the connection it came on.
@@ -121,7 +119,7 @@
 	server := &Server{
 		config:    config,
 		exchanges: make(map[*inFlight]struct{}),
-		closing:   make(map[*nbio.Conn]time.Time),
+		closings:  newClosings(),
 		stop:      make(chan struct{}),
 	}
 	engine, err := startEngine(nbhttp.Config{
@@ -150,7 +148,7 @@
 				return
 			case now := <-ticker.C:
 				server.sweep()
-				server.sweepClosing(now)
+				server.closings.sweep(now)
 			}
 		}
 	})
@@ -169,12 +167,12 @@
 	current := &inFlight{connection: connectionOf(writer), cancel: cancel}
 	ambiguous := hasTwoLengths(request)
 	request.Close = request.Close || ambiguous
-	if !server.leaveClosingToCaller(current.connection, writer, request) {
+	if !server.closings.begin(current.connection, writer, request) {
 		return
 	}
 	server.add(current)
 	defer server.remove(current)
-	defer func() { server.startClosing(current.connection, time.Now()) }()
+	defer func() { server.closings.end(current.connection, time.Now()) }()
 	defer current.closeAfterPanic()
 	if ambiguous {
 		respondError(writer, errTwoLengths)
@@ -184,7 +182,7 @@
 		respondError(writer, headerTooLarge(server.config.MaxHeaderBytes))
 		return
 	}
-	server.config.Handler.ServeHTTP(writer, request.WithContext(ctx))
+	server.config.Handler.ServeHTTP(&pieceWriter{ResponseWriter: writer}, request.WithContext(ctx))
 }
 
 // Running returns how many requests are running.
--- a/pkg/router/server_test.go
+++ b/pkg/router/server_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -109,6 +111,55 @@
 	require.EqualValues(t, 1, runs.Load())
 }
 
+// Large answers without a stated length arrive whole and unmixed, also when
+// their callers read late.
+func TestLargeAnswersArriveWhole(t *testing.T) {
+	const callers, size = 6, 8 << 20
+	server := newTestServer(t, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		for piece := range 2 * (size >> 16) { // of 64 KiB, and smaller ones that add up
+			length := 1 << 16
+			if piece%2 == 1 {
+				length = 20_000
+			}
+			_, _ = writer.Write(bytes.Repeat([]byte(request.URL.Path[1:]), length))
+		}
+	}), 4*size)
+	var group errgroup.Group
+	for number := range callers {
+		group.Go(func() error {
+			letter := string(rune('a' + number))
+			connection, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", server.Address())
+			if err != nil {
+				return err
+			}
+			defer connection.Close()
+			reader := bufio.NewReader(connection)
+			for range 2 {
+				if _, err := io.WriteString(connection, "GET /"+letter+" HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+					return err
+				}
+				time.Sleep(50 * time.Millisecond)
+				if err := connection.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+					return err
+				}
+				response, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					return err
+				}
+				body, err := io.ReadAll(response.Body)
+				if err != nil {
+					return err
+				}
+				if want := (size >> 16) * (1<<16 + 20_000); len(body) != want || strings.Trim(string(body), letter) != "" {
+					return fmt.Errorf("%d of %d bytes, or bytes of another answer", len(body), want)
+				}
+			}
+			return nil
+		})
+	}
+	require.NoError(t, group.Wait())
+}
+
 // Callers that connect at the moment of the end and stay don't hold it up.
 func TestAbortEndsWhileCallersConnect(t *testing.T) {
 	const rounds, callers = 20, 8
@@ -150,16 +201,32 @@
 // A caller that asks for the connection's end gets its answer, whatever
 // connections come and go beside it.
 func TestCallersThatCloseGetTheirAnswers(t *testing.T) {
+	server := newTestServer(t, http.HandlerFunc(answer), 1<<10)
+	closeAfterEach(t, server.Address())
+}
+
+// The same holds for operators and readers of metrics.
+func TestOperatorsThatCloseGetTheirAnswers(t *testing.T) {
+	control, err := newControlServer("test", "127.0.0.1:0", http.HandlerFunc(answer))
+	require.NoError(t, err)
+	t.Cleanup(func() { control.close(context.Background()) })
+	closeAfterEach(t, control.engine.Addrs[0])
+}
+
+func answer(writer http.ResponseWriter, _ *http.Request) {
+	_, _ = writer.Write([]byte("answer"))
+}
+
+// closeAfterEach lets many callers send requests and close after each.
+func closeAfterEach(t *testing.T, address string) {
+	t.Helper()
 	const callers, requests = 16, 400
-	server := newTestServer(t, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-		_, _ = writer.Write([]byte("answer"))
-	}), 1<<10)
 	var group errgroup.Group
 	for range callers {
 		group.Go(func() error {
 			transport := &http.Transport{DisableKeepAlives: true}
 			for range requests {
-				request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+server.Address()+"/", http.NoBody)
+				request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+"/", http.NoBody)
 				if err != nil {
 					return err
 				}
