Turn callers away while the router's own link is overloaded

Cause: the callers of one team keep to a router with a 10 Mbit/s link that they aren't directed to. A burst fills the link's queue. Everything waits there, the polls of the store included: that router saw two registrations 4.4 and 5.5 s late. It went on accepting, and failed requests came back as retries, so that the queue stayed full after the burst.

Change: pkg/congestion takes the setup times of connections to upstreams, which need no work there, as the measure. Both request paths do it.

--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -56,6 +56,9 @@
 	MaxIdleConnections int
 	// Dial opens connections; nil means net.Dialer with ConnectTimeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnConnect receives how long it took to open a connection, or to fail to open it;
+	// nil ignores it. It isn't called when the request ended in the meantime.
+	OnConnect func(address string, duration time.Duration, err error)
 }
 
 // Defaults of ClientConfig.
@@ -124,7 +127,11 @@
 	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			startedAt := time.Now()
 			conn, err := dial(ctx, network, address)
+			if client.config.OnConnect != nil && ctx.Err() == nil {
+				client.config.OnConnect(address, time.Since(startedAt), err)
+			}
 			if err != nil {
 				return nil, err
 			}
--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -22,6 +22,7 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/budget"
 	"gitlab.com/wisterialb/wisterialb/pkg/claim"
 	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
+	"gitlab.com/wisterialb/wisterialb/pkg/congestion"
 	"gitlab.com/wisterialb/wisterialb/pkg/dispatch"
 	"gitlab.com/wisterialb/wisterialb/pkg/entry"
 	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
@@ -80,6 +81,7 @@
 	settings     settings.Settings
 	table        platform.Table
 	peerClient   *peer.Client
+	congestion   *congestion.Monitor
 	ledger       *budget.Ledger
 	publisher    *configuration.Publisher
 }
@@ -97,6 +99,7 @@
 		routerConfig: config,
 		settings:     config.Settings,
 		table:        config.Platform.Table(),
+		congestion:   congestion.NewMonitor(congestion.Config{}),
 	}
 	builder.logger = log.With(filterLevel(config.Logger, config.Settings.LogLevel), "ts", log.DefaultTimestampUTC, "incarnation", builder.incarnation)
 	setNbioLogger(builder.logger)
@@ -215,6 +218,9 @@
 			FirstPartTimeout: builder.settings.Stall.FirstTokenTimeout,
 			GapTimeout:       builder.settings.Stall.GapTimeout,
 			Dial:             builder.routerConfig.Dial,
+			OnConnect: func(address string, duration time.Duration, err error) {
+				builder.congestion.Record(address, duration, err, time.Now())
+			},
 		},
 	})
 	builder.tracker = entry.NewTracker(entry.TrackerConfig{
@@ -258,6 +264,7 @@
 		MaxWriteBytes:  maxWriteBytes,
 		MaxRequests:    maxRequests,
 		MaxDeadline:    maxDeadline,
+		Overloaded:     func() bool { return builder.congestion.Congested(time.Now()) },
 	})
 	builder.server.Store(server)
 	return err
--- a/pkg/router/httpengine.go
+++ b/pkg/router/httpengine.go
@@ -85,12 +85,13 @@
 	return nil
 }
 
-// startHTTPEngine starts an HTTP engine. It returns fault.Unavailable if the engine
-// cannot listen on its address.
-func startHTTPEngine(config nbhttp.Config) (*httpEngine, error) {
+// startHTTPEngine starts an HTTP engine. It pauses accepting connections while
+// overloaded returns true. It returns fault.Unavailable if the engine cannot listen
+// on its address.
+func startHTTPEngine(config nbhttp.Config, overloaded func() bool) (*httpEngine, error) {
 	var stoppable *stoppableListener
 	config.Listen = func(network, address string) (net.Listener, error) {
-		listener, err := net.Listen(network, address)
+		listener, err := listen(network, address, overloaded)
 		if err != nil {
 			return nil, err
 		}
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -55,6 +55,10 @@
 	MaxRequests int
 	// MaxDeadline is the maximum time that a request may take.
 	MaxDeadline time.Duration
+	// Overloaded reports whether callers should use other routers: the server then
+	// pauses accepting connections, and closes open ones after their next answer. Nil
+	// means never.
+	Overloaded func() bool
 	// CancelTimeout is how long a shutdown waits for the answers of requests that
 	// it cancelled; zero means 5 s.
 	CancelTimeout time.Duration
@@ -125,6 +129,9 @@
 		closer:   newConnectionCloser(),
 		stop:     make(chan struct{}),
 	}
+	if server.config.Overloaded == nil {
+		server.config.Overloaded = neverOverloaded
+	}
 	httpEngine, err := startHTTPEngine(nbhttp.Config{
 		Name:                    "callers",
 		Network:                 "tcp",
@@ -137,7 +144,7 @@
 		MessageHandlerPoolSize:  config.MaxRequests,
 		KeepaliveTime:           config.MaxDeadline + idleTimeoutMargin,
 		ReleaseWebsocketPayload: true,
-	})
+	}, server.config.Overloaded)
 	if err != nil {
 		return nil, err
 	}
@@ -158,6 +165,8 @@
 	return server, nil
 }
 
+func neverOverloaded() bool { return false }
+
 // Address returns the address that the server listens on.
 func (server *Server) Address() string {
 	return server.httpEngine.Addrs[0]
@@ -170,7 +179,7 @@
 	defer cancel(nil)
 	activeRequest := &activeRequest{connection: nbioConnection(writer), cancel: cancel}
 	ambiguous := hasAmbiguousLength(request)
-	request.Close = request.Close || ambiguous
+	request.Close = request.Close || ambiguous || server.config.Overloaded()
 	if !server.closer.beginRequest(activeRequest.connection, writer, request) {
 		return
 	}
--- a/pkg/router/server_test.go
+++ b/pkg/router/server_test.go
@@ -248,3 +248,46 @@
 	}
 	require.NoError(t, group.Wait())
 }
+
+// TestOverloadedServerSendsCallersElsewhere guards against an overloaded router that
+// goes on taking requests, so that configurations and answers come late: it must
+// refuse new connections, close open ones after an answer, and accept some all the
+// same.
+func TestOverloadedServerSendsCallersElsewhere(t *testing.T) {
+	var overloaded atomic.Bool
+	server, err := NewServer(ServerConfig{
+		Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) }),
+		MaxConnections: 64, MaxBodyBytes: 1 << 10, MaxHeaderBytes: 1 << 10, MaxWriteBytes: 1 << 10, MaxRequests: 64, MaxDeadline: time.Minute,
+		Overloaded: overloaded.Load,
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { server.Shutdown(context.Background()) })
+	kept, err := net.Dial("tcp", server.Address())
+	require.NoError(t, err)
+	defer kept.Close()
+	send := func() *http.Response {
+		_, err := fmt.Fprint(kept, "GET / HTTP/1.1\r\nHost: test\r\n\r\n")
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(kept), nil)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		return response
+	}
+	require.False(t, send().Close)
+	overloaded.Store(true)
+	accepts := func() bool {
+		connection, err := net.Dial("tcp", server.Address())
+		if err != nil {
+			require.ErrorIs(t, err, syscall.ECONNREFUSED)
+			return false
+		}
+		return connection.Close() == nil
+	}
+	require.Eventually(t, func() bool { return !accepts() }, 3*time.Second, 5*time.Millisecond)
+	response := send()
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.True(t, response.Close)
+	require.Eventually(t, accepts, 3*time.Second, 5*time.Millisecond, "some callers get through")
+	overloaded.Store(false)
+	require.Eventually(t, accepts, 3*time.Second, 5*time.Millisecond)
+}
