--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -1,8 +1,8 @@
 // Package catalog holds the configuration that operators have published: routes,
 // services, teams with their API keys, and limits.
 //
-// The flow: an adapter decodes a published document into a Config; New indexes
-// it into an immutable Catalog; Match finds the route of a request, and
+// The flow: an adapter decodes a published document into a Config; Validate
+// checks it (validate.go); New indexes it into an immutable Catalog; Match finds the route of a request, and
 // Authenticate finds the team of an API key.
 package catalog
 
@@ -149,7 +149,7 @@
 	teamsByKey   map[string]Team
 }
 
-// New returns a catalog of the configuration, which isn't validated.
+// New returns a catalog of the configuration. Config.Validate checks it.
 func New(config Config) *Catalog {
 	catalog := &Catalog{
 		version:      config.Version,
