Log which upstreams crashed under which prompts

If an answer breaks off, the router now looks whether the upstream's host refuses connections, and logs upstream_crashed with the parts and whether the upstream had begun to answer.

--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -20,6 +20,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -72,6 +73,10 @@
 	defaultMaxIdleConnections = 64
 )
 
+// refusalTimeout limits the wait for a connection that only shows whether the
+// upstream still exists.
+const refusalTimeout = 200 * time.Millisecond
+
 // Sizes of the buffers of one connection, in bytes. Most events fit in the read buffer
 // and most request heads in the write buffer.
 const (
@@ -107,6 +112,9 @@
 	clientConfig.ControlTimeout = orDefault(clientConfig.ControlTimeout, defaultControlTimeout)
 	clientConfig.IdleTimeout = orDefault(clientConfig.IdleTimeout, defaultIdleTimeout)
 	clientConfig.MaxIdleConnections = orDefault(clientConfig.MaxIdleConnections, defaultMaxIdleConnections)
+	if clientConfig.Dial == nil {
+		clientConfig.Dial = (&net.Dialer{Timeout: clientConfig.ConnectTimeout}).DialContext
+	}
 	return clientConfig
 }
 
@@ -121,17 +129,9 @@
 // newTransport returns a transport whose connections record whether data of a request
 // was written to them.
 func (client *Client) newTransport() *http.Transport {
-	dial := client.config.Dial
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: client.config.ConnectTimeout}).DialContext
-	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			startedAt := time.Now()
-			conn, err := dial(ctx, network, address)
-			if client.config.OnConnect != nil && ctx.Err() == nil {
-				client.config.OnConnect(address, time.Since(startedAt), err)
-			}
+			conn, err := client.dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
@@ -145,6 +145,15 @@
 	}
 }
 
+func (client *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	startedAt := time.Now()
+	conn, err := client.config.Dial(ctx, network, address)
+	if client.config.OnConnect != nil && ctx.Err() == nil {
+		client.config.OnConnect(address, time.Since(startedAt), err)
+	}
+	return conn, err
+}
+
 // ReplaceTransport replaces the connection pool, so that no existing connection
 // gets another request. Idle connections are closed now, and those in use when
 // their answers end.
@@ -153,6 +162,19 @@
 	oldTransport.CloseIdleConnections()
 }
 
+// Refuses reports whether the upstream's host refuses connections, so that no process
+// serves its address. It is false if that isn't known within refusalTimeout.
+func (client *Client) Refuses(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	connection, err := client.dial(ctx, "tcp", client.config.Address)
+	if err == nil {
+		_ = connection.Close() // nothing was sent
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Close closes the idle connections.
 func (client *Client) Close() {
 	client.pooledTransport.Load().CloseIdleConnections()
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log"
@@ -111,6 +113,9 @@
 			return call.noUpstreamError()
 		}
 		result := call.attempt(ctx, ticket)
+		if result.brokenOff() && ctx.Err() == nil && call.relay.config.Client(ticket.Upstream).Refuses(ctx) {
+			call.recordCrash(ticket.Upstream, result)
+		}
 		ticket.End(result.upstreamResult, time.Now())
 		call.logAttempt(ticket, result)
 		if result.err == nil {
@@ -123,6 +128,22 @@
 	}
 }
 
+// recordCrash records that the upstream crashed during an attempt.
+func (call *call) recordCrash(upstream placement.Upstream, result attemptResult) {
+	_ = call.relay.config.Logger.Log("event", "upstream_crashed", "request_id", call.request.ID, "upstream", upstream.ID,
+		"started_at", upstream.StartedAt, "begun", result.begun, "events", call.delivery.eventCount,
+		"parts", partNames(call.request.PromptParts))
+}
+
+// partNames returns the IDs of prompt parts in hexadecimal, separated by commas.
+func partNames(parts []placement.PromptPart) string {
+	names := make([]string, 0, len(parts))
+	for _, part := range parts {
+		names = append(names, strconv.FormatUint(part.ID, 16))
+	}
+	return strings.Join(names, ",")
+}
+
 func (call *call) logAttempt(ticket *placement.Ticket, result attemptResult) {
 	if result.err == nil && call.attemptsArrived == 1 {
 		return // the log line of the whole request has the same information
@@ -141,6 +162,18 @@
 	mayHaveRun bool
 	// refused is set when the upstream reported that it did not run the request.
 	refused bool
+	// begun is set when the upstream had begun to answer.
+	begun bool
+}
+
+// brokenOff reports whether the upstream's connection ended before the answer was
+// complete.
+func (attemptResult attemptResult) brokenOff() bool {
+	if attemptResult.err == nil || !attemptResult.mayHaveRun {
+		return false
+	}
+	reason := exchange.ErrorOf(attemptResult.err).Reason
+	return reason == exchange.ReasonClosed || reason == exchange.ReasonTruncated
 }
 
 // attempt sends the request to the upstream and delivers the answer.
@@ -161,7 +194,9 @@
 		return refusedAttempt(answer, info)
 	}
 	call.possibleRuns++
-	return call.deliver(ctx, ticket, answer, info)
+	result := call.deliver(ctx, ticket, answer, info)
+	result.begun = true
+	return result
 }
 
 func (call *call) send(ctx context.Context, ticket *placement.Ticket) (*exchange.Answer, error) {
