Keep prompt parts that crash engines away from them

Cause: nothing remembered what a crashed engine had been doing, in no router and not between them, and a stream that broke off went on to a second engine.

Change: pkg/quarantine. Three crashes without a success near them block a part, at the entry and before each retry; while two speak against a part, its request isn't sent to another engine.

--- /dev/null
+++ b/pkg/quarantine/evaluate.go
@@ -0,0 +1,228 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// minCrashes is the number of crashes from which a part is taken for the cause.
+	minCrashes = 3
+	// crashGap separates crashes: upstreams that crash closer together have a common
+	// cause, such as a loss of power, which is no evidence against a prompt.
+	crashGap = 100 * time.Millisecond
+	// soundPeriod is how long after a success a part is taken for sound, and for how
+	// long before a crash its successes count.
+	soundPeriod = 5 * time.Second
+	// settleTime is how long a crash waits for the reports of other routers.
+	settleTime = 300 * time.Millisecond
+)
+
+// crash is the crash of one upstream with its suspects.
+type crash struct {
+	at       time.Duration
+	suspects []Suspect
+}
+
+// candidate is a part with the crashes that it may have caused.
+type candidate struct {
+	part    uint64
+	crashes []time.Duration
+	// requests counts the suspects that have the part.
+	requests int
+	// companions are the parts that all of them have.
+	companions []uint64
+}
+
+func (register *Register) scheduleEvaluation(now time.Duration) {
+	if register.evaluateAt == 0 {
+		register.evaluateAt = now + settleTime
+	}
+}
+
+func (register *Register) evaluateIfDue() {
+	now := register.config.Now()
+	if register.evaluateAt == 0 || now < register.evaluateAt {
+		return
+	}
+	register.evaluateAt = 0
+	register.forget(now)
+	register.refineRules(now)
+	for register.addNextRule(now) {
+	}
+}
+
+// addNextRule adds a rule for the part that explains the most crashes, and reports
+// whether there was one.
+func (register *Register) addNextRule(now time.Duration) bool {
+	candidates := register.candidates(now)
+	clear(register.crashCounts)
+	var best *candidate
+	for i := range candidates {
+		candidate := &candidates[i]
+		register.crashCounts[candidate.part] = len(candidate.crashes)
+		if len(candidate.crashes) >= minCrashes && (best == nil || candidate.compare(*best) > 0) {
+			best = candidate
+		}
+	}
+	if best == nil {
+		return false
+	}
+	// Parts that always come together can't be told apart yet: refineRules does it
+	// when one of them comes alone.
+	rule := Rule{Parts: []uint64{best.part}, Since: now}
+	for _, other := range candidates {
+		if other.part != best.part && len(other.crashes) >= len(best.crashes) && slices.Contains(best.companions, other.part) {
+			rule.Parts = append(rule.Parts, other.part)
+		}
+	}
+	register.addRule(rule, now)
+	return true
+}
+
+// compare orders candidates: more crashes first, then fewer requests, as the first
+// request with a deadly part ends its upstream.
+func (current candidate) compare(other candidate) int {
+	return cmp.Or(cmp.Compare(len(current.crashes), len(other.crashes)), cmp.Compare(other.requests, current.requests))
+}
+
+// candidates returns the parts that may have caused crashes which no rule
+// explains.
+func (register *Register) candidates(now time.Duration) []candidate {
+	byPart := make(map[uint64]*candidate)
+	for _, crash := range register.unexplainedCrashes(now) {
+		for _, suspect := range crash.suspects {
+			for _, part := range suspect.Parts {
+				if last, ok := register.lastSuccess(part); ok && last > crash.at-soundPeriod {
+					continue
+				}
+				found, ok := byPart[part]
+				if !ok {
+					found = &candidate{part: part, companions: suspect.Parts}
+					byPart[part] = found
+				}
+				found.requests++
+				found.companions = intersect(found.companions, suspect.Parts)
+				if count := len(found.crashes); count == 0 || crash.at-found.crashes[count-1] >= crashGap {
+					found.crashes = append(found.crashes, crash.at)
+				}
+			}
+		}
+	}
+	candidates := make([]candidate, 0, len(byPart))
+	for _, found := range byPart {
+		candidates = append(candidates, *found)
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.part, b.part) })
+	return candidates
+}
+
+// unexplainedCrashes returns the crashes, in order, that have settled and that no
+// rule explains. Once an upstream had begun to answer a suspect, those that still
+// waited there aren't the cause.
+func (register *Register) unexplainedCrashes(now time.Duration) []crash {
+	byUpstream := make(map[string]*crash)
+	for _, suspect := range register.allSuspects() {
+		found, ok := byUpstream[suspect.Upstream]
+		if !ok {
+			found = &crash{at: suspect.At}
+			byUpstream[suspect.Upstream] = found
+		}
+		found.at = min(found.at, suspect.At)
+		found.suspects = append(found.suspects, suspect)
+	}
+	var crashes []crash
+	for _, found := range byUpstream {
+		if now-found.at < settleTime {
+			register.scheduleEvaluation(now)
+			continue
+		}
+		if slices.ContainsFunc(found.suspects, func(suspect Suspect) bool { return register.matchingRule(suspect.Parts) != nil }) {
+			continue
+		}
+		if slices.ContainsFunc(found.suspects, func(suspect Suspect) bool { return suspect.Begun }) {
+			found.suspects = slices.DeleteFunc(found.suspects, func(suspect Suspect) bool { return !suspect.Begun })
+		}
+		crashes = append(crashes, *found)
+	}
+	slices.SortFunc(crashes, func(a, b crash) int { return cmp.Compare(a.at, b.at) })
+	return crashes
+}
+
+// addRule adds a rule unless another one covers it, and removes the rules that it
+// covers.
+func (register *Register) addRule(rule Rule, now time.Duration) {
+	if len(rule.Parts) == 0 || now-rule.Since > ruleLifetime || register.disproved(rule) || register.matchingRule(rule.Parts) != nil {
+		return
+	}
+	slices.Sort(rule.Parts)
+	register.rules = slices.DeleteFunc(register.rules, func(other Rule) bool { return rule.matches(other.Parts) })
+	register.rules = append(register.rules, rule)
+	register.rules = register.rules[max(len(register.rules)-maxRules, 0):]
+	_ = register.config.Logger.Log("event", "part_quarantined", "parts", Names(rule.Parts), "since", rule.Since,
+		"suspects", len(register.allSuspects()), "rules", len(register.rules))
+	register.config.OnChange()
+}
+
+// disproved reports whether each part of the rule has succeeded since the rule was
+// made.
+func (register *Register) disproved(rule Rule) bool {
+	return !slices.ContainsFunc(rule.Parts, func(part uint64) bool {
+		last, ok := register.lastSuccess(part)
+		return !ok || last <= rule.Since
+	})
+}
+
+// refineRules removes parts from rules that have succeeded without the others, or
+// without which an upstream has crashed under the others. A rule of which each
+// part has succeeded is dropped.
+func (register *Register) refineRules(now time.Duration) {
+	crashes := register.unexplainedCrashes(now)
+	rules := register.rules
+	register.rules = nil
+	for _, rule := range rules {
+		if register.disproved(rule) {
+			_ = register.config.Logger.Log("event", "part_released", "parts", Names(rule.Parts))
+			continue
+		}
+		parts := register.necessaryParts(rule, crashes)
+		if len(parts) == len(rule.Parts) {
+			register.rules = append(register.rules, rule)
+			continue
+		}
+		register.addRule(Rule{Parts: parts, Since: rule.Since}, now)
+	}
+}
+
+// necessaryParts returns the parts of the rule that can't be left out.
+func (register *Register) necessaryParts(rule Rule, crashes []crash) []uint64 {
+	parts := slices.DeleteFunc(slices.Clone(rule.Parts), func(part uint64) bool {
+		last, ok := register.lastSuccess(part)
+		return ok && last > rule.Since
+	})
+	for _, crash := range crashes {
+		if crash.at <= rule.Since || len(crash.suspects) != 1 || !crash.suspects[0].Begun {
+			continue
+		}
+		if common := intersect(parts, crash.suspects[0].Parts); len(common) > 0 {
+			parts = common
+		}
+	}
+	return parts
+}
+
+func intersect(a, b []uint64) []uint64 {
+	return slices.DeleteFunc(slices.Clone(a), func(part uint64) bool { return !slices.Contains(b, part) })
+}
+
+// Names returns the IDs of parts in hexadecimal, separated by commas.
+func Names(parts []uint64) string {
+	names := make([]string, 0, len(parts))
+	for _, part := range parts {
+		names = append(names, strconv.FormatUint(part, 16))
+	}
+	return strings.Join(names, ",")
+}
--- /dev/null
+++ b/pkg/quarantine/fleet_test.go
@@ -0,0 +1,314 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+)
+
+// The parts of the simulated prompts. The deadly one comes with a part that travels
+// with it; both kinds of request start with the same common parts.
+const (
+	deadlyPart    = 1
+	travelingPart = 2
+	commonParts   = 4
+	subjectParts  = 300
+	// learningTime is the users' bound: later than this after the fifth crash, at most
+	// maxLateRequests with the deadly part may reach engines.
+	learningTime    = 3 * time.Second
+	boundedCrashes  = 5
+	maxLateRequests = 3
+)
+
+// scenario describes the traffic and the faults of a simulated fleet.
+type scenario struct {
+	routers, engines  int
+	requestsPerSecond float64
+	// deadlyShare is the share of requests with the deadly part between deadlyFrom
+	// and the end.
+	deadlyShare float64
+	deadlyFrom  time.Duration
+	// travels is set when the traveling part also comes with sound requests.
+	travels bool
+	// ownCrashes is how many engines crash by themselves, at random times, and
+	// massCrash is set when half of them do so at the same moment.
+	ownCrashes int
+	massCrash  bool
+	// restarts is how many routers restart, at random times, without their memory.
+	restarts int
+}
+
+// engineState is a simulated engine and the requests that it runs.
+type engineState struct {
+	process   int
+	downUntil time.Duration
+	running   []*simulatedRequest
+}
+
+type simulatedRequest struct {
+	router   int
+	parts    []uint64
+	beginsAt time.Duration
+	endsAt   time.Duration
+}
+
+// fleetSimulation runs routers with a Register each that exchange reports.
+type fleetSimulation struct {
+	scenario  scenario
+	random    *rand.Rand
+	now       time.Duration
+	registers []*Register
+	// rows are the published reports, and texts their JSON form.
+	rows    []Report
+	texts   []string
+	changed []bool
+	engines []*engineState
+	// crashes counts the crashes by the deadly part; fifthCrashAt is when the fifth of
+	// them was.
+	crashes      int
+	fifthCrashAt time.Duration
+	// lateRequests counts the deadly requests sent after the learning time.
+	lateRequests int
+	// refusedSound and sound count the sound requests, and those that were refused.
+	refusedSound, sound int
+}
+
+const (
+	testSeeds      = 8
+	simulationStep = 10 * time.Millisecond
+	simulationEnd  = 40 * time.Second
+	// exchangeDelay is how long a report takes to reach the other routers.
+	exchangeDelay = 50 * time.Millisecond
+	engineDown    = 3 * time.Second
+)
+
+func (simulation *fleetSimulation) newRegister(router int) *Register {
+	return NewRegister(Config{
+		Now: func() time.Duration { return simulation.now }, Logger: log.NewNopLogger(),
+		OnChange: func() { simulation.changed[router] = true },
+	})
+}
+
+func runFleet(seed uint64, scenario scenario) *fleetSimulation {
+	simulation := &fleetSimulation{
+		scenario: scenario, random: rand.New(rand.NewPCG(seed, 7)), rows: make([]Report, scenario.routers), texts: make([]string, scenario.routers),
+		changed: make([]bool, scenario.routers), registers: make([]*Register, scenario.routers),
+	}
+	for router := range simulation.registers {
+		simulation.registers[router] = simulation.newRegister(router)
+	}
+	for range scenario.engines {
+		simulation.engines = append(simulation.engines, &engineState{})
+	}
+	events := make(map[time.Duration][]func())
+	at := func() time.Duration {
+		return time.Duration(simulation.random.Int64N(int64(simulationEnd/simulationStep))) * simulationStep
+	}
+	for range scenario.ownCrashes {
+		moment := at()
+		events[moment] = append(events[moment], func() { simulation.crash(simulation.random.IntN(scenario.engines)) })
+	}
+	if scenario.massCrash {
+		moment := at()
+		events[moment] = append(events[moment], func() {
+			for engine := range scenario.engines / 2 {
+				simulation.crash(engine)
+			}
+		})
+	}
+	for range scenario.restarts {
+		moment := at()
+		events[moment] = append(events[moment], func() { simulation.restart(simulation.random.IntN(scenario.routers)) })
+	}
+	for ; simulation.now < simulationEnd; simulation.now += simulationStep {
+		for _, event := range events[simulation.now] {
+			event()
+		}
+		simulation.step()
+	}
+	return simulation
+}
+
+func (simulation *fleetSimulation) step() {
+	for engine := range simulation.engines {
+		simulation.runEngine(engine)
+	}
+	for range simulation.arrivals() {
+		simulation.sendRequest()
+	}
+	if simulation.now%exchangeDelay == 0 {
+		simulation.exchange(simulation.now%time.Second == 0)
+	}
+}
+
+// arrivals draws the number of requests of one step.
+func (simulation *fleetSimulation) arrivals() int {
+	mean := simulation.scenario.requestsPerSecond * simulationStep.Seconds()
+	count := int(mean)
+	if simulation.random.Float64() < mean-float64(count) {
+		count++
+	}
+	return count
+}
+
+func (simulation *fleetSimulation) sendRequest() {
+	random, scenario := simulation.random, simulation.scenario
+	parts := []uint64{100 + random.Uint64N(commonParts), 1000 + random.Uint64N(subjectParts), random.Uint64()}
+	deadly := simulation.now >= scenario.deadlyFrom && random.Float64() < scenario.deadlyShare
+	switch {
+	case deadly:
+		parts = []uint64{100, travelingPart, deadlyPart, random.Uint64()}
+	case scenario.travels && random.Float64() < 0.02:
+		parts = []uint64{100, travelingPart, random.Uint64()}
+	}
+	simulation.send(random.IntN(scenario.routers), parts, deadly)
+}
+
+func (simulation *fleetSimulation) send(router int, parts []uint64, deadly bool) {
+	if !deadly {
+		simulation.sound++
+	}
+	if simulation.registers[router].Blocks(parts) {
+		if !deadly {
+			simulation.refusedSound++
+		}
+		return
+	}
+	first := simulation.random.IntN(len(simulation.engines))
+	for i := range simulation.engines {
+		engine := simulation.engines[(first+i)%len(simulation.engines)]
+		if simulation.now < engine.downUntil {
+			continue
+		}
+		if deadly && simulation.fifthCrashAt > 0 && simulation.now > simulation.fifthCrashAt+learningTime {
+			simulation.lateRequests++
+		}
+		beginsAt := simulation.now + time.Duration(50+simulation.random.IntN(400))*time.Millisecond
+		engine.running = append(engine.running, &simulatedRequest{
+			router: router, parts: parts, beginsAt: beginsAt, endsAt: beginsAt + time.Duration(200+simulation.random.IntN(800))*time.Millisecond,
+		})
+		return
+	}
+}
+
+// runEngine ends the requests that are complete, and crashes the engine when it
+// begins to answer one with the deadly part.
+func (simulation *fleetSimulation) runEngine(number int) {
+	engine := simulation.engines[number]
+	for _, request := range engine.running {
+		if request.beginsAt <= simulation.now && slices.Contains(request.parts, deadlyPart) {
+			simulation.crashes++
+			if simulation.crashes == boundedCrashes {
+				simulation.fifthCrashAt = simulation.now
+			}
+			simulation.crash(number)
+			return
+		}
+	}
+	engine.running = slices.DeleteFunc(engine.running, func(request *simulatedRequest) bool {
+		if request.endsAt > simulation.now {
+			return false
+		}
+		simulation.registers[request.router].Succeeded(request.parts)
+		return true
+	})
+}
+
+func (simulation *fleetSimulation) crash(number int) {
+	engine := simulation.engines[number]
+	if simulation.now < engine.downUntil {
+		return
+	}
+	process := fmt.Sprintf("%d/%d", number, engine.process)
+	engine.process++
+	engine.downUntil = simulation.now + engineDown
+	running := engine.running
+	engine.running = nil
+	for _, request := range running {
+		if simulation.now-request.beginsAt > 100*time.Millisecond {
+			continue // has made progress
+		}
+		register := simulation.registers[request.router]
+		register.Crashed(process, request.parts, request.beginsAt <= simulation.now)
+		if register.MayRetry(request.parts) {
+			simulation.send(request.router, request.parts, slices.Contains(request.parts, deadlyPart))
+		}
+	}
+}
+
+// exchange publishes the reports that have changed, or all, and merges them.
+func (simulation *fleetSimulation) exchange(all bool) {
+	for router, register := range simulation.registers {
+		if !all && !simulation.changed[router] {
+			continue
+		}
+		simulation.changed[router] = false
+		content, err := json.Marshal(register.Report())
+		if err != nil {
+			panic(err)
+		}
+		if text := string(content); text != simulation.texts[router] {
+			simulation.texts[router], simulation.rows[router] = text, Report{}
+			if err := json.Unmarshal(content, &simulation.rows[router]); err != nil {
+				panic(err)
+			}
+			for other := range simulation.registers {
+				if other != router {
+					simulation.merge(other, router)
+				}
+			}
+		}
+	}
+}
+
+func (simulation *fleetSimulation) merge(reader, writer int) {
+	simulation.registers[reader].Merge(fmt.Sprint(writer), simulation.rows[writer])
+}
+
+// restart replaces the register of a router by an empty one that reads all rows,
+// its predecessor's included.
+func (simulation *fleetSimulation) restart(router int) {
+	simulation.registers[router] = simulation.newRegister(router)
+	for writer := range simulation.rows {
+		simulation.merge(router, writer)
+	}
+}
+
+// TestDeadlyPartIsQuarantined guards against prompts with one deadly part that crash
+// engine after engine, at any router, and against refusing sound requests that share
+// other parts with them.
+func TestDeadlyPartIsQuarantined(t *testing.T) {
+	for name, scenario := range map[string]scenario{
+		"rare":              {routers: 9, engines: 9, requestsPerSecond: 25, deadlyShare: 0.02, deadlyFrom: 4 * time.Second},
+		"usual":             {routers: 9, engines: 9, requestsPerSecond: 25, deadlyShare: 0.05, deadlyFrom: 4 * time.Second, travels: true},
+		"frequent":          {routers: 9, engines: 9, requestsPerSecond: 25, deadlyShare: 0.4, deadlyFrom: 2 * time.Second, travels: true},
+		"from the start":    {routers: 9, engines: 9, requestsPerSecond: 25, deadlyShare: 0.2, travels: true},
+		"large fleet":       {routers: 30, engines: 60, requestsPerSecond: 150, deadlyShare: 0.05, deadlyFrom: 4 * time.Second, travels: true},
+		"engines crash too": {routers: 9, engines: 30, requestsPerSecond: 60, deadlyShare: 0.05, deadlyFrom: 4 * time.Second, ownCrashes: 30, massCrash: true, travels: true},
+		"routers restart":   {routers: 9, engines: 9, requestsPerSecond: 25, deadlyShare: 0.1, deadlyFrom: 4 * time.Second, restarts: 25, travels: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(testSeeds) {
+				simulation := runFleet(seed, scenario)
+				require.GreaterOrEqual(t, simulation.crashes, minCrashes, "seed %d: the fault did not occur", seed)
+				require.LessOrEqual(t, simulation.lateRequests, maxLateRequests, "seed %d: %d crashes", seed, simulation.crashes)
+				require.LessOrEqual(t, simulation.refusedSound, simulation.sound/100, "seed %d", seed)
+			}
+		})
+	}
+}
+
+// TestCrashesOfEnginesBlockNothing guards against sound requests that are refused
+// because their engines crashed by themselves.
+func TestCrashesOfEnginesBlockNothing(t *testing.T) {
+	for seed := range uint64(testSeeds) {
+		simulation := runFleet(seed, scenario{routers: 9, engines: 9, requestsPerSecond: 25, ownCrashes: 60, massCrash: true})
+		require.Zero(t, simulation.refusedSound, "seed %d of %d", seed, simulation.sound)
+	}
+}
--- /dev/null
+++ b/pkg/quarantine/register.go
@@ -0,0 +1,164 @@
+// Package quarantine finds the prompt parts that crash engines and keeps requests
+// with them away from engines.
+//
+// The flow: Register.Crashed gets the requests whose answers broke off when an
+// upstream crashed, and Succeeded the parts of the answers that were complete.
+// Routers exchange both as Reports (report.go): Report returns that of this
+// router, and Merge gets those of the others. Once a part was part of such
+// requests in several crashes, and of no success near them, it becomes a Rule
+// (evaluate.go). Blocks tells which requests match a rule.
+//
+// All times are those of a clock that the routers share.
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+const (
+	// maxSuccesses limits the parts whose last success is remembered.
+	maxSuccesses = 8192
+	// maxSuspects limits the suspects of one report; the newest stay.
+	maxSuspects = 64
+	// maxRules limits the rules; the newest stay.
+	maxRules = 64
+	// evidenceLifetime is how long a crash counts.
+	evidenceLifetime = time.Minute
+	// ruleLifetime is how long a part stays in quarantine. As a part is tried again
+	// only after that, and may then crash several engines, it is long.
+	ruleLifetime = 10 * time.Minute
+	// publishedSuccessAge is by how much a newer success must differ from a reported
+	// one to be reported as well.
+	publishedSuccessAge = time.Second
+)
+
+// Suspect is a request that ran at an upstream when this crashed.
+type Suspect struct {
+	// Upstream identifies the process that crashed.
+	Upstream string `json:"upstream"`
+	// At is when the router noticed the crash.
+	At time.Duration `json:"at"`
+	// Begun is set when the upstream had begun to answer.
+	Begun bool `json:"begun,omitempty"`
+	// Parts are the IDs of those parts of the prompt that other requests may share.
+	Parts []uint64 `json:"parts"`
+}
+
+// Rule says that requests with all of the parts crash engines.
+type Rule struct {
+	Parts []uint64      `json:"parts"`
+	Since time.Duration `json:"since"`
+}
+
+func (rule Rule) matches(parts []uint64) bool {
+	return !slices.ContainsFunc(rule.Parts, func(part uint64) bool { return !slices.Contains(parts, part) })
+}
+
+// Config configures a Register.
+type Config struct {
+	// Now returns the time of the shared clock.
+	Now    func() time.Duration
+	Logger log.Logger
+	// OnChange is called when Report would return something urgent; nil means never.
+	// It must not block or call the Register.
+	OnChange func()
+}
+
+// Register is one router's knowledge of crashes. It is safe for concurrent use.
+type Register struct {
+	config Config
+
+	mutex sync.Mutex
+	// successes are the times of the last successes at this router, by part.
+	successes *lru.Cache[uint64, time.Duration]
+	// suspects are those of this router.
+	suspects []Suspect
+	rules    []Rule
+	// reports are the last reports of the other routers.
+	reports map[string]Report
+	// published are the successes of the last report.
+	published map[uint64]time.Duration
+	// evaluateAt is when the evidence is next evaluated, zero if it hasn't changed.
+	evaluateAt time.Duration
+	// crashCounts are the crashes of each part that is still suspected, as of the last
+	// evaluation.
+	crashCounts map[uint64]int
+}
+
+// NewRegister returns a register without evidence.
+func NewRegister(config Config) *Register {
+	if config.OnChange == nil {
+		config.OnChange = func() {}
+	}
+	successes, err := lru.New[uint64, time.Duration](maxSuccesses)
+	if err != nil {
+		panic(err) // only for a size below one
+	}
+	return &Register{
+		config: config, successes: successes, reports: make(map[string]Report), published: make(map[uint64]time.Duration),
+		crashCounts: make(map[uint64]int),
+	}
+}
+
+// sharedParts returns all parts but the last, which no other request has.
+func sharedParts(parts []uint64) []uint64 { return parts[:max(len(parts)-1, 0)] }
+
+// Succeeded records that a request with the parts was answered completely.
+func (register *Register) Succeeded(parts []uint64) {
+	register.mutex.Lock()
+	defer register.mutex.Unlock()
+	now := register.config.Now()
+	for _, part := range sharedParts(parts) {
+		register.successes.Add(part, now)
+	}
+}
+
+// Crashed records that an upstream crashed while it ran a request with the parts.
+// It must not be called for an answer that had made progress: its request isn't
+// the cause.
+func (register *Register) Crashed(upstream string, parts []uint64, begun bool) {
+	shared := sharedParts(parts)
+	if len(shared) == 0 {
+		return
+	}
+	register.mutex.Lock()
+	now := register.config.Now()
+	register.suspects = append(register.suspects, Suspect{Upstream: upstream, At: now, Begun: begun, Parts: slices.Clone(shared)})
+	register.suspects = register.suspects[max(len(register.suspects)-maxSuspects, 0):]
+	register.scheduleEvaluation(now)
+	register.mutex.Unlock()
+	register.config.OnChange()
+}
+
+// Blocks reports whether a request with the parts would crash an engine.
+func (register *Register) Blocks(parts []uint64) bool {
+	register.mutex.Lock()
+	defer register.mutex.Unlock()
+	register.evaluateIfDue()
+	return register.matchingRule(sharedParts(parts)) != nil
+}
+
+// MayRetry reports whether a request with the parts whose answer broke off may be
+// sent to another engine. While a part is suspected, that could be the next crash.
+func (register *Register) MayRetry(parts []uint64) bool {
+	register.mutex.Lock()
+	defer register.mutex.Unlock()
+	register.evaluateIfDue()
+	shared := sharedParts(parts)
+	return register.matchingRule(shared) == nil &&
+		!slices.ContainsFunc(shared, func(part uint64) bool { return register.crashCounts[part] >= minCrashes-1 })
+}
+
+func (register *Register) matchingRule(parts []uint64) *Rule {
+	for i := range register.rules {
+		if register.rules[i].matches(parts) {
+			return &register.rules[i]
+		}
+	}
+	return nil
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/go-kit/log"
@@ -13,6 +13,7 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/placement"
+	"gitlab.com/wisterialb/wisterialb/pkg/quarantine"
 )
 
 const (
@@ -31,6 +32,12 @@
 	// unavailableRetryAfter is the Retry-After value when no upstream accepts the
 	// request.
 	unavailableRetryAfter = 250 * time.Millisecond
+	// quarantineRetryAfter is the Retry-After value of a request whose prompt crashes
+	// engines.
+	quarantineRetryAfter = 30 * time.Second
+	// maxSuspectEvents is the number of events up to which an answer that broke off
+	// counts as just begun. With more, its prompt isn't the cause of a crash.
+	maxSuspectEvents = 1
 	// maxNotRunRetries limits how often one request is sent to another upstream
 	// after an attempt that was refused or never reached the upstream.
 	maxNotRunRetries = 2
@@ -46,7 +53,9 @@
 	// Client returns the HTTP client for an upstream.
 	Client      func(upstream placement.Upstream) *exchange.Client
 	RetryBudget *RetryBudget
-	Logger      log.Logger
+	// Quarantine knows the prompt parts that crash engines.
+	Quarantine *quarantine.Register
+	Logger     log.Logger
 }
 
 // Relay forwards requests to upstreams. It is safe for concurrent use.
@@ -101,8 +110,24 @@
 	return call.result, err
 }
 
+// CheckPrompt returns an error if the request would crash the engine that runs it.
+func (relay *Relay) CheckPrompt(request Request) error {
+	if request.Service.Engine == nil || !relay.config.Quarantine.Blocks(partIDs(request.PromptParts)) {
+		return nil
+	}
+	return fault.New(fault.Config{
+		Kind:       fault.Unavailable,
+		Message:    "a part of the prompt has crashed several engines",
+		Remedy:     "change the prompt, or send the request again after the stated time",
+		RetryAfter: quarantineRetryAfter,
+	})
+}
+
 func (call *call) tryUpstreams(ctx context.Context) error {
 	for {
+		if err := call.relay.CheckPrompt(call.request); err != nil {
+			return fault.WithOutcome(err, call.outcome())
+		}
 		criteria := placement.Criteria{Parts: call.request.PromptParts, ExcludedIDs: call.triedIDs, Zone: call.relay.config.Zone}
 		ticket := call.pool.Choose(criteria, time.Now())
 		if ticket == nil {
@@ -114,11 +139,13 @@
 		}
 		result := call.attempt(ctx, ticket)
 		if result.brokenOff() && ctx.Err() == nil && call.relay.config.Client(ticket.Upstream).Refuses(ctx) {
+			result.crashed, result.upstreamResult = true, placement.Unreachable
 			call.recordCrash(ticket.Upstream, result)
 		}
 		ticket.End(result.upstreamResult, time.Now())
 		call.logAttempt(ticket, result)
 		if result.err == nil {
+			call.recordSuccess()
 			return nil
 		}
 		call.triedIDs = append(call.triedIDs, ticket.Upstream.ID)
@@ -132,16 +159,29 @@
 func (call *call) recordCrash(upstream placement.Upstream, result attemptResult) {
 	_ = call.relay.config.Logger.Log("event", "upstream_crashed", "request_id", call.request.ID, "upstream", upstream.ID,
 		"started_at", upstream.StartedAt, "begun", result.begun, "events", call.delivery.eventCount,
-		"parts", partNames(call.request.PromptParts))
+		"parts", quarantine.Names(partIDs(call.request.PromptParts)))
+	if call.request.Service.Engine != nil && result.events <= maxSuspectEvents {
+		process := upstream.ID + "/" + strconv.FormatInt(upstream.StartedAt, 10)
+		call.relay.config.Quarantine.Crashed(process, partIDs(call.request.PromptParts), result.begun)
+	}
+}
+
+// recordSuccess records that the prompt's parts did not crash the engine. A stream
+// that ends with its connection after hardly an event may have been a crash.
+func (call *call) recordSuccess() {
+	status := call.result.Status
+	succeeded := status >= http.StatusOK && status < http.StatusMultipleChoices
+	if call.request.Service.Engine != nil && succeeded && call.delivery.eventCount > maxSuspectEvents {
+		call.relay.config.Quarantine.Succeeded(partIDs(call.request.PromptParts))
+	}
 }
 
-// partNames returns the IDs of prompt parts in hexadecimal, separated by commas.
-func partNames(parts []placement.PromptPart) string {
-	names := make([]string, 0, len(parts))
+func partIDs(parts []placement.PromptPart) []uint64 {
+	ids := make([]uint64, 0, len(parts))
 	for _, part := range parts {
-		names = append(names, strconv.FormatUint(part.ID, 16))
+		ids = append(ids, part.ID)
 	}
-	return strings.Join(names, ",")
+	return ids
 }
 
 func (call *call) logAttempt(ticket *placement.Ticket, result attemptResult) {
@@ -162,8 +202,12 @@
 	mayHaveRun bool
 	// refused is set when the upstream reported that it did not run the request.
 	refused bool
-	// begun is set when the upstream had begun to answer.
-	begun bool
+	// crashed is set when the upstream crashed during the attempt.
+	crashed bool
+	// begun is set when the upstream had begun to answer, and events counts the events
+	// that it had sent.
+	begun  bool
+	events int64
 }
 
 // brokenOff reports whether the upstream's connection ended before the answer was
@@ -194,8 +238,9 @@
 		return refusedAttempt(answer, info)
 	}
 	call.possibleRuns++
+	eventsBefore := call.delivery.eventCount
 	result := call.deliver(ctx, ticket, answer, info)
-	result.begun = true
+	result.begun, result.events = true, call.delivery.eventCount-eventsBefore
 	return result
 }
 
@@ -266,6 +311,9 @@
 		call.attemptsNotRun++
 		return call.attemptsNotRun <= maxNotRunRetries && (call.possibleRuns == 0 || call.request.Route.Repeatable())
 	}
+	if result.crashed && !call.relay.config.Quarantine.MayRetry(partIDs(call.request.PromptParts)) {
+		return false
+	}
 	if errors.Is(result.err, errCallerDisconnected) || call.delivery.headerSent && !call.delivery.streaming {
 		return false
 	}
