Count crashes of a process that keeps its name

Crashes were told apart by the process that the router knew at the address. An engine that starts again under its name, or whose new entry has not been read yet, crashed only once for the register, so that a few engines never gave three crashes.

--- a/pkg/quarantine/evaluate.go
+++ b/pkg/quarantine/evaluate.go
@@ -17,6 +17,8 @@
 	// soundPeriod is how long after a success a part is taken for sound, and for how
 	// long before a crash its successes count.
 	soundPeriod = 5 * time.Second
+	// noticeTime is how long after a crash its last suspects may be noticed.
+	noticeTime = 500 * time.Millisecond
 	// settleTime is how long a crash waits for the reports of other routers.
 	settleTime = 300 * time.Millisecond
 )
@@ -124,18 +126,8 @@
 // rule explains. Once an upstream had begun to answer a suspect, those that still
 // waited there aren't the cause.
 func (register *Register) unexplainedCrashes(now time.Duration) []crash {
-	byUpstream := make(map[string]*crash)
-	for _, suspect := range register.allSuspects() {
-		found, ok := byUpstream[suspect.Upstream]
-		if !ok {
-			found = &crash{at: suspect.At}
-			byUpstream[suspect.Upstream] = found
-		}
-		found.at = min(found.at, suspect.At)
-		found.suspects = append(found.suspects, suspect)
-	}
 	var crashes []crash
-	for _, found := range byUpstream {
+	for _, found := range register.crashes() {
 		if now-found.at < settleTime {
 			register.scheduleEvaluation(now)
 			continue
@@ -148,7 +140,26 @@
 		}
 		crashes = append(crashes, *found)
 	}
-	slices.SortFunc(crashes, func(a, b crash) int { return cmp.Compare(a.at, b.at) })
+	return crashes
+}
+
+// crashes returns the crashes in order. Suspects at one upstream are of the same
+// crash if they were noticed within noticeTime: a process that starts again may
+// keep its name.
+func (register *Register) crashes() []*crash {
+	suspects := register.allSuspects()
+	slices.SortStableFunc(suspects, func(a, b Suspect) int { return cmp.Compare(a.At, b.At) })
+	var crashes []*crash
+	lastByUpstream := make(map[string]*crash)
+	for _, suspect := range suspects {
+		last, ok := lastByUpstream[suspect.Upstream]
+		if !ok || suspect.At-last.at > noticeTime {
+			last = &crash{at: suspect.At}
+			lastByUpstream[suspect.Upstream] = last
+			crashes = append(crashes, last)
+		}
+		last.suspects = append(last.suspects, suspect)
+	}
 	return crashes
 }
 
--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -40,6 +40,8 @@
 	// massCrash is set when half of them do so at the same moment.
 	ownCrashes int
 	massCrash  bool
+	// sameNames is set when an engine that starts again keeps its name.
+	sameNames bool
 	// restarts is how many routers restart, at random times, without their memory.
 	restarts int
 }
@@ -226,7 +228,9 @@
 		return
 	}
 	process := fmt.Sprintf("%d/%d", number, engine.process)
-	engine.process++
+	if !simulation.scenario.sameNames {
+		engine.process++
+	}
 	engine.downUntil = simulation.now + engineDown
 	running := engine.running
 	engine.running = nil
@@ -285,13 +289,14 @@
 // other parts with them.
 func TestDeadlyPartIsQuarantined(t *testing.T) {
 	for name, scenario := range map[string]scenario{
-		"rare":              {routers: 9, engines: 9, requestsPerSecond: 25, deadlyShare: 0.02, deadlyFrom: 4 * time.Second},
-		"usual":             {routers: 9, engines: 9, requestsPerSecond: 25, deadlyShare: 0.05, deadlyFrom: 4 * time.Second, travels: true},
-		"frequent":          {routers: 9, engines: 9, requestsPerSecond: 25, deadlyShare: 0.4, deadlyFrom: 2 * time.Second, travels: true},
-		"from the start":    {routers: 9, engines: 9, requestsPerSecond: 25, deadlyShare: 0.2, travels: true},
-		"large fleet":       {routers: 30, engines: 60, requestsPerSecond: 150, deadlyShare: 0.05, deadlyFrom: 4 * time.Second, travels: true},
-		"engines crash too": {routers: 9, engines: 30, requestsPerSecond: 60, deadlyShare: 0.05, deadlyFrom: 4 * time.Second, ownCrashes: 30, massCrash: true, travels: true},
-		"routers restart":   {routers: 9, engines: 9, requestsPerSecond: 25, deadlyShare: 0.1, deadlyFrom: 4 * time.Second, restarts: 25, travels: true},
+		"rare":                {routers: 9, engines: 9, requestsPerSecond: 25, deadlyShare: 0.02, deadlyFrom: 4 * time.Second},
+		"usual":               {routers: 9, engines: 9, requestsPerSecond: 25, deadlyShare: 0.05, deadlyFrom: 4 * time.Second, travels: true},
+		"frequent":            {routers: 9, engines: 9, requestsPerSecond: 25, deadlyShare: 0.4, deadlyFrom: 2 * time.Second, travels: true},
+		"from the start":      {routers: 9, engines: 9, requestsPerSecond: 25, deadlyShare: 0.2, travels: true},
+		"large fleet":         {routers: 30, engines: 60, requestsPerSecond: 150, deadlyShare: 0.05, deadlyFrom: 4 * time.Second, travels: true},
+		"engines crash too":   {routers: 9, engines: 30, requestsPerSecond: 60, deadlyShare: 0.05, deadlyFrom: 4 * time.Second, ownCrashes: 30, massCrash: true, travels: true},
+		"few that keep names": {routers: 3, engines: 2, requestsPerSecond: 10, deadlyShare: 0.1, deadlyFrom: 4 * time.Second, sameNames: true},
+		"routers restart":     {routers: 9, engines: 9, requestsPerSecond: 25, deadlyShare: 0.1, deadlyFrom: 4 * time.Second, restarts: 25, travels: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(testSeeds) {
