Refuse prompts that crash engines on the product's own path

Prompts are told apart by the hash of their start, the only part that this path knows. The register learns from its own router only; sharing it between routers is open.

--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -58,14 +58,17 @@
 	// status is the HTTP status of the answer; zero means that none was accepted for
 	// delivery.
 	status int
+	// firstPosition is the last position that earlier attempts delivered.
+	firstPosition int64
 }
 
 func newAttempt(run *run, member *upstream.Member, id string) *attempt {
 	return &attempt{
-		run:       run,
-		member:    member,
-		record:    AttemptRecord{AttemptID: id, UpstreamAddress: member.Address()},
-		startedAt: time.Now(),
+		run:           run,
+		member:        member,
+		record:        AttemptRecord{AttemptID: id, UpstreamAddress: member.Address()},
+		startedAt:     time.Now(),
+		firstPosition: run.delivery.lastPosition,
 	}
 }
 
--- a/pkg/dispatch/retry.go
+++ b/pkg/dispatch/retry.go
@@ -93,8 +93,8 @@
 	// Affordable is set when the reservation covers one more attempt. The first
 	// decision on a failed attempt assumes that it does.
 	Affordable bool
-	// Exhausted is set when the maximum number of attempts is reached or the retry
-	// budget is empty.
+	// Exhausted is set when the maximum number of attempts is reached, the retry
+	// budget is empty, or the prompt is suspected of crashing engines.
 	Exhausted bool
 }
 
--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -61,6 +61,9 @@
 func (run *run) runAttempts(ctx context.Context) error {
 	backOff := newBackoff(run.dispatcher.config.Retry)
 	for {
+		if err := run.checkPrompt(); err != nil {
+			return run.acquireError(err)
+		}
 		member, err := run.acquire(ctx)
 		if err != nil {
 			return run.acquireError(err)
@@ -69,6 +72,7 @@
 		err = attempt.execute(ctx)
 		if err == nil {
 			run.finishAttempt(ctx, attempt, nil)
+			run.recordSuccess()
 			return nil
 		}
 		decision := run.evaluateFailure(ctx, attempt, err)
@@ -99,6 +103,7 @@
 // evaluateFailure settles a failed attempt and decides whether another one is
 // made.
 func (run *run) evaluateFailure(ctx context.Context, attempt *attempt, err error) retryDecision {
+	mayRetry := attempt.recordCrash(ctx)
 	run.finishAttempt(ctx, attempt, err)
 	run.failedUpstreams = append(run.failedUpstreams, attempt.record.UpstreamAddress)
 	record := attempt.record
@@ -109,7 +114,7 @@
 		Idempotent:     run.work.Idempotent,
 		CallerGone:     run.delivery.callerGone || ctx.Err() != nil,
 		Delivered:      run.delivery.headSent,
-		Exhausted:      len(run.result.Attempts) >= run.dispatcher.config.Retry.MaxAttempts,
+		Exhausted:      len(run.result.Attempts) >= run.dispatcher.config.Retry.MaxAttempts || !mayRetry,
 		Affordable:     true,
 	}
 	decision := decideRetry(retryConditions)
--- a/pkg/standin/attempt.go
+++ b/pkg/standin/attempt.go
@@ -54,6 +54,7 @@
 	model                 string
 	priority              int
 	arrivalIndex          uint64
+	prompt                string
 	promptHash            uint64
 	blockHashes           []uint64
 	promptTokens          int
@@ -80,6 +81,7 @@
 func newAttempt(attemptID, requestID string, priority int, request CompletionRequest) *attempt {
 	prompt := PromptOf(request.Messages)
 	return &attempt{
+		prompt:                prompt,
 		id:                    attemptID,
 		requestID:             requestID,
 		model:                 request.Model,
--- a/pkg/standin/enginehttp.go
+++ b/pkg/standin/enginehttp.go
@@ -87,6 +87,10 @@
 		writeFault(writer, err)
 		return
 	}
+	if text := engineHandler.engine.Faults().CrashText; text != "" && strings.Contains(attempt.prompt, text) {
+		engineHandler.crash(writer, attempt)
+		return
+	}
 	if stream {
 		engineHandler.sendStream(writer, request, attempt, 0)
 		return
@@ -94,6 +98,16 @@
 	engineHandler.sendFullAnswer(writer, request, attempt)
 }
 
+// crash sends the head of the answer, then closes the listener and all connections.
+func (engineHandler *engineHandler) crash(writer http.ResponseWriter, attempt *attempt) {
+	writer.Header().Set(contentType, streamContentType)
+	writer.Header().Set(AttemptHeader, attempt.id)
+	if err := http.NewResponseController(writer).Flush(); err != nil {
+		return // the caller has disconnected
+	}
+	_ = engineHandler.engine.endpoint.server.Close() // the engine is gone in any case
+}
+
 // submit queues an attempt for the request. It returns the attempt and whether the
 // answer is to be streamed.
 func (engineHandler *engineHandler) submit(writer http.ResponseWriter, request *http.Request) (*attempt, bool, error) {
--- a/pkg/standin/fault.go
+++ b/pkg/standin/fault.go
@@ -47,6 +47,9 @@
 	// SlowFactor multiplies the duration of each step; values up to 1 have no
 	// effect.
 	SlowFactor float64 `json:"slow_factor"`
+	// CrashText crashes the engine for good when it begins to answer a prompt that
+	// contains the text; empty means never.
+	CrashText string `json:"crash_text,omitempty"`
 	// Streams maps each stream fault to its frequency.
 	Streams map[StreamFault]FaultFrequency `json:"streams,omitempty"`
 }
