Give tests of exchange without a stall the time of a busy machine

TestFaultyStreamsAreReported and TestConnectionOfAbandonedAttemptIsNotReused failed now and then as "stalled": under the race detector, reading an event of 1 MiB or waiting for the processor took longer than the client's 200 ms, which only the test of stalls needs. The others now have 30 s; what they check is the same.

--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -27,12 +27,20 @@
 	goleak.VerifyTestMain(m)
 }
 
+// patientTimeout is for tests in which no stall may occur, on a busy machine either.
+const patientTimeout = 30 * time.Second
+
 func startServer(t *testing.T, handler http.HandlerFunc) (*Client, *httptest.Server) {
+	t.Helper()
+	return startServerWithTimeout(t, patientTimeout, handler)
+}
+
+// startServerWithTimeout starts a server, and a client that waits at most for the
+// timeout for each part.
+func startServerWithTimeout(t *testing.T, timeout time.Duration, handler http.HandlerFunc) (*Client, *httptest.Server) {
 	t.Helper()
 	server := httptest.NewServer(handler)
-	client := NewClient(ClientConfig{
-		Address: server.Listener.Addr().String(), FirstPartTimeout: 200 * time.Millisecond, GapTimeout: 200 * time.Millisecond,
-	})
+	client := NewClient(ClientConfig{Address: server.Listener.Addr().String(), FirstPartTimeout: timeout, GapTimeout: timeout})
 	t.Cleanup(func() {
 		client.Close()
 		server.CloseClientConnections()
@@ -226,7 +234,7 @@
 // A stall counts as a failure of the upstream and a cancellation by the caller does
 // not, so the two must have different reasons.
 func TestStallAndCancellationAreDistinguished(t *testing.T) {
-	client, _ := startServer(t, func(writer http.ResponseWriter, request *http.Request) {
+	client, _ := startServerWithTimeout(t, 200*time.Millisecond, func(writer http.ResponseWriter, request *http.Request) {
 		writeStreamHead(writer, request)
 		fmt.Fprint(writer, "id: 1\ndata: a\n\n")
 		_ = http.NewResponseController(writer).Flush()
