Guard the counters of the budget state machine test

A loan call of the test's peers can outlive the Reserve that began it, and counted without a lock beside the test's own steps: a data race in one of three runs of the package, once. The map has a mutex now. -race -count=3 beside other tests: no race; before, the case was not reproduced alone either (0 of 10).

--- a/pkg/budget/state_machine_test.go
+++ b/pkg/budget/state_machine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,10 +58,19 @@
 	loseLoanResponses   bool
 	duplicateLoans      bool
 	loseBackupResponses bool
-	// stepCounts counts the steps and events by name.
+	// stepCounts counts the steps and events by name. A loan call may outlive the
+	// Reserve that began it, so countMutex guards it.
+	countMutex sync.Mutex
 	stepCounts map[string]int
 }
 
+// count adds to the number of a step or event.
+func (machine *machine) count(name string, number int) {
+	machine.countMutex.Lock()
+	defer machine.countMutex.Unlock()
+	machine.stepCounts[name] += number
+}
+
 var machineProfiles = []string{"advice", "desk"}
 
 const machineLimitTokens = 500
@@ -130,9 +140,9 @@
 		if err != nil {
 			continue
 		}
-		peers.machine.stepCounts["loans"]++
+		peers.machine.count("loans", 1)
 		if peers.machine.loseLoanResponses {
-			peers.machine.stepCounts["loans lost"]++
+			peers.machine.count("loans lost", 1)
 			return Loan{}, errLostResponse
 		}
 		if peers.machine.duplicateLoans {
@@ -148,7 +158,7 @@
 		if node == peers.self {
 			continue
 		}
-		peers.machine.stepCounts["kept"] += len(settlements)
+		peers.machine.count("kept", len(settlements))
 		err := node.escrow.StoreBackups(ctx, owner, settlements)
 		if peers.machine.loseBackupResponses {
 			return errLostResponse
@@ -181,7 +191,7 @@
 		require.Equal(t, fault.NotRun, fault.OutcomeOf(err), "%v", err)
 		return
 	}
-	machine.stepCounts["reserved"]++
+	machine.count("reserved", 1)
 	node.requests = append(node.requests, &runningRequest{reservation: reservation})
 }
 
@@ -463,7 +473,7 @@
 			countStep := func(name string, step func(t *rapid.T)) func(t *rapid.T) {
 				return func(t *rapid.T) {
 					step(t)
-					machine.stepCounts[name]++
+					machine.count(name, 1)
 				}
 			}
 			steps := map[string]func(*rapid.T){"": func(t *rapid.T) { machine.check(t) }}
@@ -472,6 +482,8 @@
 			}
 			t.Repeat(steps)
 			machine.recoverAndCheck(t)
+			machine.countMutex.Lock()
+			defer machine.countMutex.Unlock()
 			for name, count := range machine.stepCounts {
 				stepTotals[name] += count
 			}
