Bound the bytes read of an answer without end

An upstream in trouble may send bytes without end, in a head or a body, until its caller closes. The router cut that off at 10 MB of headers and 16 MB of body an attempt, which some dozen answers at once turn into more than the 112 MB of a small VM. Now 64 kB and 4 MB, as much as a caller may send.

--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -73,6 +73,10 @@
 	defaultMaxIdleConnections = 64
 )
 
+// maxAnswerHeaderBytes limits the status line and headers of an answer, including
+// those of interim answers.
+const maxAnswerHeaderBytes = 64 << 10
+
 // refusalTimeout limits the wait for a connection that only shows whether the
 // upstream still exists.
 const refusalTimeout = 200 * time.Millisecond
@@ -140,8 +144,10 @@
 		DisableCompression:  true,
 		IdleConnTimeout:     client.config.IdleTimeout,
 		MaxIdleConnsPerHost: client.config.MaxIdleConnections,
-		ReadBufferSize:      connectionReadBytes,
-		WriteBufferSize:     connectionWriteBytes,
+		// The default of 10 MB is too much for many answers at once on a small VM.
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		ReadBufferSize:         connectionReadBytes,
+		WriteBufferSize:        connectionWriteBytes,
 	}
 }
 
--- a/pkg/relay/delivery.go
+++ b/pkg/relay/delivery.go
@@ -13,8 +13,9 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/placement"
 )
 
-// maxBodyBytes limits the body of an answer that isn't an event stream.
-const maxBodyBytes = 16 << 20
+// maxBodyBytes limits the body of an answer that isn't an event stream, which is held
+// in memory until it is complete. It is the same as for the body of a request.
+const maxBodyBytes = 4 << 20
 
 var (
 	errCallerDisconnected = errors.New("the caller disconnected")
