--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -12,14 +12,14 @@
 
 // UpstreamDispatcher dispatches work to the configured upstreams.
 type UpstreamDispatcher struct {
-	config   Config
-	metrics  *metrics
-	monitor  *upstream.Monitor
+	config  Config
+	metrics *metrics
+	monitor *upstream.Monitor
 	// quarantine knows the prompts that crash engines. It learns from this router
 	// alone.
 	quarantine *quarantine.Register
-	mutex    sync.RWMutex
-	services map[string]*service
+	mutex      sync.RWMutex
+	services   map[string]*service
 	// closing is set when new work is refused.
 	closing        bool
 	activeRequests sync.WaitGroup
