Split crashes off the relay, and one refusal for both request paths

From reading the changes again: relay.go had grown by the detection of crashes, the refusal and its figures stood twice, and receivers of new types were not named after them. Nothing else changes.

--- a/pkg/congestion/link_test.go
+++ b/pkg/congestion/link_test.go
@@ -38,12 +38,14 @@
 }
 
 // send returns when bytes that are queued now have been transferred.
-func (link *queueingLink) send(now time.Duration, bytes int) time.Duration {
-	link.freeAt = max(link.freeAt, now) + time.Duration(bytes)*time.Second/bytesPerSecond
-	return link.freeAt
+func (queueingLink *queueingLink) send(now time.Duration, bytes int) time.Duration {
+	queueingLink.freeAt = max(queueingLink.freeAt, now) + time.Duration(bytes)*time.Second/bytesPerSecond
+	return queueingLink.freeAt
 }
 
-func (link *queueingLink) delay(now time.Duration) time.Duration { return max(link.freeAt-now, 0) }
+func (queueingLink *queueingLink) delay(now time.Duration) time.Duration {
+	return max(queueingLink.freeAt-now, 0)
+}
 
 // event is a function that runs at a simulated time.
 type event struct {
@@ -53,13 +55,15 @@
 
 type eventQueue []event
 
-func (events eventQueue) Len() int           { return len(events) }
-func (events eventQueue) Less(i, j int) bool { return events[i].at < events[j].at }
-func (events eventQueue) Swap(i, j int)      { events[i], events[j] = events[j], events[i] }
-func (events *eventQueue) Push(value any)    { *events = append(*events, value.(event)) }
-func (events *eventQueue) Pop() any {
-	last := (*events)[len(*events)-1]
-	*events = (*events)[:len(*events)-1]
+func (eventQueue eventQueue) Len() int           { return len(eventQueue) }
+func (eventQueue eventQueue) Less(i, j int) bool { return eventQueue[i].at < eventQueue[j].at }
+func (eventQueue eventQueue) Swap(i, j int) {
+	eventQueue[i], eventQueue[j] = eventQueue[j], eventQueue[i]
+}
+func (eventQueue *eventQueue) Push(value any) { *eventQueue = append(*eventQueue, value.(event)) }
+func (eventQueue *eventQueue) Pop() any {
+	last := (*eventQueue)[len(*eventQueue)-1]
+	*eventQueue = (*eventQueue)[:len(*eventQueue)-1]
 	return last
 }
 
--- a/pkg/quarantine/evaluate.go
+++ b/pkg/quarantine/evaluate.go
@@ -87,8 +87,8 @@
 
 // compare orders candidates: more crashes first, then fewer requests, as the first
 // request with a deadly part ends its upstream.
-func (current candidate) compare(other candidate) int {
-	return cmp.Or(cmp.Compare(len(current.crashes), len(other.crashes)), cmp.Compare(other.requests, current.requests))
+func (candidate candidate) compare(other candidate) int {
+	return cmp.Or(cmp.Compare(len(candidate.crashes), len(other.crashes)), cmp.Compare(other.requests, candidate.requests))
 }
 
 // candidates returns the parts that may have caused crashes which no rule
--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -60,8 +60,8 @@
 	endsAt   time.Duration
 }
 
-// fleetSimulation runs routers with a Register each that exchange reports.
-type fleetSimulation struct {
+// simulation runs routers with a Register each that exchange reports.
+type simulation struct {
 	scenario  scenario
 	random    *rand.Rand
 	now       time.Duration
@@ -90,15 +90,15 @@
 	engineDown    = 3 * time.Second
 )
 
-func (simulation *fleetSimulation) newRegister(router int) *Register {
+func (simulation *simulation) newRegister(router int) *Register {
 	return NewRegister(Config{
 		Now: func() time.Duration { return simulation.now }, Logger: log.NewNopLogger(),
 		OnChange: func() { simulation.changed[router] = true },
 	})
 }
 
-func runFleet(seed uint64, scenario scenario) *fleetSimulation {
-	simulation := &fleetSimulation{
+func runFleet(seed uint64, scenario scenario) *simulation {
+	simulation := &simulation{
 		scenario: scenario, random: rand.New(rand.NewPCG(seed, 7)), rows: make([]Report, scenario.routers), texts: make([]string, scenario.routers),
 		changed: make([]bool, scenario.routers), registers: make([]*Register, scenario.routers),
 	}
@@ -137,7 +137,7 @@
 	return simulation
 }
 
-func (simulation *fleetSimulation) step() {
+func (simulation *simulation) step() {
 	for engine := range simulation.engines {
 		simulation.runEngine(engine)
 	}
@@ -150,7 +150,7 @@
 }
 
 // arrivals draws the number of requests of one step.
-func (simulation *fleetSimulation) arrivals() int {
+func (simulation *simulation) arrivals() int {
 	mean := simulation.scenario.requestsPerSecond * simulationStep.Seconds()
 	count := int(mean)
 	if simulation.random.Float64() < mean-float64(count) {
@@ -159,7 +159,7 @@
 	return count
 }
 
-func (simulation *fleetSimulation) sendRequest() {
+func (simulation *simulation) sendRequest() {
 	random, scenario := simulation.random, simulation.scenario
 	parts := []uint64{100 + random.Uint64N(commonParts), 1000 + random.Uint64N(subjectParts), random.Uint64()}
 	deadly := simulation.now >= scenario.deadlyFrom && random.Float64() < scenario.deadlyShare
@@ -172,7 +172,7 @@
 	simulation.send(random.IntN(scenario.routers), parts, deadly)
 }
 
-func (simulation *fleetSimulation) send(router int, parts []uint64, deadly bool) {
+func (simulation *simulation) send(router int, parts []uint64, deadly bool) {
 	if !deadly {
 		simulation.sound++
 	}
@@ -201,7 +201,7 @@
 
 // runEngine ends the requests that are complete, and crashes the engine when it
 // begins to answer one with the deadly part.
-func (simulation *fleetSimulation) runEngine(number int) {
+func (simulation *simulation) runEngine(number int) {
 	engine := simulation.engines[number]
 	for _, request := range engine.running {
 		if request.beginsAt <= simulation.now && slices.Contains(request.parts, deadlyPart) {
@@ -222,7 +222,7 @@
 	})
 }
 
-func (simulation *fleetSimulation) crash(number int) {
+func (simulation *simulation) crash(number int) {
 	engine := simulation.engines[number]
 	if simulation.now < engine.downUntil {
 		return
@@ -247,7 +247,7 @@
 }
 
 // exchange publishes the reports that have changed, or all, and merges them.
-func (simulation *fleetSimulation) exchange(all bool) {
+func (simulation *simulation) exchange(all bool) {
 	for router, register := range simulation.registers {
 		if !all && !simulation.changed[router] {
 			continue
@@ -271,13 +271,13 @@
 	}
 }
 
-func (simulation *fleetSimulation) merge(reader, writer int) {
+func (simulation *simulation) merge(reader, writer int) {
 	simulation.registers[reader].Merge(fmt.Sprint(writer), simulation.rows[writer])
 }
 
 // restart replaces the register of a router by an empty one that reads all rows,
 // its predecessor's included.
-func (simulation *fleetSimulation) restart(router int) {
+func (simulation *simulation) restart(router int) {
 	simulation.registers[router] = simulation.newRegister(router)
 	for writer := range simulation.rows {
 		simulation.merge(router, writer)
--- a/pkg/quarantine/register.go
+++ b/pkg/quarantine/register.go
@@ -18,6 +18,8 @@
 
 	"github.com/go-kit/log"
 	lru "github.com/hashicorp/golang-lru/v2"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 )
 
 const (
@@ -32,6 +34,11 @@
 	// ruleLifetime is how long a part stays in quarantine. As a part is tried again
 	// only after that, and may then crash several engines, it is long.
 	ruleLifetime = 10 * time.Minute
+	// refusalRetryAfter is the Retry-After value of a request that Check refuses.
+	refusalRetryAfter = 30 * time.Second
+	// MaxSuspectEvents is the number of events up to which an answer that broke off
+	// counts as just begun. With more, its prompt isn't the cause of a crash.
+	MaxSuspectEvents = 1
 	// publishedSuccessAge is by how much a newer success must differ from a reported
 	// one to be reported as well.
 	publishedSuccessAge = time.Second
@@ -119,8 +126,7 @@
 }
 
 // Crashed records that an upstream crashed while it ran a request with the parts.
-// It must not be called for an answer that had made progress: its request isn't
-// the cause.
+// It must not be called for an answer with more than MaxSuspectEvents.
 func (register *Register) Crashed(upstream string, parts []uint64, begun bool) {
 	shared := sharedParts(parts)
 	if len(shared) == 0 {
@@ -143,6 +149,19 @@
 	return register.matchingRule(sharedParts(parts)) != nil
 }
 
+// Check returns an error of kind Unavailable if Blocks returns true.
+func (register *Register) Check(parts []uint64) error {
+	if !register.Blocks(parts) {
+		return nil
+	}
+	return fault.New(fault.Config{
+		Kind:       fault.Unavailable,
+		Message:    "a part of the prompt has crashed several engines",
+		Remedy:     "change the prompt, or send the request again after the stated time",
+		RetryAfter: refusalRetryAfter,
+	})
+}
+
 // MayRetry reports whether a request with the parts whose answer broke off may be
 // sent to another engine. While a part is suspected, that could be the next crash.
 func (register *Register) MayRetry(parts []uint64) bool {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/go-kit/log"
@@ -32,12 +30,6 @@
 	// unavailableRetryAfter is the Retry-After value when no upstream accepts the
 	// request.
 	unavailableRetryAfter = 250 * time.Millisecond
-	// quarantineRetryAfter is the Retry-After value of a request whose prompt crashes
-	// engines.
-	quarantineRetryAfter = 30 * time.Second
-	// maxSuspectEvents is the number of events up to which an answer that broke off
-	// counts as just begun. With more, its prompt isn't the cause of a crash.
-	maxSuspectEvents = 1
 	// maxNotRunRetries limits how often one request is sent to another upstream
 	// after an attempt that was refused or never reached the upstream.
 	maxNotRunRetries = 2
@@ -110,19 +102,6 @@
 	return call.result, err
 }
 
-// CheckPrompt returns an error if the request would crash the engine that runs it.
-func (relay *Relay) CheckPrompt(request Request) error {
-	if request.Service.Engine == nil || !relay.config.Quarantine.Blocks(partIDs(request.PromptParts)) {
-		return nil
-	}
-	return fault.New(fault.Config{
-		Kind:       fault.Unavailable,
-		Message:    "a part of the prompt has crashed several engines",
-		Remedy:     "change the prompt, or send the request again after the stated time",
-		RetryAfter: quarantineRetryAfter,
-	})
-}
-
 func (call *call) tryUpstreams(ctx context.Context) error {
 	for {
 		if err := call.relay.CheckPrompt(call.request); err != nil {
@@ -138,7 +117,7 @@
 			return call.noUpstreamError()
 		}
 		result := call.attempt(ctx, ticket)
-		if result.brokenOff() && ctx.Err() == nil && call.relay.config.Client(ticket.Upstream).Refuses(ctx) {
+		if call.hasCrashed(ctx, ticket.Upstream, result) {
 			result.crashed, result.upstreamResult = true, placement.Unreachable
 			call.recordCrash(ticket.Upstream, result)
 		}
@@ -155,35 +134,6 @@
 	}
 }
 
-// recordCrash records that the upstream crashed during an attempt.
-func (call *call) recordCrash(upstream placement.Upstream, result attemptResult) {
-	_ = call.relay.config.Logger.Log("event", "upstream_crashed", "request_id", call.request.ID, "upstream", upstream.ID,
-		"started_at", upstream.StartedAt, "begun", result.begun, "events", call.delivery.eventCount,
-		"parts", quarantine.Names(partIDs(call.request.PromptParts)))
-	if call.request.Service.Engine != nil && result.events <= maxSuspectEvents {
-		process := upstream.ID + "/" + strconv.FormatInt(upstream.StartedAt, 10)
-		call.relay.config.Quarantine.Crashed(process, partIDs(call.request.PromptParts), result.begun)
-	}
-}
-
-// recordSuccess records that the prompt's parts did not crash the engine. A stream
-// that ends with its connection after hardly an event may have been a crash.
-func (call *call) recordSuccess() {
-	status := call.result.Status
-	succeeded := status >= http.StatusOK && status < http.StatusMultipleChoices
-	if call.request.Service.Engine != nil && succeeded && call.delivery.eventCount > maxSuspectEvents {
-		call.relay.config.Quarantine.Succeeded(partIDs(call.request.PromptParts))
-	}
-}
-
-func partIDs(parts []placement.PromptPart) []uint64 {
-	ids := make([]uint64, 0, len(parts))
-	for _, part := range parts {
-		ids = append(ids, part.ID)
-	}
-	return ids
-}
-
 func (call *call) logAttempt(ticket *placement.Ticket, result attemptResult) {
 	if result.err == nil && call.attemptsArrived == 1 {
 		return // the log line of the whole request has the same information
@@ -210,16 +160,6 @@
 	events int64
 }
 
-// brokenOff reports whether the upstream's connection ended before the answer was
-// complete.
-func (attemptResult attemptResult) brokenOff() bool {
-	if attemptResult.err == nil || !attemptResult.mayHaveRun {
-		return false
-	}
-	reason := exchange.ErrorOf(attemptResult.err).Reason
-	return reason == exchange.ReasonClosed || reason == exchange.ReasonTruncated
-}
-
 // attempt sends the request to the upstream and delivers the answer.
 func (call *call) attempt(ctx context.Context, ticket *placement.Ticket) attemptResult {
 	call.result.Attempts = append(call.result.Attempts, ticket.Upstream.ID)
--- a/pkg/relay/request.go
+++ b/pkg/relay/request.go
@@ -4,7 +4,8 @@
 // request may have run.
 //
 // Relay.Serve makes one attempt after the other (relay.go). delivery.go writes
-// the answer to the caller, and retries.go limits the retries.
+// the answer to the caller, crash.go tells a crash of the upstream from other
+// failures, and retries.go limits the retries.
 package relay
 
 import (
--- a/pkg/router/pausinglistener.go
+++ b/pkg/router/pausinglistener.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	pausing := &pausingListener{
+	pausingListener := &pausingListener{
 		address: listener.Addr(), overloaded: overloaded, closed: make(chan struct{}), listener: listener, reopened: make(chan struct{}),
 	}
 	go func() {
@@ -45,48 +45,48 @@
 		pauses := congestion.Pauses{}
 		for {
 			select {
-			case <-pausing.closed:
+			case <-pausingListener.closed:
 				return
 			case now := <-ticker.C:
-				pausing.setPaused(pauses.Update(pausing.overloaded(), now))
+				pausingListener.setPaused(pauses.Update(pausingListener.overloaded(), now))
 			}
 		}
 	}()
-	return pausing, nil
+	return pausingListener, nil
 }
 
 // setPaused closes or opens the socket. If it can't be opened, the next call tries
 // again.
-func (pausing *pausingListener) setPaused(paused bool) {
-	pausing.mutex.Lock()
-	defer pausing.mutex.Unlock()
+func (pausingListener *pausingListener) setPaused(paused bool) {
+	pausingListener.mutex.Lock()
+	defer pausingListener.mutex.Unlock()
 	switch {
-	case paused && pausing.listener != nil:
-		_ = pausing.listener.Close() // fails only if Close was called, too
-		pausing.listener = nil
-	case !paused && pausing.listener == nil && !pausing.isClosed():
-		listener, err := net.Listen(pausing.address.Network(), pausing.address.String())
+	case paused && pausingListener.listener != nil:
+		_ = pausingListener.listener.Close() // fails only if Close was called, too
+		pausingListener.listener = nil
+	case !paused && pausingListener.listener == nil && !pausingListener.isClosed():
+		listener, err := net.Listen(pausingListener.address.Network(), pausingListener.address.String())
 		if err != nil {
-			logging.Error("listening again on %s failed: %v", pausing.address, err)
+			logging.Error("listening again on %s failed: %v", pausingListener.address, err)
 			return
 		}
-		pausing.listener = listener
-		close(pausing.reopened)
-		pausing.reopened = make(chan struct{})
+		pausingListener.listener = listener
+		close(pausingListener.reopened)
+		pausingListener.reopened = make(chan struct{})
 	}
 }
 
 // current returns the open listener, or nil and a channel that is closed when
 // there is one.
-func (pausing *pausingListener) current() (net.Listener, <-chan struct{}) {
-	pausing.mutex.Lock()
-	defer pausing.mutex.Unlock()
-	return pausing.listener, pausing.reopened
+func (pausingListener *pausingListener) current() (net.Listener, <-chan struct{}) {
+	pausingListener.mutex.Lock()
+	defer pausingListener.mutex.Unlock()
+	return pausingListener.listener, pausingListener.reopened
 }
 
-func (pausing *pausingListener) isClosed() bool {
+func (pausingListener *pausingListener) isClosed() bool {
 	select {
-	case <-pausing.closed:
+	case <-pausingListener.closed:
 		return true
 	default:
 		return false
@@ -94,19 +94,19 @@
 }
 
 // Accept returns the next connection. It waits during a pause.
-func (pausing *pausingListener) Accept() (net.Conn, error) {
+func (pausingListener *pausingListener) Accept() (net.Conn, error) {
 	for {
-		listener, reopened := pausing.current()
+		listener, reopened := pausingListener.current()
 		if listener == nil {
 			select {
-			case <-pausing.closed:
+			case <-pausingListener.closed:
 				return nil, net.ErrClosed
 			case <-reopened:
 			}
 			continue
 		}
 		connection, err := listener.Accept()
-		if err == nil || !errors.Is(err, net.ErrClosed) || pausing.isClosed() {
+		if err == nil || !errors.Is(err, net.ErrClosed) || pausingListener.isClosed() {
 			return connection, err
 		}
 	}
@@ -114,12 +114,12 @@
 
 // Close closes the listener for good. It returns net.ErrClosed if it is closed
 // already.
-func (pausing *pausingListener) Close() error {
+func (pausingListener *pausingListener) Close() error {
 	err := net.ErrClosed
-	pausing.closeOnce.Do(func() {
-		close(pausing.closed)
+	pausingListener.closeOnce.Do(func() {
+		close(pausingListener.closed)
 		err = nil
-		if listener, _ := pausing.current(); listener != nil {
+		if listener, _ := pausingListener.current(); listener != nil {
 			err = listener.Close()
 		}
 	})
@@ -127,4 +127,4 @@
 }
 
 // Addr returns the address of the listener.
-func (pausing *pausingListener) Addr() net.Addr { return pausing.address }
+func (pausingListener *pausingListener) Addr() net.Addr { return pausingListener.address }
