Don't promise that a request has not run when the quarantine stops its retry

A caller whose request may have run, at an engine that failed it, got 503 when the prompt went into quarantine before the next attempt: a promise that it has not run and never will. Cause: the check before each attempt returned its refusal with an unknown outcome, but the status follows from the kind alone.

The relay now answers as for any lost response, 502, once an attempt may have run. TestRequestThatMayHaveRunIsNotRefusedAsNotRun failed before (503).

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -105,7 +105,7 @@
 func (call *call) tryUpstreams(ctx context.Context) error {
 	for {
 		if err := call.relay.CheckPrompt(call.request); err != nil {
-			return fault.WithOutcome(err, call.outcome())
+			return call.quarantineError(err)
 		}
 		criteria := placement.Criteria{Parts: call.request.PromptParts, ExcludedIDs: call.triedIDs, Zone: call.relay.config.Zone}
 		ticket := call.pool.Choose(criteria, time.Now())
@@ -274,6 +274,15 @@
 	})
 }
 
+// quarantineError returns the error of a request whose prompt is in quarantine. The
+// refusal promises that the request has not run.
+func (call *call) quarantineError(refusal error) error {
+	if call.possibleRuns > 0 {
+		return responseLostError(refusal)
+	}
+	return refusal
+}
+
 // finalError returns the error of a request whose last attempt failed.
 func (call *call) finalError(ctx context.Context, err error) error {
 	switch {
