Bound the parts in a router's report of crashes

A router that saw engines crash under long prompts told nobody: a report was limited to 64 suspects and 64 rules but not in their parts, and the store refuses a row above 64 KB. So prompts with the deadly part went on to crash engines at all other routers.

The parts of all suspects and of all rules of a report are limited to 512 each, the newest stay, and those of one suspect to 128.

--- a/pkg/quarantine/evaluate.go
+++ b/pkg/quarantine/evaluate.go
@@ -171,8 +171,7 @@
 	}
 	slices.Sort(rule.Parts)
 	register.rules = slices.DeleteFunc(register.rules, func(other Rule) bool { return rule.matches(other.Parts) })
-	register.rules = append(register.rules, rule)
-	register.rules = register.rules[max(len(register.rules)-maxRules, 0):]
+	register.rules = newest(append(register.rules, rule), maxRules, func(rule Rule) int { return len(rule.Parts) })
 	_ = register.config.Logger.Log("event", "part_quarantined", "parts", Names(rule.Parts), "since", rule.Since,
 		"suspects", len(register.allSuspects()), "rules", len(register.rules))
 	register.config.OnChange()
--- a/pkg/quarantine/register.go
+++ b/pkg/quarantine/register.go
@@ -27,6 +27,8 @@
 	maxSuccesses = 8192
 	// maxSuspects limits the suspects of one report; the newest stay.
 	maxSuspects = 64
+	// maxSuspectParts limits the parts of a suspect; the first stay.
+	maxSuspectParts = 128
 	// maxRules limits the rules; the newest stay.
 	maxRules = 64
 	// evidenceLifetime is how long a crash counts.
@@ -115,6 +117,17 @@
 // sharedParts returns all parts but the last, which no other request has.
 func sharedParts(parts []uint64) []uint64 { return parts[:max(len(parts)-1, 0)] }
 
+// newest returns the last entries, at most count of them, and with at most
+// maxReportedParts parts in all.
+func newest[T any](entries []T, count int, partCount func(T) int) []T {
+	first, parts := len(entries), 0
+	for first > 0 && len(entries)-first < count && parts+partCount(entries[first-1]) <= maxReportedParts {
+		first--
+		parts += partCount(entries[first])
+	}
+	return entries[first:]
+}
+
 // Succeeded records that a request with the parts was answered completely.
 func (register *Register) Succeeded(parts []uint64) {
 	register.mutex.Lock()
@@ -134,8 +147,8 @@
 	}
 	register.mutex.Lock()
 	now := register.config.Now()
-	register.suspects = append(register.suspects, Suspect{Upstream: upstream, At: now, Begun: begun, Parts: slices.Clone(shared)})
-	register.suspects = register.suspects[max(len(register.suspects)-maxSuspects, 0):]
+	suspect := Suspect{Upstream: upstream, At: now, Begun: begun, Parts: slices.Clone(shared[:min(len(shared), maxSuspectParts)])}
+	register.suspects = newest(append(register.suspects, suspect), maxSuspects, func(suspect Suspect) int { return len(suspect.Parts) })
 	register.scheduleEvaluation(now)
 	register.mutex.Unlock()
 	register.config.OnChange()
--- /dev/null
+++ b/pkg/quarantine/register_test.go
@@ -0,0 +1,60 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+)
+
+// maxRowBytes is the size that the users' store allows for a row.
+const maxRowBytes = 64 << 10
+
+// manualClock is a register with a clock that only the test moves.
+type manualClock struct {
+	*Register
+	now time.Duration
+}
+
+func newManualClock() *manualClock {
+	clock := &manualClock{}
+	clock.Register = NewRegister(Config{Now: func() time.Duration { return clock.now }, Logger: log.NewNopLogger()})
+	return clock
+}
+
+// crash lets engines crash under prompts with the parts, one a second.
+func (clock *manualClock) crash(count int, parts ...uint64) {
+	for range count {
+		clock.now += time.Second
+		clock.Crashed(fmt.Sprintf("engine/%d", clock.now), parts, true)
+	}
+	clock.now += time.Second
+}
+
+// TestReportFitsInARow guards against reports that the store refuses for their size,
+// so that a router that sees crashes under long prompts tells nobody.
+func TestReportFitsInARow(t *testing.T) {
+	for _, partCount := range []int{1, 4, 40, 4000} {
+		clock := newManualClock()
+		clock.now = time.Hour
+		for prompt := range 80 {
+			parts := make([]uint64, 0, partCount+1)
+			for part := range partCount + 1 {
+				parts = append(parts, 1<<63+uint64(prompt/4*partCount+part))
+			}
+			if prompt%4 == 0 {
+				clock.Succeeded(parts)
+				clock.now += soundPeriod
+			}
+			clock.crash(1, parts...)
+			clock.Blocks(parts)
+		}
+		content, err := json.Marshal(clock.Report())
+		require.NoError(t, err)
+		require.Less(t, len(content), maxRowBytes, "%d parts a prompt", partCount)
+		require.NotEmpty(t, clock.Report().Suspects)
+	}
+}
--- a/pkg/quarantine/report.go
+++ b/pkg/quarantine/report.go
@@ -6,8 +6,13 @@
 	"time"
 )
 
-// maxReportedSuccesses limits the successes of a report.
-const maxReportedSuccesses = 128
+const (
+	// maxReportedSuccesses limits the successes of a report.
+	maxReportedSuccesses = 128
+	// maxReportedParts limits the parts of all suspects of a report, and those of all
+	// its rules, so that a report fits in a row of the store.
+	maxReportedParts = 512
+)
 
 // Report is what a router tells the others.
 type Report struct {
