Release a part when a success from before its quarantine is reported late

Sound requests could be refused for ten minutes: if three engines crashed by themselves under a part within a moment, it went into quarantine before the router that had just served it could say so, and its report did not help then, because only a success after the rule counted. There are none after it, as the part is blocked.

A rule now says from when on a success disproves it: from where the crashes that made it would have been too few. Successes before the part was deadly release nothing.

TestLateReportReleasesSoundPart failed before.

--- a/pkg/quarantine/evaluate.go
+++ b/pkg/quarantine/evaluate.go
@@ -75,7 +75,8 @@
 	}
 	// Parts that always come together can't be told apart yet: refineRules does it
 	// when one of them comes alone.
-	rule := Rule{Parts: []uint64{best.part}, Since: now}
+	// A success that leaves too few of the crashes disproves the rule.
+	rule := Rule{Parts: []uint64{best.part}, Since: best.crashes[len(best.crashes)-minCrashes] - soundPeriod}
 	for _, other := range candidates {
 		if other.part != best.part && len(other.crashes) >= len(best.crashes) && slices.Contains(best.companions, other.part) {
 			rule.Parts = append(rule.Parts, other.part)
@@ -177,8 +178,7 @@
 	register.config.OnChange()
 }
 
-// disproved reports whether each part of the rule has succeeded since the rule was
-// made.
+// disproved reports whether each part of the rule has succeeded since.
 func (register *Register) disproved(rule Rule) bool {
 	return !slices.ContainsFunc(rule.Parts, func(part uint64) bool {
 		last, ok := register.lastSuccess(part)
--- a/pkg/quarantine/register.go
+++ b/pkg/quarantine/register.go
@@ -60,7 +60,9 @@
 
 // Rule says that requests with all of the parts crash engines.
 type Rule struct {
-	Parts []uint64      `json:"parts"`
+	Parts []uint64 `json:"parts"`
+	// Since is before the crashes that made the rule. A part that has succeeded since
+	// isn't their cause.
 	Since time.Duration `json:"since"`
 }
 
--- a/pkg/quarantine/register_test.go
+++ b/pkg/quarantine/register_test.go
@@ -34,6 +34,32 @@
 	clock.now += time.Second
 }
 
+// TestLateReportReleasesSoundPart guards against sound requests that are refused for
+// minutes, because the success of another router was reported after the part had
+// gone into quarantine.
+func TestLateReportReleasesSoundPart(t *testing.T) {
+	clock := newManualClock()
+	clock.now = time.Minute
+	clock.crash(minCrashes, 7, 1000)
+	require.True(t, clock.Blocks([]uint64{7, 1001}))
+	succeededAt := clock.now - 3*time.Second
+	clock.Merge("another", Report{Successes: map[uint64]time.Duration{7: succeededAt}})
+	clock.now += time.Second
+	require.False(t, clock.Blocks([]uint64{7, 1001}))
+}
+
+// TestSuccessBeforeTheCrashesReleasesNothing guards against a deadly part that is
+// released by the report of a success from before it was deadly.
+func TestSuccessBeforeTheCrashesReleasesNothing(t *testing.T) {
+	clock := newManualClock()
+	clock.now = time.Minute
+	succeededAt := clock.now - soundPeriod
+	clock.crash(minCrashes, 7, 1000)
+	clock.Merge("another", Report{Successes: map[uint64]time.Duration{7: succeededAt}})
+	clock.now += time.Second
+	require.True(t, clock.Blocks([]uint64{7, 1001}))
+}
+
 // TestReportFitsInARow guards against reports that the store refuses for their size,
 // so that a router that sees crashes under long prompts tells nobody.
 func TestReportFitsInARow(t *testing.T) {
