Report only those successes that exonerate a part

Cause: each router reported its last success with every part that any suspect named, and again each second, and all routers read all of it.

A router now reports a success only if the part has had two crashes that no reported success exonerates, so mostly one router does, once. As this takes an exchange, a crash is judged after 500 ms instead of 300; reports of several routers are merged in one go.

The simulated fleet now writes and reads at the intervals of the adapter.

--- a/pkg/quarantine/evaluate.go
+++ b/pkg/quarantine/evaluate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -20,9 +21,18 @@
 	// noticeTime is how long after a crash its last suspects may be noticed.
 	noticeTime = 500 * time.Millisecond
 	// settleTime is how long a crash waits for the reports of other routers.
-	settleTime = 300 * time.Millisecond
+	settleTime = 500 * time.Millisecond
 )
 
+// longAgo is before all times of the clock.
+const longAgo = time.Duration(math.MinInt64 / 2)
+
+// exonerates reports whether a part that succeeded at that time isn't the cause of a
+// crash.
+func exonerates(succeededAt, crashedAt time.Duration) bool {
+	return succeededAt > crashedAt-soundPeriod
+}
+
 // crash is the crash of one upstream with its suspects.
 type crash struct {
 	at       time.Duration
@@ -96,10 +106,10 @@
 // explains.
 func (register *Register) candidates(now time.Duration) []candidate {
 	byPart := make(map[uint64]*candidate)
-	for _, crash := range register.unexplainedCrashes(now) {
+	for _, crash := range register.settledCrashes(now) {
 		for _, suspect := range crash.suspects {
 			for _, part := range suspect.Parts {
-				if last, ok := register.lastSuccess(part); ok && last > crash.at-soundPeriod {
+				if exonerates(register.lastSuccess(part), crash.at) {
 					continue
 				}
 				found, ok := byPart[part]
@@ -109,9 +119,7 @@
 				}
 				found.requests++
 				found.companions = intersect(found.companions, suspect.Parts)
-				if count := len(found.crashes); count == 0 || crash.at-found.crashes[count-1] >= crashGap {
-					found.crashes = append(found.crashes, crash.at)
-				}
+				found.crashes = appendCrash(found.crashes, crash.at)
 			}
 		}
 	}
@@ -123,16 +131,45 @@
 	return candidates
 }
 
-// unexplainedCrashes returns the crashes, in order, that have settled and that no
-// rule explains. Once an upstream had begun to answer a suspect, those that still
-// waited there aren't the cause.
-func (register *Register) unexplainedCrashes(now time.Duration) []crash {
+// appendCrash adds the time of a crash unless the one before was too close.
+func appendCrash(crashes []time.Duration, at time.Duration) []time.Duration {
+	if count := len(crashes); count > 0 && at-crashes[count-1] < crashGap {
+		return crashes
+	}
+	return append(crashes, at)
+}
+
+// crashesByPart returns the times of the crashes that no rule explains, by the parts
+// of their suspects.
+func (register *Register) crashesByPart() map[uint64][]time.Duration {
+	crashesByPart := make(map[uint64][]time.Duration)
+	for _, crash := range register.unexplainedCrashes() {
+		for _, suspect := range crash.suspects {
+			for _, part := range suspect.Parts {
+				crashesByPart[part] = appendCrash(crashesByPart[part], crash.at)
+			}
+		}
+	}
+	return crashesByPart
+}
+
+// settledCrashes returns the unexplained crashes that other routers have had the
+// time to report, too.
+func (register *Register) settledCrashes(now time.Duration) []crash {
+	crashes := register.unexplainedCrashes()
+	settled := slices.DeleteFunc(crashes, func(crash crash) bool { return now-crash.at < settleTime })
+	if len(settled) < len(crashes) {
+		register.scheduleEvaluation(now)
+	}
+	return settled
+}
+
+// unexplainedCrashes returns the crashes, in order, that no rule explains. Once an
+// upstream had begun to answer a suspect, those that still waited there aren't the
+// cause.
+func (register *Register) unexplainedCrashes() []crash {
 	var crashes []crash
 	for _, found := range register.crashes() {
-		if now-found.at < settleTime {
-			register.scheduleEvaluation(now)
-			continue
-		}
 		if slices.ContainsFunc(found.suspects, func(suspect Suspect) bool { return register.matchingRule(suspect.Parts) != nil }) {
 			continue
 		}
@@ -167,7 +204,7 @@
 // addRule adds a rule unless another one covers it, and removes the rules that it
 // covers.
 func (register *Register) addRule(rule Rule, now time.Duration) {
-	if len(rule.Parts) == 0 || now-rule.Since > ruleLifetime || register.disproved(rule) || register.matchingRule(rule.Parts) != nil {
+	if len(rule.Parts) == 0 || rule.isOld(now) || register.disproved(rule) || register.matchingRule(rule.Parts) != nil {
 		return
 	}
 	slices.Sort(rule.Parts)
@@ -180,17 +217,14 @@
 
 // disproved reports whether each part of the rule has succeeded since.
 func (register *Register) disproved(rule Rule) bool {
-	return !slices.ContainsFunc(rule.Parts, func(part uint64) bool {
-		last, ok := register.lastSuccess(part)
-		return !ok || last <= rule.Since
-	})
+	return !slices.ContainsFunc(rule.Parts, func(part uint64) bool { return register.lastSuccess(part) <= rule.Since })
 }
 
 // refineRules removes parts from rules that have succeeded without the others, or
 // without which an upstream has crashed under the others. A rule of which each
 // part has succeeded is dropped.
 func (register *Register) refineRules(now time.Duration) {
-	crashes := register.unexplainedCrashes(now)
+	crashes := register.settledCrashes(now)
 	rules := register.rules
 	register.rules = nil
 	for _, rule := range rules {
@@ -209,10 +243,7 @@
 
 // necessaryParts returns the parts of the rule that can't be left out.
 func (register *Register) necessaryParts(rule Rule, crashes []crash) []uint64 {
-	parts := slices.DeleteFunc(slices.Clone(rule.Parts), func(part uint64) bool {
-		last, ok := register.lastSuccess(part)
-		return ok && last > rule.Since
-	})
+	parts := slices.DeleteFunc(slices.Clone(rule.Parts), func(part uint64) bool { return register.lastSuccess(part) > rule.Since })
 	for _, crash := range crashes {
 		if crash.at <= rule.Since || len(crash.suspects) != 1 || !crash.suspects[0].Begun {
 			continue
--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -66,11 +66,12 @@
 	random    *rand.Rand
 	now       time.Duration
 	registers []*Register
-	// rows are the published reports, and texts their JSON form.
-	rows    []Report
-	texts   []string
-	changed []bool
-	engines []*engineState
+	// texts are the published reports as JSON; changed is set for a router whose report
+	// may have changed, unread for one whose published report has.
+	texts           []string
+	changed, unread []bool
+	publishedAt     []time.Duration
+	engines         []*engineState
 	// crashes counts the crashes by the deadly part; fifthCrashAt is when the fifth of
 	// them was.
 	crashes      int
@@ -79,13 +80,18 @@
 	lateRequests int
 	// refusedSound and sound count the sound requests, and those that were refused.
 	refusedSound, sound int
+	// reportBytes counts the bytes of reports that each router has read.
+	reportBytes int
 }
 
 const (
 	testSeeds      = 8
 	simulationStep = 10 * time.Millisecond
 	simulationEnd  = 40 * time.Second
-	// exchangeDelay is how long a report takes to reach the other routers.
+	// A router publishes its report at most once in publishGap, and all read the changes
+	// once in readGap.
+	publishGap    = 250 * time.Millisecond
+	readGap       = 200 * time.Millisecond
 	exchangeDelay = 50 * time.Millisecond
 	engineDown    = 3 * time.Second
 )
@@ -99,8 +105,9 @@
 
 func runFleet(seed uint64, scenario scenario) *simulation {
 	simulation := &simulation{
-		scenario: scenario, random: rand.New(rand.NewPCG(seed, 7)), rows: make([]Report, scenario.routers), texts: make([]string, scenario.routers),
-		changed: make([]bool, scenario.routers), registers: make([]*Register, scenario.routers),
+		scenario: scenario, random: rand.New(rand.NewPCG(seed, 7)), texts: make([]string, scenario.routers),
+		changed: make([]bool, scenario.routers), unread: make([]bool, scenario.routers), publishedAt: make([]time.Duration, scenario.routers),
+		registers: make([]*Register, scenario.routers),
 	}
 	for router := range simulation.registers {
 		simulation.registers[router] = simulation.newRegister(router)
@@ -246,42 +253,62 @@
 	}
 }
 
-// exchange publishes the reports that have changed, or all, and merges them.
+// exchange publishes the reports that have changed, or all, and lets the routers
+// read them.
 func (simulation *simulation) exchange(all bool) {
 	for router, register := range simulation.registers {
-		if !all && !simulation.changed[router] {
+		if simulation.now-simulation.publishedAt[router] < publishGap || !all && !simulation.changed[router] {
 			continue
 		}
-		simulation.changed[router] = false
+		simulation.changed[router], simulation.publishedAt[router] = false, simulation.now
 		content, err := json.Marshal(register.Report())
 		if err != nil {
 			panic(err)
 		}
 		if text := string(content); text != simulation.texts[router] {
-			simulation.texts[router], simulation.rows[router] = text, Report{}
-			if err := json.Unmarshal(content, &simulation.rows[router]); err != nil {
-				panic(err)
-			}
-			for other := range simulation.registers {
-				if other != router {
-					simulation.merge(other, router)
-				}
-			}
+			simulation.texts[router] = text
+			simulation.unread[router] = true
+		}
+	}
+	if simulation.now%readGap == 0 {
+		simulation.readReports()
+	}
+}
+
+// readReports lets all routers read the reports that have changed.
+func (simulation *simulation) readReports() {
+	for writer, unread := range simulation.unread {
+		if unread {
+			simulation.reportBytes += len(simulation.texts[writer])
 		}
 	}
+	for reader := range simulation.registers {
+		simulation.registers[reader].Merge(simulation.reports(func(writer int) bool { return writer != reader && simulation.unread[writer] }))
+	}
+	clear(simulation.unread)
 }
 
-func (simulation *simulation) merge(reader, writer int) {
-	simulation.registers[reader].Merge(fmt.Sprint(writer), simulation.rows[writer])
+// reports decodes the published reports of the selected routers.
+func (simulation *simulation) reports(selected func(writer int) bool) map[string]Report {
+	reports := make(map[string]Report)
+	for writer, text := range simulation.texts {
+		if text == "" || !selected(writer) {
+			continue
+		}
+		var report Report
+		if err := json.Unmarshal([]byte(text), &report); err != nil {
+			panic(err)
+		}
+		reports[fmt.Sprint(writer)] = report
+	}
+	return reports
 }
 
 // restart replaces the register of a router by an empty one that reads all rows,
 // its predecessor's included.
 func (simulation *simulation) restart(router int) {
 	simulation.registers[router] = simulation.newRegister(router)
-	for writer := range simulation.rows {
-		simulation.merge(router, writer)
-	}
+	simulation.registers[router].Merge(simulation.reports(func(int) bool { return true }))
 }
 
 // TestDeadlyPartIsQuarantined guards against prompts with one deadly part that crash
@@ -312,8 +339,17 @@
 // TestCrashesOfEnginesBlockNothing guards against sound requests that are refused
 // because their engines crashed by themselves.
 func TestCrashesOfEnginesBlockNothing(t *testing.T) {
-	for seed := range uint64(testSeeds) {
+	for seed := range uint64(5 * testSeeds) {
 		simulation := runFleet(seed, scenario{routers: 9, engines: 9, requestsPerSecond: 25, ownCrashes: 60, massCrash: true})
 		require.Zero(t, simulation.refusedSound, "seed %d of %d", seed, simulation.sound)
 	}
 }
+
+// TestReportsOfCrashesStaySmall guards against reports that fill the links of small
+// routers when many engines crash, as every router reads those of all others.
+func TestReportsOfCrashesStaySmall(t *testing.T) {
+	simulation := runFleet(1, scenario{routers: 90, engines: 90, requestsPerSecond: 400, ownCrashes: 20, massCrash: true})
+	const maxBytesPerSecond = 9 << 10 // what a router may use for control
+	require.Positive(t, simulation.reportBytes)
+	require.Less(t, simulation.reportBytes, maxBytesPerSecond*int(simulationEnd/time.Second))
+}
--- a/pkg/quarantine/register.go
+++ b/pkg/quarantine/register.go
@@ -41,9 +41,6 @@
 	// MaxSuspectEvents is the number of events up to which an answer that broke off
 	// counts as just begun. With more, its prompt isn't the cause of a crash.
 	MaxSuspectEvents = 1
-	// publishedSuccessAge is by how much a newer success must differ from a reported
-	// one to be reported as well.
-	publishedSuccessAge = time.Second
 )
 
 // Suspect is a request that ran at an upstream when this crashed.
@@ -66,6 +63,8 @@
 	Since time.Duration `json:"since"`
 }
 
+func (rule Rule) isOld(now time.Duration) bool { return now-rule.Since > ruleLifetime }
+
 func (rule Rule) matches(parts []uint64) bool {
 	return !slices.ContainsFunc(rule.Parts, func(part uint64) bool { return !slices.Contains(parts, part) })
 }
@@ -92,7 +91,7 @@
 	rules    []Rule
 	// reports are the last reports of the other routers.
 	reports map[string]Report
-	// published are the successes of the last report.
+	// published are the successes of this router that the others have been told.
 	published map[uint64]time.Duration
 	// evaluateAt is when the evidence is next evaluated, zero if it hasn't changed.
 	evaluateAt time.Duration
--- a/pkg/quarantine/register_test.go
+++ b/pkg/quarantine/register_test.go
@@ -43,7 +43,7 @@
 	clock.crash(minCrashes, 7, 1000)
 	require.True(t, clock.Blocks([]uint64{7, 1001}))
 	succeededAt := clock.now - 3*time.Second
-	clock.Merge("another", Report{Successes: map[uint64]time.Duration{7: succeededAt}})
+	clock.Merge(map[string]Report{"another": {Successes: map[uint64]time.Duration{7: succeededAt}}})
 	clock.now += time.Second
 	require.False(t, clock.Blocks([]uint64{7, 1001}))
 }
@@ -55,7 +55,7 @@
 	clock.now = time.Minute
 	succeededAt := clock.now - soundPeriod
 	clock.crash(minCrashes, 7, 1000)
-	clock.Merge("another", Report{Successes: map[uint64]time.Duration{7: succeededAt}})
+	clock.Merge(map[string]Report{"another": {Successes: map[uint64]time.Duration{7: succeededAt}}})
 	clock.now += time.Second
 	require.True(t, clock.Blocks([]uint64{7, 1001}))
 }
@@ -84,3 +84,19 @@
 		require.NotEmpty(t, clock.Report().Suspects)
 	}
 }
+
+// TestReportsAreForgotten guards against evidence that is kept for good.
+func TestReportsAreForgotten(t *testing.T) {
+	clock := newManualClock()
+	clock.crash(minCrashes, 7, 1000)
+	require.True(t, clock.Blocks([]uint64{7, 1001}))
+	report := clock.Report()
+	require.False(t, clock.IsOutdated(report))
+	clock.now += evidenceLifetime
+	require.Empty(t, clock.Report().Suspects)
+	require.False(t, clock.IsOutdated(report), "the rule still counts")
+	clock.now += ruleLifetime
+	require.True(t, clock.IsOutdated(report))
+	require.True(t, clock.Report().IsEmpty())
+	require.False(t, clock.Blocks([]uint64{7, 1001}))
+}
--- a/pkg/quarantine/report.go
+++ b/pkg/quarantine/report.go
@@ -17,12 +17,17 @@
 // Report is what a router tells the others.
 type Report struct {
 	Suspects []Suspect `json:"suspects,omitempty"`
-	// Successes are the times of the last successes with parts that any router
-	// suspects.
+	// Successes are the times of the last successes with parts that would be taken for
+	// the cause of crashes without them.
 	Successes map[uint64]time.Duration `json:"successes,omitempty"`
 	Rules     []Rule                   `json:"rules,omitempty"`
 }
 
+// IsEmpty reports whether the report tells nothing.
+func (report Report) IsEmpty() bool {
+	return len(report.Suspects) == 0 && len(report.Successes) == 0 && len(report.Rules) == 0
+}
+
 // Report returns the report of this router. It is the same as the last one unless
 // something has changed that others need.
 func (register *Register) Report() Report {
@@ -31,52 +36,70 @@
 	now := register.config.Now()
 	register.evaluateIfDue()
 	register.forget(now)
-	published := make(map[uint64]time.Duration)
-	for _, part := range register.namedParts() {
+	maps.DeleteFunc(register.published, func(_ uint64, at time.Duration) bool { return isOldSuccess(at, now) })
+	for part, at := range register.unreportedSuccesses() {
+		if len(register.published) < maxReportedSuccesses {
+			register.published[part] = at
+		}
+	}
+	return Report{Suspects: slices.Clone(register.suspects), Successes: maps.Clone(register.published), Rules: slices.Clone(register.rules)}
+}
+
+// unreportedSuccesses returns the successes of this router with parts that, as far
+// as the routers have told each other, could be the cause of crashes. A part with
+// fewer crashes can't become a rule before the next one.
+func (register *Register) unreportedSuccesses() map[uint64]time.Duration {
+	successes := make(map[uint64]time.Duration)
+	for _, rule := range register.rules {
+		for _, part := range rule.Parts {
+			if at, ok := register.successes.Peek(part); ok && at > rule.Since && register.reportedSuccess(part) <= rule.Since {
+				successes[part] = at
+			}
+		}
+	}
+	for part, crashes := range register.crashesByPart() {
 		at, ok := register.successes.Peek(part)
-		if !ok || len(published) == maxReportedSuccesses {
+		if !ok || len(crashes) < minCrashes-1 {
 			continue
 		}
-		if last, ok := register.published[part]; ok && at-last < publishedSuccessAge {
-			at = last
+		reported := register.reportedSuccess(part)
+		open := slices.DeleteFunc(crashes, func(crashedAt time.Duration) bool { return exonerates(reported, crashedAt) })
+		if len(open) >= minCrashes-1 && exonerates(at, open[0]) {
+			successes[part] = at
 		}
-		published[part] = at
 	}
-	register.published = published
-	return Report{Suspects: slices.Clone(register.suspects), Successes: published, Rules: slices.Clone(register.rules)}
+	return successes
 }
 
-// namedParts returns the parts of all suspects and rules.
-func (register *Register) namedParts() []uint64 {
-	var parts []uint64
-	for _, suspect := range register.allSuspects() {
-		parts = append(parts, suspect.Parts...)
+// reportedSuccess returns when a part last succeeded, as far as the routers have
+// told each other. It is long ago if they have not.
+func (register *Register) reportedSuccess(part uint64) time.Duration {
+	last := longAgo
+	if at, ok := register.published[part]; ok {
+		last = at
 	}
-	for _, rule := range register.rules {
-		parts = append(parts, rule.Parts...)
+	for _, report := range register.reports {
+		if at, ok := report.Successes[part]; ok {
+			last = max(last, at)
+		}
 	}
-	slices.Sort(parts)
-	return slices.Compact(parts)
+	return last
 }
 
-// Merge replaces the report of another router, or of this router's predecessor.
-func (register *Register) Merge(router string, report Report) {
+// Merge replaces the reports of other routers, or of this router's predecessor, by
+// router.
+func (register *Register) Merge(reports map[string]Report) {
 	register.mutex.Lock()
 	now := register.config.Now()
-	report.Suspects = slices.Clone(report.Suspects[max(len(report.Suspects)-maxSuspects, 0):])
-	report.Successes = maps.Clone(report.Successes)
-	register.reports[router] = report
-	for _, rule := range report.Rules {
-		register.addRule(rule, now)
-	}
-	hasNews := false
-	for _, suspect := range report.Suspects {
-		for _, part := range suspect.Parts {
-			_, succeeded := register.successes.Peek(part)
-			_, published := register.published[part]
-			hasNews = hasNews || succeeded && !published
+	for router, report := range reports {
+		report.Suspects = slices.Clone(report.Suspects[max(len(report.Suspects)-maxSuspects, 0):])
+		report.Successes = maps.Clone(report.Successes)
+		register.reports[router] = report
+		for _, rule := range report.Rules {
+			register.addRule(rule, now)
 		}
 	}
+	hasNews := len(register.unreportedSuccesses()) > 0
 	register.scheduleEvaluation(now)
 	register.mutex.Unlock()
 	if hasNews {
@@ -90,16 +113,29 @@
 	register.suspects = slices.DeleteFunc(register.suspects, isOld)
 	for router, report := range register.reports {
 		report.Suspects = slices.DeleteFunc(report.Suspects, isOld)
-		maps.DeleteFunc(report.Successes, func(_ uint64, at time.Duration) bool { return now-at > evidenceLifetime+soundPeriod })
+		maps.DeleteFunc(report.Successes, func(_ uint64, at time.Duration) bool { return isOldSuccess(at, now) })
 		if len(report.Suspects) == 0 && len(report.Successes) == 0 {
 			delete(register.reports, router) // its rules were added when it was merged
 			continue
 		}
 		register.reports[router] = report
 	}
-	register.rules = slices.DeleteFunc(register.rules, func(rule Rule) bool { return now-rule.Since > ruleLifetime })
+	register.rules = slices.DeleteFunc(register.rules, func(rule Rule) bool { return rule.isOld(now) })
 }
 
+// IsOutdated reports whether a report has nothing that still counts.
+func (register *Register) IsOutdated(report Report) bool {
+	register.mutex.Lock()
+	defer register.mutex.Unlock()
+	now := register.config.Now()
+	return !slices.ContainsFunc(report.Suspects, func(suspect Suspect) bool { return now-suspect.At <= evidenceLifetime }) &&
+		!slices.ContainsFunc(report.Rules, func(rule Rule) bool { return !rule.isOld(now) })
+}
+
+// isOldSuccess reports whether a success is too old to exonerate a part of a crash
+// that still counts.
+func isOldSuccess(at, now time.Duration) bool { return now-at > evidenceLifetime+soundPeriod }
+
 // allSuspects returns the suspects of all routers.
 func (register *Register) allSuspects() []Suspect {
 	suspects := slices.Clone(register.suspects)
@@ -109,14 +145,12 @@
 	return suspects
 }
 
-// lastSuccess returns when a part last succeeded at any router, and whether it
-// has.
-func (register *Register) lastSuccess(part uint64) (time.Duration, bool) {
-	last, ok := register.successes.Peek(part)
-	for _, report := range register.reports {
-		if at, reported := report.Successes[part]; reported && (!ok || at > last) {
-			last, ok = at, true
-		}
+// lastSuccess returns when a part last succeeded at any router, as far as this one
+// knows. It is long ago if it has not.
+func (register *Register) lastSuccess(part uint64) time.Duration {
+	last := register.reportedSuccess(part)
+	if at, ok := register.successes.Peek(part); ok {
+		last = max(last, at)
 	}
-	return last, ok
+	return last
 }
