Read the product's configuration however slow the link is

A router on the product's own path whose configuration took longer than two seconds to read never got ready, and one that needed a large page of records stayed on its revision: the limit was for all calls of a poll together, and the next poll read the same again.

Each call has its own limit now, and after one that reached it queries read half as many items at once, until the answers come in time. So each try gets further than the last.

--- a/pkg/configuration/follower.go
+++ b/pkg/configuration/follower.go
@@ -33,7 +33,7 @@
 	// maxRecordsPerRead is the maximum number of records of one read of the table
 	// or a peer.
 	maxRecordsPerRead = 256
-	// pollTimeout bounds one step of a poll: all its calls to the table or a peer.
+	// pollTimeout bounds one call of a poll to the table or a peer.
 	pollTimeout = 2 * time.Second
 	// pollJitter is the maximum random deviation from the poll interval, as a
 	// fraction of it, so that routers don't poll at the same moment.
@@ -71,10 +71,12 @@
 
 // Follower keeps the configuration view of one router up to date.
 type Follower struct {
-	table      platform.Table
-	peerReader PeerReader
-	logger     log.Logger
-	config     FollowerConfig
+	table platform.Table
+	// polledTable is the same table for polls.
+	polledTable *pagingTable
+	peerReader  PeerReader
+	logger      log.Logger
+	config      FollowerConfig
 
 	view         atomic.Pointer[View]
 	profiles     *profileCache
@@ -133,6 +135,7 @@
 	}
 	follower := &Follower{
 		table:       config.Table,
+		polledTable: newPagingTable(config.Table, pollTimeout),
 		peerReader:  config.PeerReader,
 		logger:      config.Logger,
 		config:      config,
--- a/pkg/configuration/poll.go
+++ b/pkg/configuration/poll.go
@@ -27,11 +27,9 @@
 	follower.runStep(ctx, "fetch records from a peer", follower.pullFromPeer)
 }
 
-// runStep runs one step with a timeout and reports whether it succeeded. It logs
-// an error.
+// runStep runs one step and reports whether it succeeded. It logs an error. Each call
+// of a step has a timeout of its own, as a large configuration takes many.
 func (follower *Follower) runStep(ctx context.Context, description string, run func(ctx context.Context) error) bool {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
 	err := run(ctx)
 	if err != nil {
 		_ = level.Warn(follower.logger).Log("msg", "could not "+description, "revision", follower.Revision(), "err", err)
@@ -41,7 +39,7 @@
 
 // readHead returns the newest revision of the table.
 func (follower *Follower) readHead(ctx context.Context) (uint64, error) {
-	items, err := follower.table.Get(ctx, headKey())
+	items, err := follower.polledTable.Get(ctx, headKey())
 	if err != nil {
 		return 0, err
 	}
@@ -60,7 +58,7 @@
 	follower.confirmHead(knownBeforeRead, head)
 	for follower.Revision() < head {
 		previous := follower.Revision()
-		records, err := readRecords(ctx, follower.table, previous, maxRecordsPerRead)
+		records, err := readRecords(ctx, follower.polledTable, previous, maxRecordsPerRead)
 		if err != nil {
 			return err
 		}
@@ -91,7 +89,7 @@
 	}
 	for {
 		previous := follower.Revision()
-		records, err := follower.peerReader.Records(ctx, previous)
+		records, err := follower.readPeerRecords(ctx, previous)
 		if err != nil {
 			return err
 		}
@@ -104,6 +102,12 @@
 	}
 }
 
+func (follower *Follower) readPeerRecords(ctx context.Context, after uint64) ([]Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	return follower.peerReader.Records(ctx, after)
+}
+
 // load reads all services, upstreams and callers. Profiles are read on demand.
 // The reads are not one snapshot, so documents may be newer than the head, which
 // was read first. The records after that head are therefore applied too, each
@@ -115,13 +119,13 @@
 	}
 	view := newView(follower.profiles)
 	view.revision = initialHead
-	if err := loadDocuments(ctx, follower.table, KindService, view.services); err != nil {
+	if err := loadDocuments(ctx, follower.polledTable, KindService, view.services); err != nil {
 		return err
 	}
-	if err := loadDocuments(ctx, follower.table, KindUpstream, view.upstreams); err != nil {
+	if err := loadDocuments(ctx, follower.polledTable, KindUpstream, view.upstreams); err != nil {
 		return err
 	}
-	if err := loadDocuments(ctx, follower.table, KindCaller, view.callers); err != nil {
+	if err := loadDocuments(ctx, follower.polledTable, KindCaller, view.callers); err != nil {
 		return err
 	}
 	view.rebuildIndexes(map[Kind]bool{KindService: true, KindUpstream: true, KindCaller: true})
@@ -144,7 +148,7 @@
 		return nil, err
 	}
 	for view.revision < head {
-		records, err := readRecords(ctx, follower.table, view.revision, maxRecordsPerRead)
+		records, err := readRecords(ctx, follower.polledTable, view.revision, maxRecordsPerRead)
 		if err != nil {
 			return nil, err
 		}
