Keep reports that only exonerate parts

A router that started deleted the report of another one that had seen no crash itself but successes with suspected parts. Routers that start after that would have taken those parts for the cause and refused sound requests for up to ten minutes. Introduced by the deletion of the reports of routers that are gone; found by reading it again.

Such a report is outdated only when its successes are.

TestReportOfSuccessesIsNotOutdated failed before.

--- a/pkg/quarantine/register_test.go
+++ b/pkg/quarantine/register_test.go
@@ -101,6 +101,18 @@
 	require.False(t, clock.Blocks([]uint64{7, 1001}))
 }
 
+// TestReportOfSuccessesIsNotOutdated guards against deleting a report that
+// exonerates a part which other routers suspect.
+func TestReportOfSuccessesIsNotOutdated(t *testing.T) {
+	clock := newManualClock()
+	clock.now = time.Hour
+	report := Report{Successes: map[uint64]time.Duration{7: clock.now}}
+	clock.now += evidenceLifetime
+	require.False(t, clock.IsOutdated(report))
+	clock.now += soundPeriod + 1
+	require.True(t, clock.IsOutdated(report))
+}
+
 // TestReportsForLaterTimesAreIgnored guards against a router whose clock is ahead by
 // hours and whose reports would count until then.
 func TestReportsForLaterTimesAreIgnored(t *testing.T) {
--- a/pkg/quarantine/report.go
+++ b/pkg/quarantine/report.go
@@ -142,6 +142,11 @@
 	register.mutex.Lock()
 	defer register.mutex.Unlock()
 	now := register.config.Now()
+	for _, at := range report.Successes {
+		if !isOldSuccess(at, now) {
+			return false
+		}
+	}
 	return !slices.ContainsFunc(report.Suspects, func(suspect Suspect) bool { return now-suspect.At <= evidenceLifetime }) &&
 		!slices.ContainsFunc(report.Rules, func(rule Rule) bool { return !rule.isOld(now) })
 }
