Survive reports of crashes with more parts than a rule may have

A router that merged such a report, from another release or a damaged row, would have hung with its next request: it made a rule for the parts, dropped it as too large, and began again.

A rule that is too large isn't made, and the evaluation ends when none was added.

TestReportOfTooManyPartsIsSurvived: the evaluation did not end in ten seconds before.

--- a/pkg/quarantine/evaluate.go
+++ b/pkg/quarantine/evaluate.go
@@ -83,17 +83,16 @@
 	if best == nil {
 		return false
 	}
-	// Parts that always come together can't be told apart yet: refineRules does it
-	// when one of them comes alone.
 	// A success that leaves too few of the crashes disproves the rule.
 	rule := Rule{Parts: []uint64{best.part}, Since: best.crashes[len(best.crashes)-minCrashes] - soundPeriod}
+	// Parts that always come together can't be told apart yet: refineRules does it
+	// when one of them comes alone.
 	for _, other := range candidates {
 		if other.part != best.part && len(other.crashes) >= len(best.crashes) && slices.Contains(best.companions, other.part) {
 			rule.Parts = append(rule.Parts, other.part)
 		}
 	}
-	register.addRule(rule, now)
-	return true
+	return register.addRule(rule, now)
 }
 
 // compare orders candidates: more crashes first, then fewer requests, as the first
@@ -201,11 +200,12 @@
 	return crashes
 }
 
-// addRule adds a rule unless another one covers it, and removes the rules that it
-// covers.
-func (register *Register) addRule(rule Rule, now time.Duration) {
-	if len(rule.Parts) == 0 || rule.isOld(now) || register.disproved(rule) || register.matchingRule(rule.Parts) != nil {
-		return
+// addRule adds a rule unless another one covers it, removes the rules that it
+// covers, and reports whether it was added.
+func (register *Register) addRule(rule Rule, now time.Duration) bool {
+	isUsable := len(rule.Parts) > 0 && len(rule.Parts) <= maxReportedParts && !rule.isOld(now)
+	if !isUsable || register.disproved(rule) || register.matchingRule(rule.Parts) != nil {
+		return false
 	}
 	slices.Sort(rule.Parts)
 	register.rules = slices.DeleteFunc(register.rules, func(other Rule) bool { return rule.matches(other.Parts) })
@@ -213,6 +213,7 @@
 	_ = register.config.Logger.Log("event", "part_quarantined", "parts", Names(rule.Parts), "since", rule.Since,
 		"suspects", len(register.allSuspects()), "rules", len(register.rules))
 	register.config.OnChange()
+	return true
 }
 
 // disproved reports whether each part of the rule has succeeded since.
--- a/pkg/quarantine/register_test.go
+++ b/pkg/quarantine/register_test.go
@@ -113,6 +113,32 @@
 	require.True(t, clock.IsOutdated(report))
 }
 
+// TestReportOfTooManyPartsIsSurvived guards against a router that hangs, because
+// another one reports crashes under prompts with more parts than a rule may have.
+func TestReportOfTooManyPartsIsSurvived(t *testing.T) {
+	clock := newManualClock()
+	clock.now = time.Hour
+	parts := make([]uint64, maxReportedParts+1)
+	for number := range parts {
+		parts[number] = uint64(number)
+	}
+	report := Report{Rules: []Rule{{Parts: parts, Since: clock.now}}}
+	for crash := range minCrashes {
+		report.Suspects = append(report.Suspects, Suspect{Upstream: fmt.Sprint(crash), At: clock.now + time.Duration(crash)*time.Second, Parts: parts})
+	}
+	clock.now += time.Minute / 2
+	clock.Merge(map[string]Report{"another": report})
+	clock.now += time.Second
+	evaluated := make(chan bool)
+	go func() { evaluated <- clock.Blocks([]uint64{1, 2}) }()
+	select {
+	case blocked := <-evaluated:
+		require.False(t, blocked)
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "the evaluation does not end")
+	}
+}
+
 // TestReportsForLaterTimesAreIgnored guards against a router whose clock is ahead by
 // hours and whose reports would count until then.
 func TestReportsForLaterTimesAreIgnored(t *testing.T) {
