--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -213,7 +213,7 @@
 		Router:    builder.incarnation,
 		Partition: quarantinePartition,
 		Logger:    builder.logger,
-		// A register allows for clocks that differ somewhat.
+		// The table has no clock. Small differences between the clocks of VMs do no harm.
 		Now:          func() time.Duration { return time.Duration(time.Now().UnixNano()) },
 		Commit:       builder.table.Transact,
 		Query:        builder.table.Query,
