Take an empty stream without length or chunks for broken off

Requests whose prompt crashes engines went on to crash them if the engine answers without length or chunks: the connection just ends at the crash, and the empty stream was delivered as a complete answer. So callers got an answer that looked whole, and nobody counted the crash.

A stream of that kind is complete when it ends between two events, and the end before the first event passed as that. A generation has at least one event, so it is an answer that broke off now, unless the request resumes a stream.

--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -61,6 +61,8 @@
 	// delimited is set if the response marks the end of its body, by a length or by
 	// chunked encoding, so that a truncated body can be detected.
 	delimited bool
+	// eventRead is set once an event of a passed-through stream has been read.
+	eventRead bool
 	// complete is set once the end of the answer has been read.
 	complete bool
 }
@@ -175,9 +177,14 @@
 }
 
 // nextRawEvent returns the next event unchanged. The stream is complete when its
-// body ends between two events.
+// body ends between two events. If nothing but the end of the connection marks that
+// end, and there was no event before, the upstream has crashed instead.
 func (answer *Answer) nextRawEvent() (Part, error) {
 	event, err := answer.scanner.nextRaw()
+	isFirst := !answer.eventRead && answer.options.afterPosition == 0
+	if errors.Is(err, io.EOF) && !answer.delimited && isFirst {
+		return Part{}, answer.fail(errTruncated, ReasonTruncated)
+	}
 	if errors.Is(err, io.EOF) {
 		answer.complete = true
 		return Part{}, io.EOF
@@ -185,6 +192,7 @@
 	if err != nil {
 		return Part{}, answer.fail(err, ReasonTruncated)
 	}
+	answer.eventRead = true
 	if event.id > 0 {
 		answer.position.Store(event.id)
 	}
