Apply the wait between the steps of the budget state machine

Cause: a Reserve whose context ends in its grant call still begins a loan call, which reads the routers' flags while the next step writes them.

Each step, the end of a shutdown and the final check now begin when all other goroutines of the bubble have ended or wait for time to pass. All checks are as before.

--- a/pkg/budget/state_machine_test.go
+++ b/pkg/budget/state_machine_test.go
@@ -311,6 +311,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	_ = node.escrow.shutDown(ctx)
+	synctest.Wait()
 	node.dead = true
 	machine.startNode()
 }
@@ -472,6 +473,9 @@
 			machine := newMachine(t)
 			countStep := func(name string, step func(t *rapid.T)) func(t *rapid.T) {
 				return func(t *rapid.T) {
+					// A loan call may outlive the Reserve that began it, and reads
+					// what the step changes.
+					synctest.Wait()
 					step(t)
 					machine.count(name, 1)
 				}
@@ -481,6 +485,7 @@
 				steps[name] = countStep(name, step)
 			}
 			t.Repeat(steps)
+			synctest.Wait()
 			machine.recoverAndCheck(t)
 			machine.countMutex.Lock()
 			defer machine.countMutex.Unlock()
