Simulate reports of crashes with IDs and times of their full length

The parts now have hashes, the processes names with their start times, and the clocks the time of day. Bounds and checks are as before.

--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -14,11 +14,24 @@
 
 // The parts of the simulated prompts. The deadly one comes with a part that travels
 // with it; both kinds of request start with the same common parts.
+var (
+	deadlyPart    = partID(1)
+	travelingPart = partID(2)
+	firstPart     = partID(commonPart)
+)
+
+const (
+	// commonPart and subjectPart are the first of their kind.
+	commonPart   = 100
+	commonParts  = 4
+	subjectPart  = 1000
+	subjectParts = 300
+)
+
+// partID returns an ID of the length that the hash of a part has in a report.
+func partID(number uint64) uint64 { return number * 0x9e3779b97f4a7c15 }
+
 const (
-	deadlyPart    = 1
-	travelingPart = 2
-	commonParts   = 4
-	subjectParts  = 300
 	// learningTime is the users' bound: later than this after the fifth crash, at most
 	// maxLateRequests with the deadly part may reach engines.
 	learningTime    = 3 * time.Second
@@ -87,9 +100,11 @@
 }
 
 const (
-	testSeeds      = 8
-	simulationStep = 10 * time.Millisecond
-	simulationEnd  = 40 * time.Second
+	testSeeds = 8
+	// simulationStart is the time of the routers' clocks at the start.
+	simulationStart = 20000 * 24 * time.Hour
+	simulationStep  = 10 * time.Millisecond
+	simulationEnd   = 40 * time.Second
 	// A router publishes its report at most once in publishGap, and all read the changes
 	// once in readGap.
 	publishGap    = 250 * time.Millisecond
@@ -101,7 +116,7 @@
 func (simulation *simulation) newRegister(router int) *Register {
 	clockError := simulation.scenario.clockError * time.Duration(router%3) / 2
 	return NewRegister(Config{
-		Now: func() time.Duration { return simulation.now + clockError }, Logger: log.NewNopLogger(),
+		Now: func() time.Duration { return simulationStart + simulation.now + clockError }, Logger: log.NewNopLogger(),
 		OnChange: func() { simulation.changed[router] = true },
 	})
 }
@@ -171,13 +186,13 @@
 
 func (simulation *simulation) sendRequest() {
 	random, scenario := simulation.random, simulation.scenario
-	parts := []uint64{100 + random.Uint64N(commonParts), 1000 + random.Uint64N(subjectParts), random.Uint64()}
+	parts := []uint64{partID(commonPart + random.Uint64N(commonParts)), partID(subjectPart + random.Uint64N(subjectParts)), random.Uint64()}
 	deadly := simulation.now >= scenario.deadlyFrom && random.Float64() < scenario.deadlyShare
 	switch {
 	case deadly:
-		parts = []uint64{100, travelingPart, deadlyPart, random.Uint64()}
+		parts = []uint64{firstPart, travelingPart, deadlyPart, random.Uint64()}
 	case scenario.travels && random.Float64() < 0.02:
-		parts = []uint64{100, travelingPart, random.Uint64()}
+		parts = []uint64{firstPart, travelingPart, random.Uint64()}
 	}
 	simulation.send(random.IntN(scenario.routers), parts, deadly)
 }
@@ -237,7 +252,7 @@
 	if simulation.now < engine.downUntil {
 		return
 	}
-	process := fmt.Sprintf("%d/%d", number, engine.process)
+	process := fmt.Sprintf("upstream-%04d/%013d", number, engine.process)
 	if !simulation.scenario.sameNames {
 		engine.process++
 	}
