Wait for the pollers of a server before it counts as started

Operators saw: a router whose address is taken didn't report it but hung at its start, and a server that was stopped right after its start never ended; both kept a processor busy until they were killed. Seen first in a whole test run beside six busy processes, in which TestAbortEndsWhileCallersConnect hung in the cleanup of its server.

Cause: a poller of nbio resets its stop flag when its goroutine begins to run. If Engine.Stop comes before that, the poller never ends and handles the event that should wake it again and again, and Stop waits for it. nbhttp stops its engine at once if it can't listen.

The listener is now opened before the engine starts, and an engine counts as started when each poller has read a byte from a connection of its own. Both request paths and the control servers use it.

--- a/pkg/router/httpengine.go
+++ b/pkg/router/httpengine.go
@@ -87,20 +87,10 @@
 
 // startHTTPEngine starts an HTTP engine. It pauses accepting connections while
 // overloaded returns true. It returns fault.Unavailable if the engine cannot listen
-// on its address.
+// on its address, or cannot start.
 func startHTTPEngine(config nbhttp.Config, overloaded func() bool) (*httpEngine, error) {
-	var stoppable *stoppableListener
-	config.Listen = func(network, address string) (net.Listener, error) {
-		listener, err := listen(network, address, overloaded)
-		if err != nil {
-			return nil, err
-		}
-		stoppable = newStoppableListener(listener)
-		return stoppable, nil
-	}
-	engine := nbhttp.NewEngine(config)
-	synchronizeAcceptAndRead(engine)
-	if err := engine.Start(); err != nil {
+	listener, err := listen(config.Network, config.Addrs[0], overloaded)
+	if err != nil {
 		return nil, fault.New(fault.Config{
 			Kind:    fault.Unavailable,
 			Message: "cannot listen on " + config.Addrs[0] + " for " + config.Name + ": " + err.Error(),
@@ -108,9 +98,30 @@
 			Cause:   err,
 		})
 	}
+	stoppable := newStoppableListener(listener)
+	config.Listen = func(string, string) (net.Listener, error) { return stoppable, nil }
+	engine := nbhttp.NewEngine(config)
+	synchronizeAcceptAndRead(engine)
+	if err := engine.Start(); err != nil {
+		_ = stoppable.Close() // nothing was accepted
+		return nil, notStarted(config.Name, err)
+	}
+	if err := awaitPollers(engine.Engine); err != nil {
+		stoppable.stopAccepting() // stopping the engine, too, could block
+		return nil, notStarted(config.Name, err)
+	}
 	return &httpEngine{Engine: engine, listener: stoppable}, nil
 }
 
+func notStarted(name string, err error) error {
+	return fault.New(fault.Config{
+		Kind:    fault.Unavailable,
+		Message: "cannot start the server for " + name + ": " + err.Error(),
+		Remedy:  "raise the limit of open files, or end other processes",
+		Cause:   err,
+	})
+}
+
 // synchronizeAcceptAndRead orders the accepting of a connection before its first
 // read, in the sense of the Go memory model. nbio passes a connection between the two
 // goroutines only through the kernel, which the memory model does not cover.
--- a/pkg/router/server_test.go
+++ b/pkg/router/server_test.go
@@ -203,6 +203,43 @@
 	}
 }
 
+// Guards against a server that never ends and keeps a processor busy, because it is
+// stopped before its pollers run.
+func TestAbortEndsRightAfterStart(t *testing.T) {
+	for range 300 {
+		server, err := NewServer(ServerConfig{Address: "127.0.0.1:0", Handler: http.NotFoundHandler(), MaxRequests: 1})
+		require.NoError(t, err)
+		requireEnds(t, server.Abort)
+	}
+}
+
+// Guards against a router that hangs instead of reporting that its address is taken.
+func TestServerReportsTakenAddress(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = taken.Close() })
+	for range 100 {
+		requireEnds(t, func() {
+			_, err = NewServer(ServerConfig{Address: taken.Addr().String(), Handler: http.NotFoundHandler(), MaxRequests: 1})
+		})
+		require.ErrorContains(t, err, "cannot listen on "+taken.Addr().String())
+	}
+}
+
+func requireEnds(t *testing.T, run func()) {
+	t.Helper()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		run()
+	}()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "the call does not return")
+	}
+}
+
 // Guards against lost answers on connections with "Connection: close": if the
 // server closes a connection first, another one can reuse its file descriptor and
 // get its pending poller events.
