List sound prompts that are refused after restarts as a known failure

The part in quarantine was the one that begins all prompts.

Cause, as far as traced: routers that have restarted know no success, so each crash of the deadly part counts against the common one, too. One more crash, of which only a waiting request with the common part was reported, made that one the likeliest. Once blocked it can't succeed.

The test fails on it: TestCommonPartIsNotBlockedAfterRestarts.

--- a/pkg/quarantine/register_test.go
+++ b/pkg/quarantine/register_test.go
@@ -60,6 +60,19 @@
 	require.True(t, clock.Blocks([]uint64{7, 1001}))
 }
 
+// TestCommonPartIsNotBlockedAfterRestarts guards against all requests of a service being
+// refused for minutes: routers that have restarted know no success, and one crash
+// whose culprit nobody reported leaves the part that all prompts have as the likeliest.
+func TestCommonPartIsNotBlockedAfterRestarts(t *testing.T) {
+	const common, deadly = 7, 8
+	clock := newManualClock()
+	clock.now = time.Minute
+	clock.crash(minCrashes-1, common, deadly, 1000)
+	clock.Crashed("engine/of a culprit that nobody reported", []uint64{common, 9, 1001}, false)
+	clock.now += time.Second
+	require.False(t, clock.Blocks([]uint64{common, 10, 1002}))
+}
+
 // TestReportFitsInARow guards against reports that the store refuses for their size,
 // so that a router that sees crashes under long prompts tells nobody.
 func TestReportFitsInARow(t *testing.T) {
