Read the era of the platform's store from its answers

The store may come back from an older copy and then says so with a header in all its answers. Nothing read it, so no component could tell a table that lost writes from one that was only unreachable. Receipts now have the era, those of refused calls included; nothing decides by it yet.

--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -110,8 +110,13 @@
 	Query(ctx context.Context, query Query) ([]Item, error)
 }
 
-// Receipt has the version and the time of an applied call.
+// Receipt has the version and the time of an applied call. That of a call that the
+// table refused has only the Era; without an answer it is empty.
 type Receipt struct {
+	// Era counts how often the table has come back from an older copy, which undoes
+	// the writes after that copy. Versions are comparable only within one era; zero
+	// means that the table doesn't state it.
+	Era uint64
 	// Version is the version of the rows that a commit wrote, or the latest version
 	// of the table at a read.
 	Version uint64
