Order the rows of routers by the era of the table, too

A router is alive if the version of its row changes. When the table came back from an older copy, all rows changed: dead routers were alive for six seconds more, a leaving one looked as if it served, and callers and budgets were directed to both. An own row that was undone stayed so until the next interval.

The first version of a row that is read after a restore is only where its changes are counted from; the content stays the known one until the router writes again, and every router writes as soon as it learns of the restore. A late answer of an earlier era is ignored.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -5,8 +5,9 @@
 // The flow: one goroutine of Directory writes the router's own row and reads all
 // rows periodically. A router is declared dead when its row stays unchanged for
 // too long. Only connected time counts, which is the time in which the table
-// could be read: while it is unreachable, the last known states stay. select.go
-// selects the routers that callers are directed to.
+// could be read: while it is unreachable, the last known states stay. A row that
+// changes because the table was restored from an older copy is no sign of life.
+// select.go selects the routers that callers are directed to.
 package directory
 
 import (
@@ -82,6 +83,9 @@
 type routerState struct {
 	member  Member
 	version uint64
+	// versionUndone is set when the table was restored since the row was read, so that
+	// the row may be an older one.
+	versionUndone bool
 	// unchangedFor is the connected time since the row last changed.
 	unchangedFor time.Duration
 	alive        bool
@@ -101,6 +105,8 @@
 	others map[string]*routerState
 	// lastReadAt is when the rows were last read; zero before the first read.
 	lastReadAt time.Time
+	// era is that of the last read.
+	era uint64
 }
 
 // New returns a directory and starts its goroutine; Close stops it.
@@ -176,14 +182,37 @@
 func (directory *Directory) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	items, _, err := directory.config.Table.Read(ctx, platform.Query{Partition: partition})
+	items, receipt, err := directory.config.Table.Read(ctx, platform.Query{Partition: partition})
 	if err != nil {
 		return err
 	}
-	directory.applyRows(items, directory.config.Now())
+	if directory.enterEra(receipt.Era) {
+		directory.applyRows(items, directory.config.Now())
+	}
 	return nil
 }
 
+// enterEra prepares for the rows of a table that was restored, if the era is later
+// than that of the last read. It reports whether the rows are to be used.
+func (directory *Directory) enterEra(era uint64) bool {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	if era <= directory.era {
+		return era == directory.era || era == 0 // an answer that states no era
+	}
+	previous := directory.era
+	directory.era = era
+	if directory.lastReadAt.IsZero() {
+		return true
+	}
+	for _, state := range directory.others {
+		state.versionUndone = true
+	}
+	_ = directory.config.Logger.Log("event", "directory_restored", "old_era", previous, "era", era, "routers", len(directory.others))
+	directory.requestWrite() // the own row may be an older one, too
+	return true
+}
+
 // applyRows updates the states of the other routers from the rows.
 func (directory *Directory) applyRows(items []platform.Item, now time.Time) {
 	directory.mutex.Lock()
@@ -207,12 +236,11 @@
 		state = &routerState{}
 		directory.others[name] = state
 	}
+	if state.versionUndone {
+		state.version, state.versionUndone = item.Version, false
+	}
 	if item.Version == state.version {
-		state.unchangedFor += connectedTime
-		if state.alive && state.unchangedFor > maxUnchangedDuration {
-			state.alive = false
-			_ = directory.config.Logger.Log("event", "router_gone", "router", name, "unchanged", state.unchangedFor)
-		}
+		directory.countUnchanged(name, state, connectedTime)
 		return
 	}
 	var member Member
@@ -226,12 +254,26 @@
 	*state = routerState{member: member, version: item.Version, alive: true}
 }
 
+// countUnchanged adds to the time in which a router has given no sign of life.
+func (directory *Directory) countUnchanged(name string, state *routerState, connectedTime time.Duration) {
+	state.unchangedFor += connectedTime
+	if state.alive && state.unchangedFor > maxUnchangedDuration {
+		state.alive = false
+		_ = directory.config.Logger.Log("event", "router_gone", "router", name, "unchanged", state.unchangedFor)
+	}
+}
+
 // Leave marks the router as leaving, so that no new callers are directed to it,
 // and requests an immediate write of its row.
 func (directory *Directory) Leave() {
 	directory.mutex.Lock()
 	directory.self.Leaving = true
 	directory.mutex.Unlock()
+	directory.requestWrite()
+}
+
+// requestWrite requests a write of the own row before the next interval.
+func (directory *Directory) requestWrite() {
 	select {
 	case directory.writeNow <- struct{}{}:
 	default:
