Declare a router dead whose row is missing

A router was declared dead when its row stayed the same. One that a restore of the table left without a row, and that died before it wrote again, was never looked at: it stayed in the list for ever, and callers and budgets with it.

A missing row counts as one that stays the same; when it appears again, the router is alive.

TestRouterWithoutRowIsDeclaredDead fails without that.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -222,11 +222,19 @@
 		connectedTime = min(now.Sub(directory.lastReadAt), maxConnectedGap)
 	}
 	directory.lastReadAt = now
+	listed := make(map[string]bool, len(items))
 	for _, item := range items {
+		listed[item.Key.Sort] = true
 		if item.Key.Sort != directory.config.Name {
 			directory.applyRow(item, connectedTime)
 		}
 	}
+	for name, state := range directory.others {
+		if !listed[name] {
+			state.version, state.versionUndone = 0, false
+			directory.countUnchanged(name, state, connectedTime)
+		}
+	}
 }
 
 func (directory *Directory) applyRow(item platform.Item, connectedTime time.Duration) {
--- a/pkg/directory/restore_test.go
+++ b/pkg/directory/restore_test.go
@@ -54,6 +54,21 @@
 	require.Equal(t, []string{"10.0.0.1:1"}, directory.Addresses("r", "a"))
 }
 
+// TestRouterWithoutRowIsDeclaredDead guards against a router that stays in the list
+// for ever, because it died after a restore of the table had removed its row.
+func TestRouterWithoutRowIsDeclaredDead(t *testing.T) {
+	directory := newTestDirectory()
+	now := time.Unix(0, 0)
+	other := row(t, "other", 5, Member{Address: "10.0.0.2:1", Zone: "a", Region: "r"})
+	directory.readFor(&now, 2*time.Second, 1, other)
+	directory.readFor(&now, maxUnchangedDuration/2, 2)
+	require.Equal(t, 2, directory.AliveCount(), "it may be about to write again")
+	directory.readFor(&now, maxUnchangedDuration, 2)
+	require.Equal(t, 1, directory.AliveCount())
+	directory.readFor(&now, time.Second, 2, other)
+	require.Equal(t, 2, directory.AliveCount(), "it has written again")
+}
+
 // restoredTable is a table whose era a test sets; it records the times of writes.
 type restoredTable struct {
 	mutex    sync.Mutex
