Write a report of crashes again that the table has lost

A router compared its report with the last one it had written, not with what the table has. When the table came back from a copy without that report, it was written again only after the next crash, so routers that started meanwhile did not know what the others knew.

Each read of all rows now notes which report of the router the table has: on the users' platform after a restore or a lost history, on the product's at each poll. A report that differs is written, and one that should not be there is deleted. A write that was under way during the read doesn't count as stored, as the restore may have undone it.

TestUndoneReportIsWrittenAgain fails without findOwnRow (the copy had no row).

--- a/pkg/quarantine/exchange.go
+++ b/pkg/quarantine/exchange.go
@@ -57,8 +57,17 @@
 	outdated   []platform.Item
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
+
+	mutex sync.Mutex
+	// stored is the report of this process that the table has as far as known, nil
+	// before the first write. readCount counts the calls of ReadAll.
+	stored    []byte
+	readCount int
 }
 
+// emptyReport is a report for which there is no row.
+const emptyReport = "{}"
+
 // NewExchange returns an exchange with an empty register. Its goroutines end when
 // it is closed.
 func NewExchange(config ExchangeConfig) *Exchange {
@@ -97,6 +106,7 @@
 func (exchange *Exchange) ReadAll(rows []platform.Item) {
 	select {
 	case <-exchange.started:
+		exchange.findOwnRow(rows)
 		exchange.ReadChanges(rows)
 	default:
 		reports := exchange.decode(rows)
@@ -110,6 +120,23 @@
 	}
 }
 
+// findOwnRow notes which report of this router the table has. It differs from the last
+// one written if the table came back from an older copy or someone deleted the row.
+func (exchange *Exchange) findOwnRow(rows []platform.Item) {
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	exchange.readCount++
+	if exchange.stored == nil {
+		return // a row that is there has what the router's predecessor knew
+	}
+	exchange.stored = []byte(emptyReport)
+	for _, row := range rows {
+		if row.Key.Sort == exchange.config.Router {
+			exchange.stored = row.Value
+		}
+	}
+}
+
 // ReadChanges merges the reports of other routers.
 func (exchange *Exchange) ReadChanges(rows []platform.Item) {
 	reports := exchange.decode(rows)
@@ -179,13 +206,12 @@
 	exchange.deleteOutdated(ctx)
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
-	lastWritten := []byte("{}")
 	for ctx.Err() == nil {
 		report := exchange.register.Report()
 		content, err := json.Marshal(report)
-		if err == nil && !bytes.Equal(content, lastWritten) {
+		if isStored, readCount := exchange.isStored(content); err == nil && !isStored {
 			if err = exchange.write(ctx, content, report.IsEmpty()); err == nil {
-				lastWritten = content
+				exchange.setStored(content, readCount)
 			}
 		}
 		if err != nil && ctx.Err() == nil {
@@ -195,6 +221,27 @@
 	}
 }
 
+// isStored reports whether the table has the report, and returns the number of reads on
+// which that is based.
+func (exchange *Exchange) isStored(report []byte) (isStored bool, readCount int) {
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	if exchange.stored == nil {
+		return string(report) == emptyReport, exchange.readCount
+	}
+	return bytes.Equal(report, exchange.stored), exchange.readCount
+}
+
+// setStored records a write, unless the rows were read meanwhile: what was read may be
+// newer.
+func (exchange *Exchange) setStored(report []byte, readCount int) {
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	if exchange.stored == nil || exchange.readCount == readCount {
+		exchange.stored = report
+	}
+}
+
 // waitForChange waits until the report may have changed, but at least for
 // minReportGap.
 func (exchange *Exchange) waitForChange(ctx context.Context, ticks <-chan time.Time) {
