Keep what routers reported when their table comes back older

Routers replace what they know of another router by its row. After a restore of the store the rows are older: the evidence of a router that no longer runs to write it again was lost to all, so that a deadly part crashed more engines, and a part that had succeeded since went back into quarantine by a rule in the copy.

The rows of a restored table are joined with what is known: all suspects, the last success of each part, all rules that no success disproves. The next change of a row replaces both, as before.

TestOlderReportsTakeNothingBack fails if the older report replaces the known one (the crash at the router that ended is missing).

--- a/pkg/quarantine/exchange.go
+++ b/pkg/quarantine/exchange.go
@@ -102,7 +102,7 @@
 }
 
 // ReadAll merges the reports of all routers and, at the first call, that of the
-// predecessor. It must not be called concurrently with itself or ReadChanges.
+// predecessor. It must not be called concurrently with itself, ReadRestored or ReadChanges.
 func (exchange *Exchange) ReadAll(rows []platform.Item) {
 	select {
 	case <-exchange.started:
@@ -120,6 +120,21 @@
 	}
 }
 
+// ReadRestored is ReadAll for the rows of a table that came back from an older copy.
+func (exchange *Exchange) ReadRestored(rows []platform.Item) {
+	select {
+	case <-exchange.started:
+	default:
+		exchange.ReadAll(rows)
+		return
+	}
+	exchange.findOwnRow(rows)
+	reports := exchange.decode(rows)
+	delete(reports, exchange.config.Router)
+	exchange.register.MergeRestored(reports)
+	_ = exchange.config.Logger.Log("event", "quarantine_reports_restored", "reports", len(reports))
+}
+
 // findOwnRow notes which report of this router the table has. It differs from the last
 // one written if the table came back from an older copy or someone deleted the row.
 func (exchange *Exchange) findOwnRow(rows []platform.Item) {
--- a/pkg/quarantine/register_test.go
+++ b/pkg/quarantine/register_test.go
@@ -167,3 +167,28 @@
 	require.True(t, clock.Blocks([]uint64{7, 1001}), "crashes without a success")
 	require.False(t, clock.Blocks([]uint64{9, 1001}))
 }
+
+// TestOlderReportsTakeNothingBack guards against a part that crashes more engines, or a
+// sound one that is refused again, because the table came back from an older copy of
+// the report of a router that no longer runs.
+func TestOlderReportsTakeNothingBack(t *testing.T) {
+	clock := newManualClock()
+	clock.now = time.Minute
+	clock.crash(minCrashes-1, 7, 1000)
+	crash := Suspect{Upstream: "engine", At: clock.now, Begun: true, Parts: []uint64{7}}
+	clock.Merge(map[string]Report{"ended": {Suspects: []Suspect{crash}}})
+	older := map[string]Report{"ended": {Suspects: []Suspect{{Upstream: "another", At: clock.now - time.Second, Parts: []uint64{9}}}}}
+	clock.MergeRestored(older)
+	clock.MergeRestored(older)
+	clock.now += time.Second
+	require.True(t, clock.Blocks([]uint64{7, 1001}), "the crash at the router that ended")
+	require.Len(t, clock.reports["ended"].Suspects, 2)
+
+	rule := Rule{Parts: []uint64{7}, Since: 50 * time.Second}
+	clock.Merge(map[string]Report{"ended": {Successes: map[uint64]time.Duration{7: clock.now}}})
+	clock.now += time.Second
+	require.False(t, clock.Blocks([]uint64{7, 1001}), "the part has succeeded since")
+	clock.MergeRestored(map[string]Report{"ended": {Rules: []Rule{rule}}})
+	clock.now += time.Second
+	require.False(t, clock.Blocks([]uint64{7, 1001}), "the older report has the rule, and not the success")
+}
--- a/pkg/quarantine/report.go
+++ b/pkg/quarantine/report.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -109,6 +110,39 @@
 	}
 }
 
+// MergeRestored merges reports of a table that came back from an older copy: what is
+// known of other routers stays, as it may be newer.
+func (register *Register) MergeRestored(reports map[string]Report) {
+	register.mutex.Lock()
+	merged := make(map[string]Report, len(reports))
+	for router, report := range reports {
+		merged[router] = report.with(register.reports[router])
+	}
+	register.mutex.Unlock()
+	register.Merge(merged)
+}
+
+// with returns what the two reports of a router tell together.
+func (report Report) with(other Report) Report {
+	suspects := slices.Clone(report.Suspects)
+	for _, suspect := range other.Suspects {
+		isSame := func(known Suspect) bool {
+			return known.Upstream == suspect.Upstream && known.At == suspect.At && slices.Equal(known.Parts, suspect.Parts)
+		}
+		if !slices.ContainsFunc(suspects, isSame) {
+			suspects = append(suspects, suspect)
+		}
+	}
+	slices.SortFunc(suspects, func(a, b Suspect) int { return cmp.Compare(a.At, b.At) })
+	successes := make(map[uint64]time.Duration, len(report.Successes))
+	for _, reported := range []map[uint64]time.Duration{report.Successes, other.Successes} {
+		for part, at := range reported {
+			successes[part] = max(successes[part], at)
+		}
+	}
+	return Report{Suspects: suspects, Successes: successes, Rules: slices.Concat(report.Rules, other.Rules)}
+}
+
 // until returns a copy without what is reported for a later time.
 func (report Report) until(end time.Duration) Report {
 	suspects := slices.Clone(report.Suspects[max(len(report.Suspects)-maxSuspects, 0):])
