Notice that the product's platform came back from an older copy

The product's platform states no era, so no router could tell that its table had lost writes. Responses may now state it in a header, over the HTTP client that all components share; the stand-in does, and can go back to a copy. A router logs platform_restored and counts wisterialb_platform_restores_total.

TestRestoreIsObserved: an outage is no restore, failed calls state the era, and a version given out again meets the condition of a write that it was not meant for.

--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -49,9 +49,13 @@
 	objects   *objectsClient
 	vms       *vmsClient
 	transport *transport
+	eras      *eraTransport
 }
 
-var _ Platform = (*Client)(nil)
+var (
+	_ Platform        = (*Client)(nil)
+	_ RestoreObserver = (*Client)(nil)
+)
 
 // Dial returns a client. The first call opens the first connection.
 func Dial(config ClientConfig) *Client {
@@ -61,17 +65,32 @@
 	if config.HTTPClient == nil {
 		config.HTTPClient = newHTTPClient(config.Dial)
 	}
-	transport := &transport{httpClient: config.HTTPClient, timeout: config.Timeout}
+	eras := &eraTransport{next: config.HTTPClient.Transport}
+	if eras.next == nil {
+		eras.next = http.DefaultTransport
+	}
+	httpClient := *config.HTTPClient
+	httpClient.Transport = eras
+	transport := &transport{httpClient: &httpClient, timeout: config.Timeout}
 	baseURL := "http://" + config.Address
 	clientHeader := twirp.WithClientHooks(&twirp.ClientHooks{RequestPrepared: setClientHeader(config.Name)})
 	return &Client{
-		table:     &tableClient{transport: transport, stub: platformpb.NewTableProtobufClient(baseURL, config.HTTPClient, clientHeader)},
-		objects:   &objectsClient{transport: transport, stub: platformpb.NewObjectsProtobufClient(baseURL, config.HTTPClient, clientHeader)},
-		vms:       &vmsClient{transport: transport, stub: platformpb.NewVMsProtobufClient(baseURL, config.HTTPClient, clientHeader)},
+		table:     &tableClient{transport: transport, stub: platformpb.NewTableProtobufClient(baseURL, transport.httpClient, clientHeader)},
+		objects:   &objectsClient{transport: transport, stub: platformpb.NewObjectsProtobufClient(baseURL, transport.httpClient, clientHeader)},
+		vms:       &vmsClient{transport: transport, stub: platformpb.NewVMsProtobufClient(baseURL, transport.httpClient, clientHeader)},
 		transport: transport,
+		eras:      eras,
 	}
 }
 
+// OnRestore sets the function that is called when the platform has come back from an
+// older copy.
+func (client *Client) OnRestore(observe func(previous, era uint64)) {
+	client.eras.mutex.Lock()
+	defer client.eras.mutex.Unlock()
+	client.eras.onRestore = observe
+}
+
 // Table returns the table service.
 func (client *Client) Table() Table { return client.table }
 
--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -107,6 +107,7 @@
 	builder.logger = log.With(filterLevel(config.Logger, config.Settings.LogLevel), "ts", log.DefaultTimestampUTC, "incarnation", builder.incarnation)
 	setNbioLogger(builder.logger)
 	builder.signer = resumeSigner{key: []byte(config.Settings.PeerKey)}
+	builder.observeRestores()
 	builder.controlPlane()
 	builder.dataPlane()
 	builder.reportTask = startPeriodicTask(reportInterval, builder.reportStatus)
@@ -118,6 +119,19 @@
 	return builder.Router, nil
 }
 
+// observeRestores logs and counts when the platform has come back from an older copy.
+func (builder *builder) observeRestores() {
+	observer, ok := builder.routerConfig.Platform.(platform.RestoreObserver)
+	if !ok {
+		return
+	}
+	restores := newRestoreCounter(builder.routerConfig.Registry)
+	observer.OnRestore(func(previous, era uint64) {
+		restores.Add(float64(era - previous))
+		builder.warn("event", "platform_restored", "old_era", previous, "era", era)
+	})
+}
+
 func newHandlerConfig(settings settings.Settings) handlerConfig {
 	return handlerConfig{
 		Zone:             settings.Zone,
--- a/pkg/router/metrics.go
+++ b/pkg/router/metrics.go
@@ -45,6 +45,14 @@
 	}
 }
 
+func newRestoreCounter(registerer prometheus.Registerer) prometheus.Counter {
+	return promauto.With(registerer).NewCounter(prometheus.CounterOpts{
+		Namespace: metricsNamespace,
+		Name:      "platform_restores_total",
+		Help:      "Times the platform's table and objects came back from an older copy.",
+	})
+}
+
 // countRequest counts a request that ended with err; nil means that its answer
 // was complete.
 func (metrics *metrics) countRequest(service string, err error) {
--- a/pkg/standin/object.go
+++ b/pkg/standin/object.go
@@ -84,3 +84,15 @@
 	objects.tree.Delete(object{name: name})
 	return nil
 }
+
+func (objects *Objects) copy() *btree.BTreeG[object] {
+	objects.mutex.Lock()
+	defer objects.mutex.Unlock()
+	return objects.tree.Clone()
+}
+
+func (objects *Objects) restore(earlier *btree.BTreeG[object]) {
+	objects.mutex.Lock()
+	defer objects.mutex.Unlock()
+	objects.tree = earlier.Clone()
+}
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -8,8 +8,11 @@
 	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
+	"github.com/google/btree"
+
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
@@ -39,6 +42,8 @@
 	vms         *VMList
 	interceptor *interceptor
 	endpoint    *endpoint
+	// era is one at the start and rises with each Restore.
+	era atomic.Uint64
 }
 
 var _ platform.Platform = (*Platform)(nil)
@@ -52,6 +57,7 @@
 		vms:         NewVMList(config.VMListDelay),
 		interceptor: newInterceptor(config),
 	}
+	standin.era.Store(1)
 	endpoint, err := newEndpoint(config.Address, newPlatformHandler(standin))
 	if err != nil {
 		return nil, err
@@ -88,6 +94,25 @@
 // BackingTable returns the table without rate limits and faults, for checks.
 func (standin *Platform) BackingTable() *Table { return standin.table }
 
+// PlatformCopy is the state of a Platform's table and objects at one moment.
+type PlatformCopy struct {
+	table   tableCopy
+	objects *btree.BTreeG[object]
+}
+
+// Copy returns the current state of the table and the objects.
+func (standin *Platform) Copy() PlatformCopy {
+	return PlatformCopy{table: standin.table.copy(), objects: standin.objects.copy()}
+}
+
+// Restore begins the next era with the state of an earlier one: it undoes all later
+// writes and gives their versions out again. Responses over HTTP state the era.
+func (standin *Platform) Restore(earlier PlatformCopy) {
+	standin.era.Add(1)
+	standin.table.restore(earlier.table)
+	standin.objects.restore(earlier.objects)
+}
+
 // VMList returns the VM list, for changing it.
 func (standin *Platform) VMList() *VMList { return standin.vms }
 
--- a/pkg/standin/platform_test.go
+++ b/pkg/standin/platform_test.go
@@ -187,3 +187,42 @@
 		assert.Equal(t, faults, server.Faults())
 	})
 }
+
+// TestRestoreIsObserved guards against a platform that comes back from an older copy
+// without anybody noticing, as a version that was given out twice looks like none.
+func TestRestoreIsObserved(t *testing.T) {
+	ctx := context.Background()
+	server, err := standin.NewPlatform(standin.PlatformConfig{})
+	require.NoError(t, err)
+	defer func() { require.NoError(t, server.Close()) }()
+	client := platform.Dial(platform.ClientConfig{Address: server.Address()})
+	defer client.Close()
+	var eras []uint64
+	client.OnRestore(func(previous, era uint64) { eras = append(eras, previous, era) })
+	key := platform.Key{Partition: "p", Sort: "s"}
+	put := func(value string, version uint64) error {
+		return client.Table().Transact(ctx, platform.Transaction{Writes: []platform.Write{{
+			Key: key, Value: []byte(value), Condition: platform.Condition{Kind: platform.IfVersion, Version: version},
+		}}})
+	}
+	require.NoError(t, client.Table().Transact(ctx, platform.Transaction{Writes: []platform.Write{{Key: key, Value: []byte("first")}}}))
+	require.NoError(t, client.Objects().Put(ctx, "kept", nil))
+	earlier := server.Copy()
+	require.NoError(t, put("undone", 1))
+	require.NoError(t, client.Objects().Put(ctx, "undone", nil))
+	require.NoError(t, server.SetFaults(standin.PlatformFaults{Outage: true}))
+	_, err = client.Table().Get(ctx, key)
+	require.Error(t, err)
+	require.Empty(t, eras, "an outage is no restore")
+	server.Restore(earlier)
+	_, err = client.Table().Get(ctx, key)
+	require.Error(t, err)
+	require.Equal(t, []uint64{1, 2}, eras, "failed calls state the era, too")
+	require.NoError(t, server.SetFaults(standin.PlatformFaults{}))
+	names, err := client.Objects().List(ctx, "", "", 0)
+	require.NoError(t, err)
+	require.Equal(t, []string{"kept"}, names)
+	require.NoError(t, put("another", 1))
+	require.NoError(t, put("by chance", 2), "the version of the undone value was given out again")
+	require.Len(t, eras, 2)
+}
--- a/pkg/standin/rpc.go
+++ b/pkg/standin/rpc.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 
 	"github.com/twitchtv/twirp"
 
@@ -28,7 +29,15 @@
 	mux.HandleFunc("POST /admin/silence", runAction(standin.BlackholeConnections))
 	mux.HandleFunc("POST /admin/vms", acceptJSON(standin.setVMs))
 	mux.HandleFunc("GET /healthz", serveHealth)
-	return mux
+	return standin.withEra(mux)
+}
+
+// withEra states the era in all responses.
+func (standin *Platform) withEra(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set(platform.EraHeader, strconv.FormatUint(standin.era.Load(), 10))
+		next.ServeHTTP(writer, request)
+	})
 }
 
 // vmBody is the JSON form of a VM.
--- a/pkg/standin/table.go
+++ b/pkg/standin/table.go
@@ -152,6 +152,25 @@
 	return items, nil
 }
 
+// tableCopy is the state of a Table at one moment.
+type tableCopy struct {
+	items       *btree.BTreeG[platform.Item]
+	lastVersion uint64
+}
+
+func (table *Table) copy() tableCopy {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	return tableCopy{items: table.items.Clone(), lastVersion: table.lastVersion}
+}
+
+// restore goes back to an earlier state. The versions since are given out again.
+func (table *Table) restore(earlier tableCopy) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	table.items, table.lastVersion = earlier.items.Clone(), earlier.lastVersion
+}
+
 // Len returns the number of items.
 func (table *Table) Len() int {
 	table.mutex.Lock()
