Declare grants again after the budget table came back from a copy

Cause: nothing told a restore from an outage, and the rows of the pool stated only sums. A holder whose grants were undone found its own rows older than it remembered and wrote them again, but never its slice; the others granted the difference once more. Versions are given out again, so a late commit of before the restore could also meet its conditions.

Change: the sort key of each row ends with the table's era, so a commit of an earlier era fails whatever the versions are. A holder that learns of a new era writes its grants and charges again, together with its slice, before it takes anything, and waits up to a second for the others. A slice states each of its holders, so that those who are alive complete the copy by what they remember of the others; what holders that have not declared theirs may have taken since is kept back. A process whose predecessor's last rows were undone charges an estimate for it. Transfers between slices that were undone count against all other slices.

--- a/pkg/allowance/exchange.go
+++ b/pkg/allowance/exchange.go
@@ -23,20 +23,34 @@
 		keeper.recordPool(pool, prepaid) // valid even if the commit conflicts
 	}
 	waitingByTeam := keeper.copyWaitingByTeam()
+	pool.enterEra(keeper.eraEnteredAt, keeper.rememberedPool, keeper.undeclared)
+	waitsForOthers := pool.awaitsDeclarations(keeper.tableTimeAt(now))
+	keeper.correctPredecessor(pool.slices[pool.ownNumber].Holders[keeper.config.Name], now)
 	var writes []platform.Write
-	if !keeper.closing {
+	if !keeper.closing && !waitsForOthers {
 		writes = pool.rebalance(prepaid, waitingByTeam, maxDonors)
 	}
 	defer func() { keeper.exchangedAt = keeper.config.Now() }()
 	keeper.holder.addAccounts(prepaid)
-	row := keeper.holder.draft(keeper.newRow(now), keeper.planGrants(prepaid, waitingByTeam, pool), now)
-	writes = append(writes, pool.sliceWrite(pool.ownNumber))
+	row, share := keeper.newRow(now), keeper.newShare(now)
+	undone := make(map[string]HolderAccount)
+	row = keeper.holder.draft(row, keeper.planGrants(prepaid, waitingByTeam, pool, share, undone, waitsForOthers), now)
+	for team, account := range share.Teams {
+		account.Base = row.Teams[team].Base
+		share.Teams[team] = account
+	}
+	pool.slices[pool.ownNumber].setShare(keeper.config.Name, share)
+	writes = append(writes, pool.sliceWrites(pool.ownNumber)...)
 	keeper.pool, pool.upToDate = pool, false
 	if err := keeper.commit(ctx, row, writes...); err != nil {
 		return err
 	}
-	pool.recordWrites(writes, keeper.rowVersion)
+	pool.recordWrites(writes, keeper.ownRow.Version, keeper.tableTimeAt(now))
 	pool.upToDate = true
+	if keeper.undeclared {
+		keeper.logDeclared(undone)
+	}
+	keeper.undonePredecessor = false
 	if len(pool.slices) == 1 {
 		pool.readAt = now // the commit's condition confirmed that its row was up to date
 	}
@@ -80,9 +94,11 @@
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
 	keeper.poolReadAt = pool.readAt
+	keeper.reservedTokens = 0
 	keeper.chargedByTeam = make(map[string]int64, len(prepaid))
 	for team := range prepaid {
 		keeper.chargedByTeam[team] = pool.charged(team)
+		keeper.reservedTokens += pool.slices[pool.ownNumber].reserved(team, pool.era)
 	}
 }
 
@@ -98,28 +114,50 @@
 }
 
 // planGrants returns a plan that computes each team's grant and records it in
-// the keeper's own slice.
-func (keeper *Keeper) planGrants(prepaid, waitingByTeam map[string]int64, pool *pool) planFunc {
-	slice := pool.slices[pool.ownNumber]
+// share, which is to replace the holder's share in its own slice. It records in
+// undone what the slice lacks of the holder's grants and charges.
+func (keeper *Keeper) planGrants(
+	prepaid, waitingByTeam map[string]int64, pool *pool, share HolderShare, undone map[string]HolderAccount, waitsForOthers bool,
+) planFunc {
+	slice := &pool.slices[pool.ownNumber]
+	previousShare := slice.Holders[keeper.config.Name]
 	servingHolders, serving := keeper.config.Holders()
 	holders := max(1, servingHolders/len(pool.slices))
 	return func(team string, usage Usage) GrantPlan {
+		previous := previousShare.Teams[team]
+		undone[team] = HolderAccount{Granted: usage.CurrentTerms.Granted, Charged: usage.CurrentTerms.Reported}.minus(previous)
 		sliceAccount := slice.Teams[team]
+		sliceAccount.Granted += usage.CurrentTerms.Granted - previous.Granted
+		usage.CurrentTerms.Reported, usage.CurrentTerms.Demand = previous.Charged, previous.Demand
 		budgetState := BudgetState{
 			Usage: usage, SliceBudget: pool.sliceBudget(pool.ownNumber, team, prepaid[team]), SliceAccount: sliceAccount, WaitingTokens: waitingByTeam[team], Holders: holders,
 			Idle: !serving, Leaving: keeper.leaving.Load(),
+			ShortfallOfOthers: pool.shortfallOfOthers(team, prepaid[team]), KeepGrant: waitsForOthers,
 		}
-		granted := budgetState.TargetGrant()
+		account := HolderAccount{Granted: budgetState.TargetGrant(), Charged: usage.CurrentTerms.Charged, Demand: int64(usage.Demand)}
 		if keeper.closing {
-			granted = usage.CurrentTerms.Charged
+			account.Granted = usage.CurrentTerms.Charged
 		}
-		sliceAccount.Granted += granted - usage.CurrentTerms.Granted
-		sliceAccount.Charged += usage.CurrentTerms.Charged - usage.CurrentTerms.Reported
-		sliceAccount.Demand += int64(usage.Demand) - usage.CurrentTerms.Demand
-		slice.Teams[team] = sliceAccount
+		share.Teams[team] = account
+		sliceDemand := sliceAccount.Demand + account.Demand - previous.Demand
 		return GrantPlan{
-			Granted: granted, Reported: usage.CurrentTerms.Charged, Demand: int64(usage.Demand),
-			ExpectedDemand: float64(sliceAccount.Demand) / float64(holders), WaitingTokens: waitingByTeam[team], StopSpending: keeper.closing,
+			Granted: account.Granted, Reported: account.Charged, Demand: account.Demand,
+			ExpectedDemand: float64(sliceDemand) / float64(holders), WaitingTokens: waitingByTeam[team], StopSpending: keeper.closing,
 		}
 	}
 }
+
+// newShare returns an empty share of the holder.
+func (keeper *Keeper) newShare(now time.Time) HolderShare {
+	return HolderShare{Era: keeper.era, Stamp: keeper.tableTimeAt(now), Teams: make(map[string]HolderAccount)}
+}
+
+// correctPredecessor estimates the charges of a preceding process whose last rows
+// a restore has undone by its share, if that is more recent than the row.
+func (keeper *Keeper) correctPredecessor(share HolderShare, now time.Time) {
+	if !keeper.undonePredecessor || share.Era == keeper.era {
+		return
+	}
+	startedAt := keeper.tableTimeAt(now) - now.Sub(keeper.config.StartedAt)
+	keeper.holder.takeOverShare(share, startedAt-share.Stamp)
+}
--- a/pkg/allowance/fleet_test.go
+++ b/pkg/allowance/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -39,6 +40,28 @@
 	version uint64
 	now     time.Duration
 	delayed []platform.Transaction
+	era     uint64
+}
+
+// tableCopy is a consistent copy of a table.
+type tableCopy struct {
+	items   map[platform.Key]platform.Item
+	version uint64
+}
+
+func (memoryTable *memoryTable) copy() tableCopy {
+	return tableCopy{items: maps.Clone(memoryTable.items), version: memoryTable.version}
+}
+
+// restore replaces the rows by those of a copy. Later versions are given out again.
+// Delayed transactions are still applied later, if their conditions hold.
+func (memoryTable *memoryTable) restore(copied tableCopy) {
+	memoryTable.items, memoryTable.version = maps.Clone(copied.items), copied.version
+	memoryTable.era++
+}
+
+func (memoryTable *memoryTable) receipt() platform.Receipt {
+	return platform.Receipt{Era: memoryTable.era, Version: memoryTable.version, Now: memoryTable.now}
 }
 
 func newMemoryTable() *memoryTable {
@@ -62,6 +85,10 @@
 	}
 	memoryTable.version++
 	for _, write := range transaction.Writes {
+		if write.Action == platform.Delete {
+			delete(memoryTable.items, write.Key)
+			continue
+		}
 		memoryTable.items[write.Key] = platform.Item{Key: write.Key, Value: write.Value, Version: memoryTable.version}
 	}
 	return nil
@@ -124,7 +151,7 @@
 			}
 		}
 		err := tableClient.table.apply(transaction)
-		return platform.Receipt{Version: tableClient.table.version, Now: tableClient.table.now}, err
+		return tableClient.table.receipt(), err
 	case modeRefuse:
 		return platform.Receipt{}, fault.New(fault.Config{Kind: fault.Overloaded})
 	case modeNoAnswer:
@@ -137,7 +164,7 @@
 		return platform.Receipt{}, errNoAnswer
 	default:
 		err := tableClient.table.apply(transaction)
-		return platform.Receipt{Version: tableClient.table.version, Now: tableClient.table.now}, err
+		return tableClient.table.receipt(), err
 	}
 }
 
@@ -153,7 +180,7 @@
 		}
 	}
 	slices.SortFunc(items, func(a, b platform.Item) int { return strings.Compare(a.Key.Sort, b.Key.Sort) })
-	return items, platform.Receipt{Version: tableClient.table.version, Now: tableClient.table.now}, nil
+	return items, tableClient.table.receipt(), nil
 }
 
 // vm is a VM, which runs one keeper process after the other.
@@ -311,7 +338,7 @@
 		for _, vm := range fleet.vms {
 			allStarted = allStarted && vm.keeper.holder.HasPublished()
 			charged += vm.keeper.holder.account(team).charged()
-			row, err := decode[HolderRow](fleet.table.items[holderKey(vm.name)].Value)
+			row, err := decode[HolderRow](fleet.table.items[holderKey(vm.name, 0)].Value)
 			require.NoError(t, err)
 			if vm.keeper.holder.HasPublished() {
 				require.LessOrEqual(t, vm.keeper.holder.account(team).charged(), row.Teams[team].Granted, "%s spends returned tokens", vm.name)
--- a/pkg/allowance/holder.go
+++ b/pkg/allowance/holder.go
@@ -79,6 +79,8 @@
 	// committedTerms are the terms in the table: first those of the preceding
 	// process, then those of committedRow.
 	committedTerms map[string]Terms
+	// undoneStamp is the stamp of the row that takeOverUndone applied.
+	undoneStamp time.Duration
 }
 
 // NewHolder returns a holder without grants.
@@ -218,6 +220,53 @@
 	}
 }
 
+// takeOverUndone applies the row of a preceding process whose later rows a restore
+// of the table has undone. Its grants are unknown, so that none is left.
+func (holder *Holder) takeOverUndone(row HolderRow, elapsed time.Duration) {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	holder.committedTerms = make(map[string]Terms, len(row.Teams))
+	holder.undoneStamp = row.Stamp
+	for team, terms := range row.Teams {
+		account := HolderAccount{Charged: terms.Charged, Demand: max(terms.Demand, int64(float64(terms.Rate)/rateFactor)), Base: terms.Base}
+		holder.setUndone(team, account.maxCharged(elapsed))
+	}
+}
+
+// takeOverShare replaces the estimates of takeOverUndone by those from the preceding
+// process's share in its slice, if that is more recent.
+func (holder *Holder) takeOverShare(share HolderShare, elapsed time.Duration) {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	if share.Stamp <= holder.undoneStamp {
+		return
+	}
+	for team, account := range share.Teams {
+		holder.setUndone(team, account.maxCharged(elapsed))
+	}
+}
+
+func (holder *Holder) setUndone(team string, charged int64) {
+	holder.account(team).spent = charged
+	holder.committedTerms[team] = Terms{Granted: charged, Charged: charged, Reported: charged}
+}
+
+// keepLowestGrants makes the grants of the committed row the lowest of those that
+// may be in the table: an exchange without an answer may have returned the rest to
+// the pool.
+func (holder *Holder) keepLowestGrants() {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	terms := make(map[string]Terms, len(holder.committedTerms))
+	for team, committed := range holder.committedTerms {
+		for i := range holder.pendingRows {
+			committed.Granted = min(committed.Granted, holder.pendingRows[i].row.Teams[team].Granted)
+		}
+		terms[team] = committed
+	}
+	holder.committedTerms = terms
+}
+
 // Usage is a holder's use of one team's budget, for planning its grant.
 type Usage struct {
 	// CurrentTerms are the terms in the committed row, with Charged brought up to
@@ -250,6 +299,13 @@
 // planFunc returns a team's grant in the next row.
 type planFunc func(team string, usage Usage) GrantPlan
 
+// charged returns the tokens that the holder has charged to a team.
+func (holder *Holder) charged(team string) int64 {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	return holder.account(team).charged()
+}
+
 // unspent returns the tokens that are granted for the team and not charged.
 func (holder *Holder) unspent(team string) int64 {
 	holder.mutex.Lock()
--- a/pkg/allowance/keeper.go
+++ b/pkg/allowance/keeper.go
@@ -46,9 +46,9 @@
 // fewer conflicts.
 var maxDonorsPerTry = []int{3, 1, 0}
 
-// holderKey returns the key of a holder's row.
-func holderKey(name string) platform.Key {
-	return platform.Key{Partition: holderPrefix + name, Sort: holderSortKey}
+// holderKey returns the key of a holder's row in an era.
+func holderKey(name string, era uint64) platform.Key {
+	return platform.Key{Partition: holderPrefix + name, Sort: sortKey(holderSortKey, era)}
 }
 
 // KeeperConfig configures a Keeper.
@@ -91,10 +91,21 @@
 	leaving atomic.Bool
 
 	// The fields up to the mutex are used only by the keeper's goroutine.
-	// sequence is the number of the last row drafted, rowVersion the version of
-	// the holder's row in the table.
-	sequence   uint64
-	rowVersion uint64
+	// sequence is the number of the last row drafted.
+	sequence uint64
+	// ownRow is the holder's row in the table; it has no version while there is none.
+	ownRow platform.Item
+	// undeclared is set from a restore of the table until the holder has written its
+	// grants again.
+	undeclared bool
+	// eraEnteredAt is the time of the table's clock at which the holder learned of the
+	// last restore.
+	eraEnteredAt time.Duration
+	// rememberedPool holds the slices as they were before the last restore.
+	rememberedPool *pool
+	// undonePredecessor is set when a restore undid the last rows of the preceding
+	// process, and the holder has not exchanged yet.
+	undonePredecessor bool
 	// outcomeUnknown is set when a commit got no answer.
 	outcomeUnknown bool
 	// nextExchangeAt is when the next exchange is due.
@@ -118,6 +129,14 @@
 	steppedAt, exchangedAt time.Time
 
 	mutex sync.Mutex
+	// tableEra is the table's era according to its answers, era that of the rows
+	// that the keeper reads and writes; hasEra is set when it is known.
+	tableEra, era uint64
+	hasEra        bool
+	// The fields of RestoreStatistics.
+	restores                         uint64
+	redeclaredTokens, reservedTokens int64
+	estimatedTokens                  int64
 	// chargedByTeam are the tokens charged by all holders, as of poolReadAt.
 	chargedByTeam map[string]int64
 	poolReadAt    time.Time
@@ -218,15 +237,15 @@
 // try, it writes the holder's row alone, so that the table shows what was spent
 // even when the pool is contended.
 func (keeper *Keeper) publish(ctx context.Context, prepaid map[string]int64) error {
-	if !keeper.holder.HasPublished() && keeper.rowVersion == 0 || keeper.outcomeUnknown {
+	if !keeper.holder.HasPublished() && keeper.ownRow.Version == 0 || keeper.outcomeUnknown || keeper.restored() {
 		if err := keeper.readOwnRow(ctx); err != nil {
 			return err
 		}
 	}
-	holders, serving := keeper.config.Holders()
-	if holders == 0 || keeper.config.Now().Before(keeper.nextExchangeAt) || !serving && keeper.exchangeUnneeded() {
+	if !keeper.exchangeDue() {
 		return keeper.writeOwnRow(ctx)
 	}
+	holders, _ := keeper.config.Holders()
 	for _, maxDonors := range maxDonorsPerTry {
 		err := keeper.exchange(ctx, prepaid, maxDonors)
 		switch {
@@ -239,6 +258,15 @@
 	return keeper.deferExchange(ctx, keeper.randomBackoff(holders))
 }
 
+// exchangeDue reports whether the next write includes an exchange.
+func (keeper *Keeper) exchangeDue() bool {
+	holders, serving := keeper.config.Holders()
+	if holders == 0 || keeper.config.Now().Before(keeper.nextExchangeAt) {
+		return false
+	}
+	return keeper.undeclared || serving || !keeper.exchangeUnneeded()
+}
+
 // deferExchange delays the next exchange, so that other holders can change the
 // pool, and writes the holder's row alone.
 func (keeper *Keeper) deferExchange(ctx context.Context, wait time.Duration) error {
--- a/pkg/allowance/patterns_test.go
+++ b/pkg/allowance/patterns_test.go
@@ -168,7 +168,7 @@
 		firstVM.step()
 		fleet.advance(time.Second)
 	}
-	outdatedPool, err := newPool([]platform.Item{fleet.table.items[sliceKey(0)]}, secondVM.name)
+	outdatedPool, err := newPool([]platform.Item{fleet.table.items[sliceKey(0, 0)]}, secondVM.name)
 	require.NoError(t, err)
 	outdatedPool.items[0].Version-- // the version before the first holder's exchange
 	secondVM.keeper.pool = outdatedPool
@@ -209,7 +209,7 @@
 	for vm.reserve("cooks", 500) {
 		fleet.settle(vm, 500)
 	}
-	row, err := decode[HolderRow](fleet.table.items[holderKey(vm.name)].Value)
+	row, err := decode[HolderRow](fleet.table.items[holderKey(vm.name, 0)].Value)
 	require.NoError(t, err)
 	require.Less(t, row.Teams["cooks"].Granted, int64(10_000), "the row that returns tokens is in the table")
 	require.LessOrEqual(t, vm.keeper.holder.account("cooks").charged(), row.Teams["cooks"].Granted)
--- a/pkg/allowance/plan.go
+++ b/pkg/allowance/plan.go
@@ -82,6 +82,11 @@
 	Idle    bool
 	// Leaving is set when the holder stops soon.
 	Leaving bool
+	// ShortfallOfOthers is by how much the grants in other slices exceed their
+	// budgets.
+	ShortfallOfOthers int64
+	// KeepGrant is set when nothing may be taken from the pool.
+	KeepGrant bool
 }
 
 // Remaining returns the tokens of the slice's budget that no holder has
@@ -111,6 +116,14 @@
 	return (budgetState.Demand + priorDemand) / (totalDemand + holders*priorDemand)
 }
 
+// grantable returns the tokens that the holder may take from its slice.
+func (budgetState BudgetState) grantable() int64 {
+	if budgetState.KeepGrant {
+		return 0
+	}
+	return max(budgetState.SliceBudget-budgetState.SliceAccount.Granted-budgetState.ShortfallOfOthers, 0)
+}
+
 // TargetGrant returns the holder's grant after the exchange, in tokens. Its
 // unspent part is the holder's fraction of the remaining tokens, limited to what
 // the slice can still grant.
@@ -129,7 +142,7 @@
 		targetUnspent = max(targetUnspent, min(float64(budgetState.WaitingTokens)+prefetch, float64(remaining)))
 	}
 	unspent := float64(budgetState.CurrentTerms.Unspent())
-	grantable := float64(max(budgetState.SliceBudget-budgetState.SliceAccount.Granted, 0))
+	grantable := float64(budgetState.grantable())
 	if budgetState.Holders > 1 && unspent+grantable < min(float64(budgetState.WaitingTokens), budgetState.MeanReservation) {
 		targetUnspent = 0 // too few tokens for one request; another holder may be able to use them
 	}
--- a/pkg/allowance/slice.go
+++ b/pkg/allowance/slice.go
@@ -34,6 +34,10 @@
 	// defaultSplitDelay is how long after its start a holder waits before it
 	// splits a new pool, so that the size of the fleet is known.
 	defaultSplitDelay = 2 * time.Second
+	// declarationTime is how long after a restore a holder waits for the others to
+	// declare their grants before it takes tokens: several times as long as the
+	// holders that are connected need for a write.
+	declarationTime = time.Second
 	// evenFraction is the fraction of the remaining budget that is spread
 	// evenly over the slices; the rest is spread in proportion to demand.
 	evenFraction = 0.3
@@ -60,6 +64,18 @@
 // an equal share plus Moved; the sum of Moved over all slices is zero.
 type Slice struct {
 	Teams map[string]SliceAccount `json:"teams"`
+	// Holders maps the names of the slice's holders to their shares, whose sums are
+	// in Teams.
+	Holders map[string]HolderShare `json:"holders,omitempty"`
+	// CopiedEra is the era of the copy from which the slice continues after a
+	// restore. The shares of holders that have not declared theirs since are known
+	// up to KnownUntil, a time of the table's clock; UnknownFor is how long these
+	// holders may have exchanged after it.
+	CopiedEra  uint64        `json:"copied_era,omitempty"`
+	KnownUntil time.Duration `json:"known_until,omitempty"`
+	UnknownFor time.Duration `json:"unknown_for,omitempty"`
+	// ContinuedAt is the time of the table's clock at which the restore was known.
+	ContinuedAt time.Duration `json:"continued_at,omitempty"`
 }
 
 // sliceCountRow is the row with the number of slices. It never changes.
@@ -71,6 +87,11 @@
 type pool struct {
 	slices []Slice
 	items  []platform.Item
+	// knownAt are the times of the table's clock at which the items were known to be
+	// up to date.
+	knownAt []time.Duration
+	// era is that of the keeper.
+	era uint64
 	// ownNumber is the number of the holder's slice.
 	ownNumber int
 	// upToDate is set while the items are expected to match the table.
@@ -79,8 +100,10 @@
 	readAt time.Time
 }
 
-func sliceKey(number int) platform.Key {
-	return platform.Key{Partition: fmt.Sprintf("%s%04d", slicePrefix, number), Sort: sliceSortKey}
+func slicePartition(number int) string { return fmt.Sprintf("%s%04d", slicePrefix, number) }
+
+func sliceKey(number int, era uint64) platform.Key {
+	return platform.Key{Partition: slicePartition(number), Sort: sortKey(sliceSortKey, era)}
 }
 
 // countKey is the key of the row with the number of slices.
@@ -102,9 +125,66 @@
 		pool.items = append(pool.items, item)
 		pool.slices = append(pool.slices, slice)
 	}
+	pool.knownAt = make([]time.Duration, len(items))
 	return pool, nil
 }
 
+// shortfallOfOthers returns by how much the grants of a team exceed the budgets of
+// the slices other than the keeper's own: after a restore that undid transfers, the
+// tokens are in other slices than their holders.
+func (pool *pool) shortfallOfOthers(team string, prepaid int64) int64 {
+	total := int64(0)
+	for number := range pool.slices {
+		if number != pool.ownNumber {
+			total += max(-pool.grantable(number, team, prepaid), 0)
+		}
+	}
+	return total
+}
+
+// awaitsDeclarations reports whether holders that are alive may still be about to
+// declare their grants after a restore.
+func (pool *pool) awaitsDeclarations(now time.Duration) bool {
+	return slices.ContainsFunc(pool.slices, func(slice Slice) bool {
+		return now < slice.ContinuedAt+declarationTime && slice.hasUndeclared(pool.era)
+	})
+}
+
+// isCurrent reports whether a slice was written in the pool's era, or not at all.
+func (pool *pool) isCurrent(number int) bool {
+	return pool.items[number].Version == 0 || pool.items[number].Key == sliceKey(number, pool.era)
+}
+
+// enterEra makes the slices of earlier eras slices of the pool's. It completes them,
+// and the holder's own slice while its grants are not declared, by what the holder
+// remembers of them.
+func (pool *pool) enterEra(enteredAt time.Duration, remembered *pool, undeclared bool) {
+	for number := range pool.slices {
+		isCurrent := pool.isCurrent(number)
+		if isCurrent && (number != pool.ownNumber || !undeclared) {
+			continue
+		}
+		slice := &pool.slices[number]
+		if copiedEra, ok := eraOf(sliceSortKey, pool.items[number].Key.Sort); ok && !isCurrent {
+			slice.continueIn(copiedEra, enteredAt)
+		}
+		slice.complete(pool.era, remembered.remember(number))
+	}
+}
+
+// remember returns a slice of a pool of an earlier era, nil if there is none.
+func (pool *pool) remember(number int) *rememberedSlice {
+	if pool == nil || number >= len(pool.items) || pool.items[number].Version == 0 {
+		return nil
+	}
+	slice, err := decode[Slice](pool.items[number].Value)
+	era, ok := eraOf(sliceSortKey, pool.items[number].Key.Sort)
+	if err != nil || !ok {
+		return nil
+	}
+	return &rememberedSlice{Slice: slice, era: era, knownAt: pool.knownAt[number]}
+}
+
 // sliceBudget returns a slice's part of a budget in tokens.
 func (pool *pool) sliceBudget(number int, team string, prepaid int64) int64 {
 	count := int64(len(pool.slices))
@@ -112,7 +192,7 @@
 	if number == 0 {
 		budget += prepaid % count
 	}
-	return budget + pool.slices[number].Teams[team].Moved
+	return budget + pool.slices[number].Teams[team].Moved - pool.slices[number].reserved(team, pool.era)
 }
 
 // grantable returns the tokens that a slice can still grant.
@@ -193,7 +273,7 @@
 	}
 	writes := make([]platform.Write, 0, len(donors))
 	for _, number := range donors {
-		writes = append(writes, pool.sliceWrite(number))
+		writes = append(writes, pool.sliceWrites(number)...)
 	}
 	return writes
 }
@@ -218,18 +298,17 @@
 	pool.slices[donor].Teams[team], pool.slices[pool.ownNumber].Teams[team] = donorAccount, ownAccount
 }
 
-func (pool *pool) sliceWrite(number int) platform.Write {
-	return platform.Write{
-		Key: sliceKey(number), Value: encode(pool.slices[number]), Condition: condition(pool.items[number].Version),
-	}
+func (pool *pool) sliceWrites(number int) []platform.Write {
+	return moveRow(pool.items[number], sliceKey(number, pool.era), encode(pool.slices[number]))
 }
 
 // recordWrites updates the items after the slices were written.
-func (pool *pool) recordWrites(writes []platform.Write, version uint64) {
+func (pool *pool) recordWrites(writes []platform.Write, version uint64, now time.Duration) {
 	for number := range pool.items {
 		for _, write := range writes {
-			if write.Key == sliceKey(number) {
+			if write.Key == sliceKey(number, pool.era) {
 				pool.items[number] = platform.Item{Key: write.Key, Value: write.Value, Version: version}
+				pool.knownAt[number] = now
 			}
 		}
 	}
@@ -243,7 +322,7 @@
 	if cached := keeper.pool; cached != nil && cached.upToDate && (len(cached.slices) == 1 || now.Sub(cached.readAt) < keeper.config.ExchangeInterval) {
 		pool, err := newPool(cached.items, keeper.config.Name)
 		if err == nil {
-			pool.readAt = cached.readAt
+			pool.readAt, pool.era, pool.knownAt = cached.readAt, keeper.era, cached.knownAt
 		}
 		return pool, err
 	}
@@ -252,29 +331,38 @@
 			return nil, err
 		}
 	}
+	// The reads are answered after that, so their items are at least as recent.
+	knownAt := keeper.tableTimeAt(now)
 	items := make([]platform.Item, keeper.sliceCount)
 	var reads errgroup.Group
 	for number := range items {
 		reads.Go(func() error {
 			var err error
-			items[number], err = keeper.read(ctx, sliceKey(number))
+			items[number], err = keeper.readRow(ctx, slicePartition(number), sliceSortKey)
 			return err
 		})
 	}
 	if err := reads.Wait(); err != nil {
 		return nil, err
 	}
+	if keeper.restored() {
+		return nil, errRestored
+	}
 	pool, err := newPool(items, keeper.config.Name)
-	if err == nil {
-		pool.readAt = now
+	if err != nil {
+		return nil, err
+	}
+	pool.readAt, pool.era = now, keeper.era
+	for number := range pool.knownAt {
+		pool.knownAt[number] = knownAt
 	}
-	return pool, err
+	return pool, nil
 }
 
 // loadSliceCount reads the number of slices. If there is none and SplitDelay
 // has passed, it splits the pool.
 func (keeper *Keeper) loadSliceCount(ctx context.Context) error {
-	item, err := keeper.read(ctx, countKey())
+	item, err := keeper.readRow(ctx, poolPartition, countSortKey)
 	if err != nil {
 		return err
 	}
@@ -306,6 +394,9 @@
 	holders, _ := keeper.config.Holders()
 	holdersPerSlice := keeper.holdersPerSlice(holders)
 	count := sliceCountRow{Slices: max(1, (holders+holdersPerSlice/2)/holdersPerSlice)}
+	if keeper.rememberedPool != nil {
+		count.Slices = len(keeper.rememberedPool.slices) // a restore undid the split
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := keeper.config.Table.Commit(ctx, platform.Transaction{Writes: []platform.Write{{
--- a/pkg/allowance/table.go
+++ b/pkg/allowance/table.go
@@ -15,7 +15,7 @@
 // of the preceding process, which is taken over. Later it shows whether a commit
 // of this process that got no answer was applied.
 func (keeper *Keeper) readOwnRow(ctx context.Context) error {
-	item, err := keeper.read(ctx, holderKey(keeper.config.Name))
+	item, err := keeper.readRow(ctx, holderPrefix+keeper.config.Name, holderSortKey)
 	if err != nil {
 		return err
 	}
@@ -24,10 +24,17 @@
 		return err
 	}
 	keeper.outcomeUnknown = false
-	if item.Version == keeper.rowVersion {
+	isRestored := keeper.enterEra()
+	isCurrent := item.Version == 0 || item.Key == holderKey(keeper.config.Name, keeper.era)
+	if keeper.holder.HasPublished() && isRestored && (!isCurrent || item.Version == 0 || row.Process == keeper.config.Process) {
+		keeper.ownRow = item
+		keeper.holder.keepLowestGrants()
+		return nil
+	}
+	if item.Key == keeper.ownRow.Key && item.Version == keeper.ownRow.Version {
 		return nil // a pending row may still be applied later, so it stays pending
 	}
-	keeper.rowVersion = item.Version
+	keeper.ownRow = item
 	if row.Process == keeper.config.Process {
 		keeper.holder.markCommitted(row.Sequence)
 		return nil
@@ -42,40 +49,30 @@
 	}
 	uptime := keeper.config.Now().Sub(keeper.config.StartedAt)
 	elapsed := keeper.tableTime - uptime - row.Stamp
-	keeper.holder.takeOver(row, elapsed)
+	keeper.undonePredecessor = !isCurrent
+	if keeper.undonePredecessor {
+		keeper.undeclared = true
+		keeper.holder.takeOverUndone(row, elapsed)
+	} else {
+		keeper.holder.takeOver(row, elapsed)
+	}
 	keeper.logTakeover(row, elapsed)
 	return nil
 }
 
 func (keeper *Keeper) logTakeover(row HolderRow, elapsed time.Duration) {
 	for team, terms := range row.Teams {
-		_ = keeper.config.Logger.Log("event", "budget_adopted", "team", team, "predecessor", row.Process,
-			"granted", terms.Granted, "charged", terms.Charged, "lost", row.MaxCharged(team, elapsed)-terms.Charged, "elapsed", elapsed)
+		_ = keeper.config.Logger.Log("event", "budget_adopted", "team", team, "predecessor", row.Process, "undone", keeper.undonePredecessor,
+			"granted", terms.Granted, "charged", terms.Charged, "lost", keeper.holder.charged(team)-terms.Charged, "elapsed", elapsed)
 	}
 }
 
-func (keeper *Keeper) read(ctx context.Context, key platform.Key) (platform.Item, error) {
-	items, err := keeper.readAll(ctx, platform.Query{Partition: key.Partition, Prefix: key.Sort})
-	if err != nil {
-		return platform.Item{}, err
-	}
-	for _, item := range items {
-		if item.Key == key {
-			return item, nil
-		}
-	}
-	return platform.Item{}, nil
-}
-
 func (keeper *Keeper) readAll(ctx context.Context, query platform.Query) ([]platform.Item, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	items, receipt, err := keeper.config.Table.Read(ctx, query)
-	if err != nil {
-		return nil, err
-	}
-	keeper.setTableTime(receipt.Now)
-	return items, nil
+	keeper.observe(receipt)
+	return items, err
 }
 
 // TableAge returns the time since the table last answered, and whether it ever
@@ -86,21 +83,17 @@
 	return now.Sub(keeper.tableTimeReceivedAt), !keeper.tableTimeReceivedAt.IsZero()
 }
 
-// setTableTime records the table's time in an answer. The table's clock has
-// advanced when the answer arrives, so stamps computed from the recorded time
-// are never later than the table's clock.
-func (keeper *Keeper) setTableTime(now time.Duration) {
+// tableTimeAt returns the time of the table's clock at a local time.
+func (keeper *Keeper) tableTimeAt(now time.Time) time.Duration {
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
-	keeper.tableTime, keeper.tableTimeReceivedAt = now, keeper.config.Now()
+	return keeper.tableTime + now.Sub(keeper.tableTimeReceivedAt)
 }
 
 func (keeper *Keeper) newRow(now time.Time) HolderRow {
 	keeper.sequence++
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
 	return HolderRow{
-		Process: keeper.config.Process, Sequence: keeper.sequence, Stamp: keeper.tableTime + now.Sub(keeper.tableTimeReceivedAt),
+		Process: keeper.config.Process, Sequence: keeper.sequence, Stamp: keeper.tableTimeAt(now),
 		EarlyPeriod: earlyPeriod, EarlyFraction: earlyRateFactor / rateFactor,
 	}
 }
@@ -117,12 +110,8 @@
 // An error of kind Conflict or Overloaded means that nothing was written; after
 // any other, the outcome is unknown.
 func (keeper *Keeper) commit(ctx context.Context, row HolderRow, sliceWrites ...platform.Write) error {
-	transaction := platform.Transaction{Writes: []platform.Write{{
-		Key:       holderKey(keeper.config.Name),
-		Value:     encode(row),
-		Condition: condition(keeper.rowVersion),
-	}}}
-	transaction.Writes = append(transaction.Writes, sliceWrites...)
+	ownKey := holderKey(keeper.config.Name, keeper.era)
+	transaction := platform.Transaction{Writes: append(moveRow(keeper.ownRow, ownKey, encode(row)), sliceWrites...)}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	startedAt := keeper.config.Now()
@@ -130,11 +119,16 @@
 	if len(sliceWrites) > 0 {
 		keeper.poolCommitDuration = keeper.config.Now().Sub(startedAt)
 	}
+	keeper.observe(receipt)
 	switch {
+	case err == nil && keeper.restored():
+		// The conditions held in the copy, in which other holders' exchanges may be
+		// missing. The row stays pending until the grants are declared.
+		keeper.outcomeUnknown = true
+		return errRestored
 	case err == nil:
-		keeper.rowVersion = receipt.Version
+		keeper.ownRow = platform.Item{Key: ownKey, Version: receipt.Version}
 		keeper.holder.markCommitted(row.Sequence)
-		keeper.setTableTime(receipt.Now)
 		return nil
 	case fault.KindOf(err) == fault.Conflict:
 		keeper.holder.discardDraft(row.Sequence)
@@ -160,12 +154,15 @@
 	}
 	ownVersion := uint64(0) // the version of a missing row
 	for _, item := range conflict.Items {
-		if item.Key == holderKey(keeper.config.Name) {
+		if item.Key == keeper.ownRow.Key {
 			ownVersion = item.Version
 		}
+		if item.Key == holderKey(keeper.config.Name, keeper.era) && item.Key != keeper.ownRow.Key {
+			return // written by an earlier commit of this process
+		}
 		keeper.updateSlice(item)
 	}
-	keeper.outcomeUnknown = ownVersion != keeper.rowVersion
+	keeper.outcomeUnknown = ownVersion != keeper.ownRow.Version
 }
 
 // updateSlice replaces a slice in the copy of the pool by the row that is in the
@@ -175,9 +172,10 @@
 		return
 	}
 	for number := range keeper.pool.items {
-		if item.Key == sliceKey(number) {
+		if item.Key == sliceKey(number, keeper.era) {
 			keeper.pool.items[number] = item
 			keeper.pool.upToDate = true
+			keeper.pool.knownAt[number] = keeper.tableTime
 		}
 	}
 }
