Don't take an answer to an earlier request for that of the next one

What callers saw: a request that an engine was running was reported as not run, or ran a second time, and its first run was not charged. On the users' platform a request could be refused with "not run" in the same way.

Cause: an answer without an attempt ID was accepted on a kept connection, so a refusal that an upstream wrote once more counted as the refusal of the next request. Besides, the transport kept the connection of a foreign answer without a body, and every later request on it got the answer to the one before; an ID that repeats on one connection made a late answer look like the request's own; and the status 101 was passed on with the raw connection as its body.

Change: answers to passed-through requests and streams must name their attempt; any other answer may omit it only as the first on its connection, and its upstream gets a connection for each request from then on. Data that arrives before its request is unsolicited, an attempt never follows itself on one connection, and the connection of an answer that was not accepted is closed. A status below 200 is no answer. The stand-ins name the attempt in all answers.

TestTransportNeverResendsRequest names the attempt in its first answer and gives its two requests different IDs, without which the second would not use the kept connection that the test is about.

Requests that may run once are not concerned: they have always had a connection of their own.

--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -63,6 +63,14 @@
 	delimited bool
 	// eventRead is set once an event of a passed-through stream has been read.
 	eventRead bool
+	// reused is set if the connection has carried another request before.
+	reused bool
+	// repeated is set if the connection was sealed because its last request was the
+	// same attempt.
+	repeated bool
+	// bodyless is set once an answer without a body was accepted. The transport may
+	// have reused its connection since.
+	bodyless bool
 	// complete is set once the end of the answer has been read.
 	complete bool
 }
@@ -81,10 +89,18 @@
 	if !ok {
 		return
 	}
-	assignedConnection.beginRequest()
+	begun := assignedConnection.beginRequest(answer.options.attemptID)
 	answer.mutex.Lock()
 	defer answer.mutex.Unlock()
-	answer.connection = assignedConnection
+	answer.connection, answer.reused, answer.repeated = assignedConnection, info.Reused, !begun
+}
+
+// wasRepeated reports whether the request was not sent because the connection had
+// just carried the same attempt.
+func (answer *Answer) wasRepeated() bool {
+	answer.mutex.Lock()
+	defer answer.mutex.Unlock()
+	return answer.repeated
 }
 
 // readHead takes status, headers and body reader from the response.
@@ -101,16 +117,40 @@
 	}
 }
 
-// matchesAttempt reports whether the answer repeats the ID of the attempt. Only
-// event streams of model engines must repeat it; other answers may omit it.
-func (answer *Answer) matchesAttempt() bool {
+// check returns an error if the answer does not belong to the attempt, or is none.
+func (answer *Answer) check() error {
+	answer.mutex.Lock()
+	defer answer.mutex.Unlock()
+	switch {
+	case answer.Status < http.StatusOK:
+		return &Error{Reason: ReasonClosed, MayHaveStarted: true, Err: errNotFinal}
+	case answer.connection != nil && !answer.connection.hasAnswered():
+		return &Error{Reason: ReasonForeign, MayHaveStarted: true, Err: errUnsolicited}
+	case !answer.matchesAttempt():
+		return &Error{Reason: ReasonForeign, MayHaveStarted: true, Err: errWrongAttempt}
+	default:
+		return nil
+	}
+}
+
+// echoedAttemptID returns the attempt ID that the answer repeats, or an empty text.
+func (answer *Answer) echoedAttemptID() string {
 	echoHeader := answer.options.echoHeader
 	if echoHeader == "" {
 		echoHeader = HeaderAttempt
 	}
-	echoedAttemptID := answer.Header.Get(echoHeader)
-	if echoedAttemptID == "" {
-		return !answer.Stream || !answer.options.modelEngine
+	return answer.Header.Get(echoHeader)
+}
+
+// matchesAttempt reports whether the answer repeats the ID of the attempt. Event
+// streams of model engines and answers to passed-through requests must repeat it. Any
+// other answer may omit it if nothing before it on the connection can have been the
+// request that it answers.
+func (answer *Answer) matchesAttempt() bool {
+	echoedAttemptID := answer.echoedAttemptID()
+	mustRepeat := answer.options.passThrough || answer.options.modelEngine && answer.Stream
+	if echoedAttemptID == "" && !mustRepeat {
+		return !answer.reused
 	}
 	return echoedAttemptID == answer.options.attemptID
 }
@@ -240,6 +280,9 @@
 		return failure
 	}
 	failure.MayHaveStarted = answer.connection.seal()
+	if failure.Reason == ReasonClosed && answer.connection.receivedUnsolicited() {
+		failure.Reason = ReasonForeign
+	}
 	return failure
 }
 
@@ -247,8 +290,8 @@
 // end, in which case the connection may be reused.
 func (answer *Answer) Close() {
 	answer.stallDetector.endWait()
-	if !answer.complete {
-		answer.discardUnsent()
+	if !answer.complete && !answer.bodyless {
+		answer.discardConnection()
 	}
 	if answer.body != nil {
 		_ = answer.body.Close()
@@ -256,11 +299,12 @@
 	answer.cancel(context.Canceled)
 }
 
-// discardUnsent discards unsent data of the request when the connection closes.
-func (answer *Answer) discardUnsent() {
+// discardConnection closes the connection. The transport keeps that of an answer
+// without a body, which is wrong if the answer was not the attempt's own.
+func (answer *Answer) discardConnection() {
 	answer.mutex.Lock()
 	defer answer.mutex.Unlock()
 	if answer.connection != nil {
-		answer.connection.discardUnsentOnClose()
+		answer.connection.discard()
 	}
 }
--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -95,6 +95,8 @@
 	pooledTransport atomic.Pointer[http.Transport]
 	// unpooledTransport opens a new connection for each request.
 	unpooledTransport *http.Transport
+	// omitsAttemptIDs is set once an answer did not repeat the ID of its attempt.
+	omitsAttemptIDs atomic.Bool
 	// checkLimiter limits the rate of checks for stalled connections.
 	checkLimiter *rate.Limiter
 }
@@ -234,8 +236,7 @@
 // Send sends the attempt and returns its answer after its status and headers have
 // arrived. The error is an Error.
 func (client *Client) Send(ctx context.Context, request Request) (*Answer, error) {
-	body := nonReplayableBody{bytes.NewReader(request.Body)}
-	httpRequest, err := http.NewRequest(request.Method, "http://"+client.config.Address+request.Path, body)
+	httpRequest, err := http.NewRequest(request.Method, "http://"+client.config.Address+request.Path, http.NoBody)
 	if err != nil {
 		return nil, &Error{Reason: ReasonConnect, Err: err}
 	}
@@ -250,7 +251,7 @@
 		httpRequest.Header.Set(HeaderPriority, strconv.Itoa(request.Priority))
 	}
 	return client.open(ctx, httpRequest, answerOptions{
-		attemptID: request.AttemptID, inactivityTimeout: request.InactivityTimeout, modelEngine: request.ModelEngine, newConnection: request.NewConnection,
+		attemptID: request.AttemptID, body: request.Body, inactivityTimeout: request.InactivityTimeout, modelEngine: request.ModelEngine, newConnection: request.NewConnection,
 		passThrough: request.PassThrough, echoHeader: request.EchoHeader, gapTimeout: request.GapTimeout, afterPosition: request.AfterPosition,
 	})
 }
@@ -258,7 +259,7 @@
 // Resume requests the events of an attempt after a position. The error is an Error.
 func (client *Client) Resume(ctx context.Context, attemptID string, afterPosition int64) (*Answer, error) {
 	path := attemptPath(attemptID) + "/events?after=" + strconv.FormatInt(afterPosition, 10)
-	httpRequest, err := http.NewRequest(http.MethodGet, "http://"+client.config.Address+path, nonReplayableBody{http.NoBody})
+	httpRequest, err := http.NewRequest(http.MethodGet, "http://"+client.config.Address+path, http.NoBody)
 	if err != nil {
 		return nil, &Error{Reason: ReasonConnect, Err: err}
 	}
@@ -268,7 +269,9 @@
 // answerOptions are the properties of the request that determine how the answer is
 // read.
 type answerOptions struct {
-	attemptID     string
+	attemptID string
+	// body is the body of the request.
+	body          []byte
 	afterPosition int64
 	// inactivityTimeout is zero if the client's timeouts apply.
 	inactivityTimeout time.Duration
@@ -289,25 +292,51 @@
 
 // open sends the request and waits for status and headers of the answer.
 func (client *Client) open(ctx context.Context, httpRequest *http.Request, options answerOptions) (*Answer, error) {
+	answer, err := client.roundTrip(ctx, httpRequest, options)
+	if err != nil && answer.wasRepeated() && ctx.Err() == nil {
+		options.newConnection = true
+		answer, err = client.roundTrip(ctx, httpRequest, options)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// roundTrip sends the request once. The answer is not nil, and closed if there is an
+// error.
+func (client *Client) roundTrip(ctx context.Context, httpRequest *http.Request, options answerOptions) (*Answer, error) {
 	answer := &Answer{client: client, options: options}
 	answer.position.Store(options.afterPosition)
 	answer.start(ctx)
 	trace := &httptrace.ClientTrace{GotConn: answer.gotConnection}
 	httpRequest = httpRequest.WithContext(httptrace.WithClientTrace(answer.ctx, trace)) //nolint:contextcheck // answer.ctx is derived from ctx
-	response, err := client.transport(options.newConnection).RoundTrip(httpRequest)     //nolint:bodyclose // Answer.Close closes it
+	httpRequest.Body = nonReplayableBody{bytes.NewReader(options.body)}
+	response, err := client.transport(client.needsNewConnection(options)).RoundTrip(httpRequest) //nolint:bodyclose // Answer.Close closes it
 	if err != nil {
 		failure := answer.fail(err, ReasonClosed)
 		answer.Close()
-		return nil, failure
+		return answer, failure
 	}
 	answer.readHead(response)
-	if !answer.matchesAttempt() {
+	if answer.echoedAttemptID() == "" {
+		client.omitsAttemptIDs.Store(true)
+	}
+	if err := answer.check(); err != nil {
 		answer.Close()
-		return nil, &Error{Reason: ReasonForeign, MayHaveStarted: true, Err: errWrongAttempt}
+		return answer, err
 	}
+	answer.bodyless = response.Body == http.NoBody
 	return answer, nil
 }
 
+// needsNewConnection reports whether no pooled connection may be used. An upstream
+// that does not repeat attempt IDs in all answers gets a new connection for each
+// request, since nothing else tells an answer from that to an earlier request.
+func (client *Client) needsNewConnection(options answerOptions) bool {
+	return options.newConnection || !options.passThrough && client.omitsAttemptIDs.Load()
+}
+
 // transport returns the transport for a pooled or a new connection.
 func (client *Client) transport(newConnection bool) *http.Transport {
 	if newConnection {
--- a/pkg/exchange/error.go
+++ b/pkg/exchange/error.go
@@ -22,7 +22,8 @@
 	ReasonTruncated Reason = "truncated"
 	// ReasonDisorder means that an event was missing or out of order.
 	ReasonDisorder Reason = "disorder"
-	// ReasonForeign means that the answer does not carry the ID of the attempt.
+	// ReasonForeign means that the answer does not carry the ID of the attempt, or
+	// arrived before the request.
 	ReasonForeign Reason = "foreign"
 	// ReasonOversized means that an event was larger than MaxEventBytes.
 	ReasonOversized Reason = "oversized"
@@ -65,5 +66,7 @@
 	errTruncated    = errors.New("the answer ended before it was complete")
 	errOutOfOrder   = errors.New("an event is missing or out of order")
 	errWrongAttempt = errors.New("the answer does not carry the ID of the attempt")
+	errUnsolicited  = errors.New("the upstream sent data before the request")
+	errNotFinal     = errors.New("the upstream's status is not that of a final answer")
 	errOversized    = errors.New("an event is larger than the limit")
 )
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -140,21 +140,22 @@
 func TestTransportNeverResendsRequest(t *testing.T) {
 	for _, method := range []string{http.MethodPost, http.MethodGet} {
 		var requests atomic.Int64
-		client, _ := startServer(t, func(_ http.ResponseWriter, request *http.Request) {
+		client, _ := startServer(t, func(writer http.ResponseWriter, request *http.Request) {
 			if request.URL.Path == "/warm" {
+				writer.Header().Set(HeaderAttempt, request.Header.Get(HeaderAttempt))
 				return
 			}
 			requests.Add(1)
 			panic(http.ErrAbortHandler)
 		})
 		request := Request{AttemptID: "1", Method: method, Header: http.Header{"Idempotency-Key": {"1"}}}
-		request.Path = "/warm"
+		request.Path, request.AttemptID = "/warm", "warm"
 		answer, err := client.Send(t.Context(), request)
 		require.NoError(t, err)
 		_, err = readAll(answer)
 		require.ErrorIs(t, err, io.EOF)
 		answer.Close()
-		request.Path = "/orders"
+		request.Path, request.AttemptID = "/orders", "1"
 		_, err = client.Send(t.Context(), request)
 		require.Equal(t, ReasonClosed, ErrorOf(err).Reason)
 		require.True(t, ErrorOf(err).MayHaveStarted)
@@ -179,7 +180,7 @@
 	defer remote.Close()
 	defer local.Close()
 	sealed := &connection{Conn: local}
-	sealed.beginRequest()
+	sealed.beginRequest("1")
 	require.False(t, sealed.seal())
 	_, err := sealed.Write([]byte("late"))
 	require.ErrorIs(t, err, net.ErrClosed)
--- /dev/null
+++ b/pkg/exchange/stale_test.go
@@ -0,0 +1,206 @@
+package exchange
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const echoHeader = "Wisterialb-Attempt-Id"
+
+// rawServer answers the requests of each connection with texts written as they are.
+type rawServer struct {
+	listener net.Listener
+	// answer returns what is written after a request, given the number of the
+	// connection and of the request on it, both counted from 1. If it is empty, the
+	// connection is closed.
+	answer      func(connection, request int, httpRequest *http.Request) string
+	connections atomic.Int64
+}
+
+func startRawServer(t *testing.T, answer func(connection, request int, httpRequest *http.Request) string) (*rawServer, *Client) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &rawServer{listener: listener, answer: answer}
+	go server.run()
+	client := NewClient(ClientConfig{Address: listener.Addr().String(), FirstPartTimeout: patientTimeout, GapTimeout: patientTimeout})
+	t.Cleanup(func() {
+		client.Close()
+		_ = listener.Close()
+	})
+	return server, client
+}
+
+func (rawServer *rawServer) run() {
+	for {
+		conn, err := rawServer.listener.Accept()
+		if err != nil {
+			return
+		}
+		go rawServer.serve(conn, int(rawServer.connections.Add(1)))
+	}
+}
+
+func (rawServer *rawServer) serve(conn net.Conn, number int) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for count := 1; ; count++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		text := rawServer.answer(number, count, request)
+		if text == "" {
+			return
+		}
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
+	}
+}
+
+// rawAnswer returns an answer with the body; an empty attempt ID is left out.
+func rawAnswer(status int, attemptID, body string) string {
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), len(body))
+	if attemptID != "" {
+		head += echoHeader + ": " + attemptID + "\r\n"
+	}
+	return head + "\r\n" + body
+}
+
+func passedThrough(attemptID string) Request {
+	return Request{
+		AttemptID: attemptID, Method: http.MethodPost, Path: "/", Body: []byte("{}"), PassThrough: true, EchoHeader: echoHeader,
+		Header: http.Header{echoHeader: {attemptID}},
+	}
+}
+
+func exchangeAll(t *testing.T, client *Client, request Request) (*Answer, string, error) {
+	t.Helper()
+	answer, err := client.Send(t.Context(), request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer answer.Close()
+	parts, err := readAll(answer)
+	if err == io.EOF { //nolint:errorlint // Next returns io.EOF itself
+		err = nil
+	}
+	return answer, strings.Join(parts, ""), err
+}
+
+// Guards against taking the refusal of an earlier request, repeated on a kept
+// connection, for that of the next one: the next one would be reported as not run
+// although the upstream runs it.
+func TestRepeatedRefusalIsNotTakenForTheNextRequest(t *testing.T) {
+	for name, repeated := range map[string]string{
+		"with the earlier ID": rawAnswer(http.StatusServiceUnavailable, "first", ""),
+		"without an ID":       rawAnswer(http.StatusServiceUnavailable, "", ""),
+		"with a body":         rawAnswer(http.StatusServiceUnavailable, "", "full"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, client := startRawServer(t, func(connection, request int, httpRequest *http.Request) string {
+				if connection == 1 && request == 2 {
+					return repeated
+				}
+				return rawAnswer(http.StatusServiceUnavailable, httpRequest.Header.Get(echoHeader), "")
+			})
+			_, _, err := exchangeAll(t, client, passedThrough("first"))
+			require.NoError(t, err)
+			_, _, err = exchangeAll(t, client, passedThrough("second"))
+			require.Equal(t, ReasonForeign, ErrorOf(err).Reason)
+			require.True(t, ErrorOf(err).MayHaveStarted)
+			_, _, err = exchangeAll(t, client, passedThrough("third"))
+			require.NoError(t, err, "the connection with the repeated answer is not used again")
+			require.EqualValues(t, 2, server.connections.Load())
+		})
+	}
+}
+
+// Guards against taking bytes after a complete answer for the answer to the next
+// request on the connection.
+func TestBytesAfterAnswerBelongToNoRequest(t *testing.T) {
+	for _, extra := range []string{
+		rawAnswer(http.StatusServiceUnavailable, "", ""), rawAnswer(http.StatusOK, "1", "extra"), "not an answer",
+	} {
+		_, client := startRawServer(t, func(_, _ int, httpRequest *http.Request) string {
+			attemptID := httpRequest.Header.Get(echoHeader)
+			return rawAnswer(http.StatusOK, attemptID, "of "+attemptID) + extra
+		})
+		for attempt := range 20 {
+			attemptID := fmt.Sprint(attempt + 1)
+			answer, body, err := exchangeAll(t, client, passedThrough(attemptID))
+			if err != nil {
+				continue // the extra bytes were found, and the answer is not delivered
+			}
+			require.Equal(t, http.StatusOK, answer.Status)
+			require.Equal(t, "of "+attemptID, body)
+		}
+	}
+}
+
+// Guards against mixing up two requests with the same attempt ID, which callers
+// choose: an earlier answer with that ID must not reach the later request.
+func TestSameAttemptGetsNewConnection(t *testing.T) {
+	server, client := startRawServer(t, func(connection, request int, httpRequest *http.Request) string {
+		if request > 1 {
+			return rawAnswer(http.StatusServiceUnavailable, "same", "")
+		}
+		return rawAnswer(http.StatusOK, "same", fmt.Sprint("of connection ", connection))
+	})
+	for connection := range 3 {
+		_, body, err := exchangeAll(t, client, passedThrough("same"))
+		require.NoError(t, err)
+		require.Equal(t, fmt.Sprint("of connection ", connection+1), body)
+	}
+	require.EqualValues(t, 3, server.connections.Load())
+}
+
+// Guards against an answer from a plain service that repeats no attempt IDs reaching
+// the next request: a kept connection can't tell the two apart.
+func TestServiceWithoutAttemptIDsGetsNewConnections(t *testing.T) {
+	server, client := startRawServer(t, func(_, request int, httpRequest *http.Request) string {
+		return rawAnswer(http.StatusOK, "", fmt.Sprint(httpRequest.URL.Path, " as request ", request))
+	})
+	for _, path := range []string{"/a", "/b", "/c"} {
+		_, body, err := exchangeAll(t, client, Request{AttemptID: path, Method: http.MethodGet, Path: path})
+		require.NoError(t, err)
+		require.Equal(t, path+" as request 1", body)
+	}
+	require.EqualValues(t, 3, server.connections.Load())
+}
+
+// Guards against taking an answer that arrived before its request for an answer to it.
+func TestDataBeforeRequestIsUnsolicited(t *testing.T) {
+	local, remote := net.Pipe()
+	defer remote.Close()
+	early := &connection{Conn: local}
+	require.True(t, early.beginRequest("1"))
+	go func() { _, _ = io.WriteString(remote, rawAnswer(http.StatusServiceUnavailable, "1", "")) }()
+	_, err := early.Read(make([]byte, 1024))
+	require.ErrorIs(t, err, errUnsolicited)
+	require.False(t, early.seal(), "nothing was written, so the request has not started")
+	_, err = early.Write([]byte("late"))
+	require.ErrorIs(t, err, net.ErrClosed)
+	early.discard()
+}
+
+// Guards against taking 101, after which the connection has no more answers, for an
+// answer whose body is what follows.
+func TestSwitchedProtocolIsNoAnswer(t *testing.T) {
+	_, client := startRawServer(t, func(int, int, *http.Request) string {
+		return "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n" + echoHeader + ": 1\r\n\r\nbytes"
+	})
+	_, _, err := exchangeAll(t, client, passedThrough("1"))
+	require.True(t, ErrorOf(err).MayHaveStarted)
+	require.ErrorIs(t, err, errNotFinal)
+}
--- a/pkg/standin/enginehttp.go
+++ b/pkg/standin/enginehttp.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 )
@@ -24,6 +25,16 @@
 // engineHandler serves the HTTP protocol of an engine.
 type engineHandler struct {
 	engine *Engine
+	// usedConnections has the remote addresses of connections that have carried a
+	// completion request.
+	usedConnections sync.Map
+}
+
+// repeatsRefusal reports whether RepeatRefusals applies to the request. It does only on
+// a connection that was used before.
+func (engineHandler *engineHandler) repeatsRefusal(request *http.Request) bool {
+	_, used := engineHandler.usedConnections.LoadOrStore(request.RemoteAddr, true)
+	return used && engineHandler.engine.faultInjector.takeRepeatedRefusal()
 }
 
 func newEngineHandler(engine *Engine) http.Handler {
@@ -82,11 +93,17 @@
 // serveCompletion runs a completion and sends its answer, either as a stream or as
 // one response, as the request asks.
 func (engineHandler *engineHandler) serveCompletion(writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set(AttemptHeader, request.Header.Get(AttemptHeader))
 	attempt, stream, err := engineHandler.submit(writer, request)
 	if err != nil {
 		writeFault(writer, err)
 		return
 	}
+	if engineHandler.repeatsRefusal(request) {
+		writer.Header().Del(AttemptHeader)
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if text := engineHandler.engine.Faults().CrashText; text != "" && strings.Contains(attempt.prompt, text) {
 		engineHandler.crash(writer, attempt)
 		return
@@ -224,6 +241,7 @@
 
 func (engineHandler *engineHandler) withAttempt(writer http.ResponseWriter, request *http.Request, serve func(*attempt)) {
 	attemptID := request.PathValue(attemptPathValue)
+	writer.Header().Set(AttemptHeader, attemptID)
 	attempt := engineHandler.engine.find(attemptID)
 	if attempt == nil {
 		writeFault(writer, fault.New(fault.Config{
--- a/pkg/standin/fault.go
+++ b/pkg/standin/fault.go
@@ -42,6 +42,9 @@
 	// Refuse responds to every completion request with status 503, without
 	// running it.
 	Refuse bool `json:"refuse"`
+	// RepeatRefusals is the number of upcoming completions on kept connections that
+	// are run and answered like an earlier refusal, with no attempt ID.
+	RepeatRefusals int `json:"repeat_refusals"`
 	// Hold accepts all requests, except those to /admin/, and never responds.
 	Hold bool `json:"hold"`
 	// SlowFactor multiplies the duration of each step; values up to 1 have no
@@ -105,6 +108,17 @@
 	return max(engineFaultInjector.faults.SlowFactor, 1)
 }
 
+// takeRepeatedRefusal reports whether a refusal is to be repeated, and counts it.
+func (engineFaultInjector *engineFaultInjector) takeRepeatedRefusal() bool {
+	engineFaultInjector.mutex.Lock()
+	defer engineFaultInjector.mutex.Unlock()
+	if engineFaultInjector.faults.RepeatRefusals <= 0 {
+		return false
+	}
+	engineFaultInjector.faults.RepeatRefusals--
+	return true
+}
+
 // nextStreamFault returns the fault for the next stream, or an empty string for
 // none.
 func (engineFaultInjector *engineFaultInjector) nextStreamFault() StreamFault {
--- a/pkg/standin/service.go
+++ b/pkg/standin/service.go
@@ -195,6 +195,7 @@
 
 // serve runs an order or looks up stock.
 func (service *Service) serve(writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set(AttemptHeader, request.Header.Get(AttemptHeader))
 	faults := service.Faults()
 	if faults.Hold {
 		<-request.Context().Done()
@@ -279,7 +280,6 @@
 	if sleep(request.Context(), delay) != nil {
 		return
 	}
-	writer.Header().Set(AttemptHeader, request.Header.Get(AttemptHeader))
 	writeJSON(writer, http.StatusOK, Booking{
 		RunNumber: runNumber,
 		RequestID: request.Header.Get(IdempotencyKeyHeader),
