Continue a stream only with the events that follow

What callers saw on the users' platform, each shown by testdata/requests/interrupted on the code before: - a stream that had broken off inside its third event ended as complete after two, since the next upstream answered the resumption with an empty stream; - a resumption by the caller after event 3 began with event 5, and one after the last event ended as complete though only the end of the connection marked that end, which may have been a crash; - the events 1 and 2 came twice where events have no IDs, since there was nothing to resume after; - the head of a refusal stood in the stream, as the upstream wrote it behind events whose end only the connection marks; - a resumption that began with an event before the wanted one was joined to what the caller had.

Cause: the order of events was checked only once an event had been delivered by this router, events without IDs were passed on without a check, and the end of a resumed stream was believed in any form.

Change: an event must have the ID after the last one that the caller has; one without an ID is in order only in a stream without IDs, which is not resumed; a stream that broke off inside an event needs another event; an end that only the connection marks counts after an event. Otherwise the stream ends as broken off, or with 502 if none of it was sent.

--- a/pkg/dispatch/delivery.go
+++ b/pkg/dispatch/delivery.go
@@ -62,7 +62,7 @@
 		return err
 	}
 	delivery.collectUsage(answer, part)
-	if err := delivery.sink.Event(Event(part)); err != nil {
+	if err := delivery.sink.Event(Event{Position: part.Position, Data: part.Data}); err != nil {
 		delivery.callerGone = true
 		return err
 	}
--- a/pkg/dispatch/dispatcher_test.go
+++ b/pkg/dispatch/dispatcher_test.go
@@ -391,7 +391,7 @@
 	for range 3 {
 		part, err := answer.Next()
 		require.NoError(t, err)
-		require.NoError(t, receivedBeforeResume.Event(Event(part)))
+		require.NoError(t, receivedBeforeResume.Event(Event{Position: part.Position, Data: part.Data}))
 	}
 	answer.Close()
 	work := modelWork("one")
--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -29,6 +29,8 @@
 	// Data is the event's data; in a passed-through stream it is the event with
 	// all its fields.
 	Data []byte
+	// Comment is set if a part of a passed-through stream has only comments.
+	Comment bool
 }
 
 // Answer is the response of an upstream. Its body is read part by part with Next.
@@ -216,13 +218,18 @@
 	}
 }
 
+// BrokeOffInsideEvent reports whether a passed-through stream ended inside an event, so
+// that more events must follow.
+func (answer *Answer) BrokeOffInsideEvent() bool {
+	return answer.scanner != nil && answer.scanner.insideEvent
+}
+
 // nextRawEvent returns the next event unchanged. The stream is complete when its
 // body ends between two events. If nothing but the end of the connection marks that
-// end, and there was no event before, the upstream has crashed instead.
+// end, and there was no event before, the upstream may have crashed instead.
 func (answer *Answer) nextRawEvent() (Part, error) {
 	event, err := answer.scanner.nextRaw()
-	isFirst := !answer.eventRead && answer.options.afterPosition == 0
-	if errors.Is(err, io.EOF) && !answer.delimited && isFirst {
+	if errors.Is(err, io.EOF) && !answer.delimited && !answer.eventRead {
 		return Part{}, answer.fail(errTruncated, ReasonTruncated)
 	}
 	if errors.Is(err, io.EOF) {
@@ -232,11 +239,11 @@
 	if err != nil {
 		return Part{}, answer.fail(err, ReasonTruncated)
 	}
-	answer.eventRead = true
+	answer.eventRead = answer.eventRead || !event.comment
 	if event.id > 0 {
 		answer.position.Store(event.id)
 	}
-	return Part{Position: event.id, Data: event.data}, nil
+	return Part{Position: event.id, Data: event.data, Comment: event.comment}, nil
 }
 
 // drain reads the end of the body after the end marker, so that the connection can
--- a/pkg/exchange/events.go
+++ b/pkg/exchange/events.go
@@ -21,12 +21,16 @@
 	// data is the content of the data fields, or the event with all its fields if
 	// nextRaw returned it.
 	data []byte
+	// comment is set by nextRaw if the event has nothing but comments.
+	comment bool
 }
 
 // scanner reads server-sent events. It parses the fields id and data, the only ones
 // in the protocol of model engines, and skips other fields and comments.
 type scanner struct {
 	reader *bufio.Reader
+	// insideEvent is set if the stream ended inside an event that nextRaw read.
+	insideEvent bool
 }
 
 func newScanner(reader io.Reader) *scanner {
@@ -60,10 +64,11 @@
 // nextRaw returns the next event with all its fields and the empty line after it.
 // The id is zero unless it is a number.
 func (scanner *scanner) nextRaw() (sseEvent, error) {
-	var event sseEvent
+	event := sseEvent{comment: true}
 	for {
 		line, err := scanner.readLine()
 		if err != nil {
+			scanner.insideEvent = len(event.data) > 0 || scanner.insideEvent
 			return sseEvent{}, eofError(err, len(event.data))
 		}
 		if len(event.data)+len(line) >= MaxEventBytes {
@@ -73,7 +78,9 @@
 		if len(line) == 0 {
 			return event, nil
 		}
-		if field, value, _ := bytes.Cut(line, []byte(":")); string(field) == "id" {
+		field, value, _ := bytes.Cut(line, []byte(":"))
+		event.comment = event.comment && len(field) == 0
+		if string(field) == "id" {
 			if id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 				event.id = id
 			}
@@ -131,6 +138,7 @@
 		line, err = scanner.readLongLine(line)
 	}
 	if err != nil {
+		scanner.insideEvent = scanner.insideEvent || len(line) > 0
 		return nil, eofError(err, len(line))
 	}
 	line = line[:len(line)-1]
--- a/pkg/relay/delivery.go
+++ b/pkg/relay/delivery.go
@@ -38,7 +38,12 @@
 	// lastEventID is the ID of the last event delivered.
 	lastEventID int64
 	// eventCount counts the delivered events that have an ID.
-	eventCount      int64
+	eventCount int64
+	// unnumbered is set once an event without an ID was delivered.
+	unnumbered bool
+	// cutInsideEvent is set once an upstream's stream broke off inside an event, so
+	// that the stream has at least one more.
+	cutInsideEvent  bool
 	timeToFirstByte time.Duration
 }
 
@@ -55,6 +60,12 @@
 	return nil
 }
 
+// mayResume reports whether another upstream's answer may continue what was written: a
+// stream whose events have IDs, or nothing.
+func (delivery *delivery) mayResume() bool {
+	return !delivery.headerSent || delivery.streaming && !delivery.unnumbered
+}
+
 func (delivery *delivery) write(data []byte) error {
 	if err := delivery.sink.Write(data); err != nil {
 		return errors.Join(errCallerDisconnected, err)
@@ -89,7 +100,7 @@
 		return attemptResult{err: errUnsigned, upstreamResult: failureResult(ctx), mayHaveRun: true}
 	case success && answer.Stream:
 		return call.deliverStream(ctx, ticket, answer)
-	case call.streamStarted:
+	case call.delivery.headerSent:
 		return attemptResult{err: errUpstreamFailed, upstreamResult: failureResult(ctx), mayHaveRun: true}
 	default:
 		return call.deliverBuffered(ctx, ticket, answer)
@@ -131,27 +142,30 @@
 
 // deliverStream forwards each event once it has been read completely.
 func (call *call) deliverStream(ctx context.Context, ticket *placement.Ticket, answer *exchange.Answer) attemptResult {
+	lastEventID := call.delivery.lastEventID
 	for {
 		part, err := answer.Next()
 		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
+			call.delivery.cutInsideEvent = call.delivery.cutInsideEvent || answer.BrokeOffInsideEvent()
 			return call.interruptedStream(ctx, err)
 		}
 		ticket.FirstEvent(time.Now())
-		if part.Position > 0 {
-			if part.Position <= call.delivery.lastEventID {
-				continue // already delivered
-			}
-			if call.delivery.eventCount > 0 && part.Position != call.delivery.lastEventID+1 {
-				return call.interruptedStream(ctx, errEventOrder)
-			}
+		if part.Position > 0 && part.Position <= call.delivery.lastEventID && call.delivery.lastEventID > lastEventID {
+			continue // a duplicate of an event of this answer
+		}
+		if !call.delivery.continuesWith(part) {
+			return call.interruptedStream(ctx, errEventOrder)
 		}
 		if err := call.writeEvent(answer, part); err != nil {
 			return attemptResult{err: err, mayHaveRun: true}
 		}
 	}
+	if call.delivery.cutInsideEvent && call.delivery.lastEventID == lastEventID {
+		return call.interruptedStream(ctx, errEventOrder)
+	}
 	if err := call.delivery.writeHeader(answer); err != nil {
 		return attemptResult{err: err, mayHaveRun: true}
 	}
@@ -159,6 +173,20 @@
 	return attemptResult{upstreamResult: placement.Success, mayHaveRun: true}
 }
 
+// continuesWith reports whether the part may follow what the caller has. An event must
+// have the ID after the last one. Events without IDs are in order only in streams that
+// have no IDs.
+func (delivery *delivery) continuesWith(part exchange.Part) bool {
+	switch {
+	case part.Comment:
+		return true
+	case part.Position > 0:
+		return delivery.lastEventID == 0 || part.Position == delivery.lastEventID+1
+	default:
+		return delivery.lastEventID == 0
+	}
+}
+
 func (call *call) writeEvent(answer *exchange.Answer, part exchange.Part) error {
 	if err := call.delivery.writeHeader(answer); err != nil {
 		return err
@@ -166,7 +194,7 @@
 	if err := call.delivery.write(part.Data); err != nil {
 		return err
 	}
-	call.streamStarted = true
+	call.delivery.unnumbered = call.delivery.unnumbered || part.Position == 0 && !part.Comment
 	if part.Position > 0 {
 		call.delivery.lastEventID = part.Position
 		call.delivery.eventCount++
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -77,8 +77,6 @@
 	// attemptsNotRun counts the attempts that were refused or never reached the
 	// upstream.
 	attemptsNotRun int
-	// streamStarted is set once an event was delivered.
-	streamStarted bool
 }
 
 // Serve forwards the request to upstreams until one answer was delivered or no
@@ -254,7 +252,7 @@
 	if result.crashed && !call.relay.config.Quarantine.MayRetry(partIDs(call.request.PromptParts)) {
 		return false
 	}
-	if errors.Is(result.err, errCallerDisconnected) || call.delivery.headerSent && !call.delivery.streaming {
+	if errors.Is(result.err, errCallerDisconnected) || !call.delivery.mayResume() {
 		return false
 	}
 	return call.request.Route.Repeatable() && call.possibleRuns < call.request.Route.MaxAttempts
