Direct callers to no router of an odd row

Callers: an address without a port, or with one out of range, that another writer had left among the routers' rows was answered to callers. A router that was gone stayed in the list for good if its row had been replaced by one that can't be read, and was logged again at each read.

Cause: any text counted as an address, and only rows of an unchanged version that could be read aged. Names of unreadable rows were counted as routers, too, which lowers each router's part of the retries.

Now addresses and loads are checked, an unreadable row ages like an unchanged one, names no router, and is logged once per version.

Evidence: TestOddRowsNameNoRouter, 15 odd rows; it failed before at the first.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -13,8 +13,11 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"math"
+	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -99,6 +102,8 @@
 	self  Member
 	// others maps the names of the other routers to their last known states.
 	others map[string]*routerState
+	// unreadable maps the names of rows that can't be used to their versions.
+	unreadable map[string]uint64
 	// lastReadAt is when the rows were last read; zero before the first read.
 	lastReadAt time.Time
 }
@@ -123,7 +128,7 @@
 		config.Now = time.Now
 	}
 	return &Directory{
-		config: config, self: config.Self, others: make(map[string]*routerState),
+		config: config, self: config.Self, others: make(map[string]*routerState), unreadable: make(map[string]uint64),
 		done: make(chan struct{}), writeNow: make(chan struct{}, 1),
 	}
 }
@@ -203,22 +208,21 @@
 func (directory *Directory) applyRow(item platform.Item, connectedTime time.Duration) {
 	name := item.Key.Sort
 	state, ok := directory.others[name]
-	if !ok {
-		state = &routerState{}
-		directory.others[name] = state
+	if ok && item.Version == state.version {
+		directory.countUnchanged(name, state, connectedTime)
+		return
 	}
-	if item.Version == state.version {
-		state.unchangedFor += connectedTime
-		if state.alive && state.unchangedFor > maxUnchangedDuration {
-			state.alive = false
-			_ = directory.config.Logger.Log("event", "router_gone", "router", name, "unchanged", state.unchangedFor)
+	member, err := decodeMember(item.Value)
+	if err != nil {
+		directory.logUnreadable(item, err)
+		if ok {
+			directory.countUnchanged(name, state, connectedTime)
 		}
 		return
 	}
-	var member Member
-	if err := json.Unmarshal(item.Value, &member); err != nil || member.Address == "" {
-		_ = directory.config.Logger.Log("event", "router_row_unreadable", "router", name, "version", item.Version, "err", err)
-		return
+	if !ok {
+		state = &routerState{}
+		directory.others[name] = state
 	}
 	if !state.alive || state.member.Leaving != member.Leaving {
 		_ = directory.config.Logger.Log("event", "router_seen", "router", name, "address", member.Address, "leaving", member.Leaving)
@@ -226,6 +230,43 @@
 	*state = routerState{member: member, version: item.Version, alive: true}
 }
 
+// countUnchanged adds to the time for which a router hasn't written its row.
+func (directory *Directory) countUnchanged(name string, state *routerState, connectedTime time.Duration) {
+	state.unchangedFor += connectedTime
+	if state.alive && state.unchangedFor > maxUnchangedDuration {
+		state.alive = false
+		_ = directory.config.Logger.Log("event", "router_gone", "router", name, "unchanged", state.unchangedFor)
+	}
+}
+
+// logUnreadable logs once that a version of a row can't be used.
+func (directory *Directory) logUnreadable(item platform.Item, err error) {
+	if directory.unreadable[item.Key.Sort] == item.Version {
+		return
+	}
+	directory.unreadable[item.Key.Sort] = item.Version
+	_ = directory.config.Logger.Log("event", "router_row_unreadable", "router", item.Key.Sort, "version", item.Version, "err", err)
+}
+
+// decodeMember decodes a row and checks that callers can be directed to its router.
+func decodeMember(value []byte) (Member, error) {
+	var member Member
+	if err := json.Unmarshal(value, &member); err != nil {
+		return Member{}, err
+	}
+	host, port, err := net.SplitHostPort(member.Address)
+	if err != nil || host == "" {
+		return Member{}, errors.New("the address isn't a host and a port")
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
+		return Member{}, errors.New("the port is out of range")
+	}
+	if member.CapacityPerSecond < 0 || member.LoadPerSecond < 0 {
+		return Member{}, errors.New("the capacity or the load is below zero")
+	}
+	return member, nil
+}
+
 // Leave marks the router as leaving, so that no new callers are directed to it,
 // and requests an immediate write of its row.
 func (directory *Directory) Leave() {
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,6 +55,32 @@
 	require.Equal(t, []string{"10.0.0.1:1"}, directory.Addresses("r", "a"))
 }
 
+// Guards against rows of other writers that callers are directed to, that count as
+// routers, or that keep a router in the list which is gone.
+func TestOddRowsNameNoRouter(t *testing.T) {
+	for _, odd := range []string{
+		"", "?", "null", "[]", "{}", strings.Repeat("[", 20_000), `{"address":7}`, `{"address":"10.0.0.9"}`, `{"address":"10.0.0.9:0"}`,
+		`{"address":"10.0.0.9:65536"}`, `{"address":":80"}`, `{"address":"10.0.0.9:80","capacity":1e999}`,
+		`{"address":"10.0.0.9:80","capacity":-1}`, `{"address":"10.0.0.9:80","load":-1e300}`, `{"address":"10.0.0.9:80","beat":-1}`,
+	} {
+		directory := newTestDirectory()
+		now := time.Unix(0, 0)
+		sound := row(t, "sound", 1, Member{Address: "10.0.0.2:1", Zone: "a", Region: "r"})
+		replaced := row(t, "replaced", 1, Member{Address: "10.0.0.3:1", Zone: "a", Region: "r"})
+		directory.applyRows([]platform.Item{sound, replaced}, now)
+		require.Equal(t, []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}, directory.Addresses("r", "a"), odd)
+		for range 10 {
+			now = now.Add(time.Second)
+			sound.Version++
+			replaced.Value, replaced.Version = []byte(odd), 99
+			beside := platform.Item{Key: platform.Key{Partition: partition, Sort: "beside"}, Value: []byte(odd), Version: 100}
+			directory.applyRows([]platform.Item{beside, replaced, sound}, now)
+		}
+		require.Equal(t, []string{"10.0.0.1:1", "10.0.0.2:1"}, directory.Addresses("r", "a"), odd)
+		require.Equal(t, 3, directory.KnownCount(), odd)
+	}
+}
+
 // Guards against an empty list of addresses when the only router is leaving.
 func TestLeavingOnlyRouterStillReturnsItsAddress(t *testing.T) {
 	directory := newTestDirectory()
