Ignore load reports that no engine can have

Callers: an engine whose load report states 10^12 running attempts got none from any router until its next report; one with a negative age had an endless load, and one with a capacity of 4e18 no limit on its attempts. Two numbers whose sum overflows looked like an idle engine.

Now a report with a number below zero, more than 65,536 attempts or an age above an hour is logged and ignored; the last one holds.

--- a/pkg/exchange/control.go
+++ b/pkg/exchange/control.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 )
 
 // maxControlResponseBytes limits the body of the response to a control request, which
@@ -61,6 +62,20 @@
 	AgeMS int64 `json:"age_ms"`
 }
 
+const (
+	// maxReportedAttempts limits each number of a load report.
+	maxReportedAttempts = 1 << 16
+	// maxReportAge limits the age of a load report. Its weight is nothing long before.
+	maxReportAge = time.Hour
+)
+
+// IsPlausible reports whether an upstream can have the load.
+func (loadReport LoadReport) IsPlausible() bool {
+	isInRange := func(value, largest int64) bool { return value >= 0 && value <= largest }
+	return isInRange(loadReport.Running, maxReportedAttempts) && isInRange(loadReport.Waiting, maxReportedAttempts) &&
+		isInRange(loadReport.Capacity, maxReportedAttempts) && isInRange(loadReport.AgeMS, maxReportAge.Milliseconds())
+}
+
 // attemptPath returns the URL path of an attempt.
 func attemptPath(attemptID string) string {
 	return "/v1/attempts/" + url.PathEscape(attemptID)
--- a/pkg/upstream/monitor.go
+++ b/pkg/upstream/monitor.go
@@ -172,6 +172,11 @@
 	ownAttempts := pool.inFlight(member)
 	report, err := member.client.LoadReport(ctx)
 	if err == nil {
+		if !report.IsPlausible() {
+			_ = monitor.config.Logger.Log("event", "load_report_implausible", "upstream", member.address, "running", report.Running,
+				"waiting", report.Waiting, "capacity", report.Capacity, "age_ms", report.AgeMS)
+			return
+		}
 		pool.ObserveLoad(member, report, ownAttempts)
 		return
 	}
--- a/pkg/upstream/pool_test.go
+++ b/pkg/upstream/pool_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -346,6 +347,41 @@
 	require.Greater(t, member.otherRoutersLoad(time.Now()), 1.0)
 }
 
+// Guards against load reports that no upstream can have: the member would get no
+// attempts any more, or any number of them.
+func TestOddLoadReportsAreIgnored(t *testing.T) {
+	for _, odd := range []string{
+		`{"running":9223372036854775807,"waiting":9223372036854775807}`, `{"running":1000000000000}`, `{"waiting":1000000000000}`,
+		`{"running":-5}`, `{"capacity":-1}`, `{"capacity":4611686018427387904}`, `{"running":5,"age_ms":-1000000}`,
+		`{"running":5,"age_ms":9223372036854775807}`, `{"running":1e300}`, `{"running":"5"}`, `[]`, `null`, `?`, strings.Repeat("[", 60_000),
+	} {
+		var polls atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			polls.Add(1)
+			fmt.Fprint(writer, odd)
+		}))
+		upstreams := []configuration.Upstream{{Address: server.Listener.Addr().String()}}
+		pool, err := NewPool(Config{Upstreams: func(string) []configuration.Upstream { return upstreams }})
+		require.NoError(t, err)
+		member := mustAcquire(t, pool, Criteria{})
+		monitor := NewMonitor(MonitorConfig{
+			Pools: func() []*Pool { return []*Pool{pool} }, Logger: log.NewNopLogger(), PollInterval: 10 * time.Millisecond, PollsPerSecond: 1000,
+		})
+		require.Eventually(t, func() bool { return polls.Load() > 3 }, time.Minute, time.Millisecond)
+		pool.mutex.Lock()
+		load, limit, wait := member.load(time.Now()), member.maxInFlight(time.Now()), member.expectedWaitSeconds(time.Now(), 1)
+		minLimit := member.minLimit(pool.config.Limit)
+		pool.mutex.Unlock()
+		monitor.Close()
+		pool.Close()
+		server.Close()
+		require.InDelta(t, 1, load, 0, odd)
+		require.Equal(t, defaultInitialLimit, limit, odd)
+		require.Less(t, wait, 1.0, odd)
+		require.LessOrEqual(t, minLimit, float64(defaultMaxLimit), odd)
+	}
+}
+
 // BenchmarkAcquire measures the choice of a member and the end of the attempt, while
 // a tenth of the allowed attempts is in flight.
 func BenchmarkAcquire(b *testing.B) {
