Don't wait for the end of a refusal's body

What callers saw: an upstream that sent the head of a refusal and never the end of its body held the request until its time was up. Then it was refused, without a time to come back, though other upstreams could have run it.

Cause: the rest of a refusal was read, so that the connection could be reused, under the time limit of an answer.

Change: a refusal's status and header are all that counts. The rest is read for at most 50 ms, and not at all where the connection isn't reused.

--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -15,7 +15,8 @@
 const (
 	// maxPartBytes limits one part of a plain body.
 	maxPartBytes = 32 << 10
-	// endOfBodyTimeout limits the wait for the end of the body after the end marker.
+	// endOfBodyTimeout limits the wait for the end of a body whose content doesn't
+	// matter: after the end marker, and if it is discarded.
 	endOfBodyTimeout = 50 * time.Millisecond
 	// endMarker is the data of the last event of a stream.
 	endMarker = "[DONE]"
@@ -256,6 +257,18 @@
 	_, _ = io.CopyN(io.Discard, answer.scanner.reader, 1)
 }
 
+// Discard reads the rest of the body, instead of calls of Next, so that the connection
+// can be reused. It gives up if the body is long or slow.
+func (answer *Answer) Discard() {
+	if answer.options.newConnection {
+		return
+	}
+	timer := time.AfterFunc(endOfBodyTimeout, func() { answer.cancel(errStalled) })
+	defer timer.Stop()
+	_, err := io.CopyN(io.Discard, answer.body, maxPartBytes)
+	answer.complete = errors.Is(err, io.EOF)
+}
+
 // nextBodyPart returns the next bytes of a plain body.
 func (answer *Answer) nextBodyPart() (Part, error) {
 	buffer := make([]byte, maxPartBytes)
--- a/pkg/relay/delivery.go
+++ b/pkg/relay/delivery.go
@@ -80,7 +80,7 @@
 	if info.Misdirected {
 		upstreamResult = placement.Unreachable
 	}
-	_, _ = readBody(answer) // lets the connection be reused; the refusal counts even if its body can't be read
+	answer.Discard() // the status and header are the whole refusal
 	return attemptResult{
 		err:            errors.New("the upstream refused the request with status " + strconv.Itoa(answer.Status)),
 		upstreamResult: upstreamResult,
