Don't pass on an unconfirmed promise that a request has not run

What callers saw: a request that an upstream had run was answered 408, 429 or 503. These statuses promise that the request has not run and never will, so a caller sends it again, bookings included.

Cause: an answer that says nothing about not having run counts as run, but was passed on with whatever status it had.

Change: such an answer with 408, 421, 429 or 503 is a failure of the upstream. A request that may be repeated goes to another one, any other gets 502, which promises nothing.

Evidence: testdata/requests/refusals got 503, 429 and 408 with the upstream's signature on the code before, and 502 now.

--- a/pkg/relay/delivery.go
+++ b/pkg/relay/delivery.go
@@ -24,6 +24,7 @@
 	errBodyTooLarge       = errors.New("answer body exceeds the size limit")
 	errEventOrder         = errors.New("event is missing or out of order")
 	errUpstreamFailed     = errors.New("the upstream failed the request")
+	errUnconfirmedRefusal = errors.New("the upstream's status promises that the request has not run, but the answer does not say so")
 )
 
 // delivery writes an answer to the caller and records what was written.
@@ -102,11 +103,24 @@
 		return call.deliverStream(ctx, ticket, answer)
 	case call.delivery.headerSent:
 		return attemptResult{err: errUpstreamFailed, upstreamResult: failureResult(ctx), mayHaveRun: true}
+	case promisesNotRun(answer.Status):
+		return attemptResult{err: errUnconfirmedRefusal, upstreamResult: failureResult(ctx), mayHaveRun: true}
 	default:
 		return call.deliverBuffered(ctx, ticket, answer)
 	}
 }
 
+// promisesNotRun reports whether callers take the status for a promise that the request
+// has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // deliverBuffered reads the whole body before it sends any of it to the caller,
 // so that an interrupted answer can be retried.
 func (call *call) deliverBuffered(ctx context.Context, ticket *placement.Ticket, answer *exchange.Answer) attemptResult {
