Answer a request of unknown outcome with 502, not 429 or 503

What callers saw: a request whose first attempt may have run, and that found no upstream for another one, got 429 or 503 with Retry-After beside the outcome "outcome_unknown". Clients that know HTTP but not our header take these statuses for "not run, try again".

Cause: the status came from the kind of the error alone.

Change: StatusOf returns 502 if the kind's status would promise what the outcome doesn't.

--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -184,9 +184,15 @@
 	return nil
 }
 
-// StatusOf returns the HTTP status code for err.
+// StatusOf returns the HTTP status code for err. It is 502 if the kind's code would
+// promise that the request has not run although its outcome is unknown.
 func StatusOf(err error) int {
-	return propertiesByKind[KindOf(err)].status
+	status := propertiesByKind[KindOf(err)].status
+	promisesNotRun := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+	if promisesNotRun && OutcomeOf(err) == OutcomeUnknown {
+		return http.StatusBadGateway
+	}
+	return status
 }
 
 // MessageOf returns the message of err without its kind and remedy.
