Heed what upstreams say of themselves in their answers

An upstream that leaves says so in the header Server-Leaving of all its answers, and one that refuses a request with 503 may ask in Retry-After for a pause. Neither was read: only the entry of an upstream in the store ended new requests there, and a refusal only raised its cost for 150 ms. What callers saw: requests at upstreams that had ended meanwhile, and refusals with a Retry-After of 250 ms while every upstream wanted nothing for seconds, so that they came back too early.

pkg/notice holds both by process (ID and start time), apart from the pools, so that no entry of the store, older copy of it or configuration takes them back, and a later process starts clean. From the first such answer (success, refusal, failure or the head of a stream, but not 421, which is another process's) the upstream gets no new request, retry or resumption:

- One that is leaving is the last resort while no other upstream takes requests, and only for its drain period (bounds.drainMs) from then on.
- One that asked for a pause gets nothing until its end; of several the latest end holds.
If all upstreams have asked for one, requests are refused at once, and Retry-After is the time to the first end.
- A failure that could be tried elsewhere is passed on if every other upstream is left out for one of these reasons or was tried.

The header goes on to the caller like any other header of the answer. Values of Retry-After that are no plain decimal number ask for nothing; ten minutes is the longest pause.

--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/notice"
 )
 
 // PoolConfig configures a Pool.
@@ -13,6 +15,11 @@
 	Service string
 	// Engine is set when the upstreams are model engines, which process prompts.
 	Engine bool
+	// Notices are shared by the pools of a router; nil means those of this pool only.
+	Notices *Notices
+	// LeavingPeriod is how long an upstream that says it is leaving may still get
+	// requests that no other upstream can take.
+	LeavingPeriod time.Duration
 	// Random breaks ties; nil means a source with a random seed.
 	Random *rand.Rand
 }
@@ -32,6 +39,9 @@
 	if config.Random == nil {
 		config.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
+	if config.Notices == nil {
+		config.Notices = notice.NewRegister(notice.RegisterConfig[Process]{})
+	}
 	return &Pool{config: config, prefillTokensPerMs: defaultPrefillTokensPerMs}
 }
 
@@ -56,17 +66,32 @@
 	slices.SortFunc(pool.members, func(a, b *member) int { return strings.Compare(a.ID, b.ID) })
 }
 
-// AvailableCount returns the number of upstreams that aren't draining.
-func (pool *Pool) AvailableCount() int {
+// CanServe reports whether Choose would find an upstream for the request.
+func (pool *Pool) CanServe(criteria Criteria, now time.Time) bool {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return len(pool.candidates(criteria, now)) > 0
+}
+
+// PausedUntil returns when the first pause ends, if all upstreams that take new
+// requests asked for one.
+func (pool *Pool) PausedUntil(now time.Time) (time.Time, bool) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	count := 0
+	var first time.Time
 	for _, member := range pool.members {
-		if !member.Draining {
-			count++
+		notice := pool.config.Notices.Of(member.Process())
+		if member.Draining || notice.IsLeaving() {
+			continue
+		}
+		if !notice.IsPaused(now) {
+			return time.Time{}, false
+		}
+		if first.IsZero() || notice.PausedUntil.Before(first) {
+			first = notice.PausedUntil
 		}
 	}
-	return count
+	return first, !first.IsZero()
 }
 
 // Choose assigns the request to the upstream with the lowest expected cost. It
@@ -91,12 +116,19 @@
 }
 
 // candidates returns the upstreams that may get the request: those that aren't
-// ejected, or all when too few aren't. Draining and excluded upstreams are never
-// among them.
+// ejected, or all when too few aren't. Draining, paused and excluded upstreams are
+// never among them, those that are leaving only if there is no other.
 func (pool *Pool) candidates(criteria Criteria, now time.Time) []*member {
-	var healthy, all []*member
+	var healthy, all, leaving []*member
 	for _, member := range pool.members {
-		if member.Draining || criteria.excludes(member.ID) {
+		notice := pool.config.Notices.Of(member.Process())
+		if member.Draining || notice.IsPaused(now) || criteria.excludes(member.ID) {
+			continue
+		}
+		if notice.IsLeaving() {
+			if now.Before(notice.LeavingSince.Add(pool.config.LeavingPeriod)) {
+				leaving = append(leaving, member)
+			}
 			continue
 		}
 		all = append(all, member)
@@ -104,6 +136,9 @@
 			healthy = append(healthy, member)
 		}
 	}
+	if len(all) == 0 {
+		return leaving
+	}
 	if len(healthy) >= max(1, int(float64(len(all))*minHealthyShare)) {
 		return healthy
 	}
--- a/pkg/placement/ticket.go
+++ b/pkg/placement/ticket.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/notice"
+)
 
 const (
 	// averageWeight is the weight of a new sample in the moving averages.
@@ -69,6 +73,11 @@
 	ticket.member.sentSinceLoad = 0
 }
 
+// RecordNotice records what the upstream asked for in an answer.
+func (ticket *Ticket) RecordNotice(request notice.Request, now time.Time) {
+	ticket.pool.config.Notices.Record(ticket.Upstream.Process(), request, now)
+}
+
 // FirstEvent records the arrival of the first event. Only the first call counts.
 func (ticket *Ticket) FirstEvent(now time.Time) {
 	ticket.pool.mutex.Lock()
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -5,12 +5,14 @@
 //
 // The flow: Pool.Update sets the upstreams of a service; Choose estimates the
 // time to the first event at each upstream (cost.go) and returns a Ticket; the
-// ticket's methods record how the request went (ticket.go).
+// ticket's methods record how the request went (ticket.go). What the upstreams ask
+// of the router in their answers (Notices) outlasts the pool's list of upstreams.
 package placement
 
 import (
 	"time"
 
+	"gitlab.com/wisterialb/wisterialb/pkg/notice"
 	"gitlab.com/wisterialb/wisterialb/pkg/rendezvous"
 )
 
@@ -30,6 +32,20 @@
 	Draining bool
 }
 
+// Process identifies one process of an upstream.
+type Process struct {
+	ID        string
+	StartedAt int64
+}
+
+// Process returns the key of the upstream's process.
+func (upstream Upstream) Process() Process {
+	return Process{ID: upstream.ID, StartedAt: upstream.StartedAt}
+}
+
+// Notices holds what processes asked of this router in their answers.
+type Notices = notice.Register[Process]
+
 // PromptPart is a section of a prompt. Requests that share it send the same ID.
 type PromptPart struct {
 	ID     uint64
--- a/pkg/relay/delivery.go
+++ b/pkg/relay/delivery.go
@@ -105,7 +105,7 @@
 	}
 	ticket.FirstEvent(time.Now())
 	failed := answer.Status >= http.StatusInternalServerError
-	if failed && call.mayRetryFailure() {
+	if failed && call.mayRetryFailure(ticket) {
 		return attemptResult{err: errUpstreamFailed, upstreamResult: placement.Failure, mayHaveRun: true}
 	}
 	answer.Header.Set("Content-Length", strconv.Itoa(len(body)))
@@ -124,9 +124,12 @@
 
 // mayRetryFailure reports whether a request with a 5xx answer may be retried at
 // another upstream.
-func (call *call) mayRetryFailure() bool {
+func (call *call) mayRetryFailure(ticket *placement.Ticket) bool {
 	route := call.request.Route
-	return route.Repeatable() && call.possibleRuns < route.MaxAttempts && call.pool.AvailableCount() > 1
+	if !route.Repeatable() || call.possibleRuns >= route.MaxAttempts {
+		return false
+	}
+	return call.pool.CanServe(call.criteria(ticket.Upstream.ID), time.Now())
 }
 
 // deliverStream forwards each event once it has been read completely.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -10,6 +11,7 @@
 	"gitlab.com/wisterialb/wisterialb/pkg/catalog"
 	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/notice"
 	"gitlab.com/wisterialb/wisterialb/pkg/placement"
 	"gitlab.com/wisterialb/wisterialb/pkg/quarantine"
 )
@@ -107,8 +109,7 @@
 		if err := call.relay.CheckPrompt(call.request); err != nil {
 			return call.quarantineError(err)
 		}
-		criteria := placement.Criteria{Parts: call.request.PromptParts, ExcludedIDs: call.triedIDs, Zone: call.relay.config.Zone}
-		ticket := call.pool.Choose(criteria, time.Now())
+		ticket := call.pool.Choose(call.criteria(), time.Now())
 		if ticket == nil {
 			return call.noUpstreamError()
 		}
@@ -134,6 +135,14 @@
 	}
 }
 
+// criteria returns those of the next attempt, which excludes the upstreams tried
+// before and the given ones.
+func (call *call) criteria(excludedIDs ...string) placement.Criteria {
+	return placement.Criteria{
+		Parts: call.request.PromptParts, ExcludedIDs: slices.Concat(call.triedIDs, excludedIDs), Zone: call.relay.config.Zone,
+	}
+}
+
 func (call *call) logAttempt(ticket *placement.Ticket, result attemptResult) {
 	if result.err == nil && call.attemptsArrived == 1 {
 		return // the log line of the whole request has the same information
@@ -174,6 +183,9 @@
 	if info.Load != nil {
 		ticket.ReportLoad(*info.Load)
 	}
+	if !info.Misdirected { // otherwise another process speaks
+		ticket.RecordNotice(notice.Request{Leaving: info.Leaving, Pause: info.Pause, Source: call.request.ID}, time.Now())
+	}
 	if info.NotRun || info.Misdirected {
 		return refusedAttempt(answer, info)
 	}
@@ -266,11 +278,16 @@
 	if call.possibleRuns > 0 {
 		return responseLostError(nil)
 	}
+	message, retryAfter := "no upstream of the service accepts the request", unavailableRetryAfter
+	now := time.Now()
+	if until, paused := call.pool.PausedUntil(now); paused {
+		message, retryAfter = "all upstreams of the service have asked for a pause", until.Sub(now)
+	}
 	return fault.New(fault.Config{
 		Kind:       fault.Unavailable,
-		Message:    "no upstream of the service accepts the request",
+		Message:    message,
 		Remedy:     "retry the request after the stated time",
-		RetryAfter: unavailableRetryAfter,
+		RetryAfter: retryAfter,
 	})
 }
 
--- a/pkg/relay/request.go
+++ b/pkg/relay/request.go
@@ -73,6 +73,10 @@
 	// Encoded is set when the body has a content encoding. Upstreams apply none,
 	// so an intermediary has changed the body.
 	Encoded bool
+	// Leaving is set when the upstream says that it is leaving, and Pause is how long
+	// it asks to be sent nothing.
+	Leaving bool
+	Pause   time.Duration
 	// Load is the upstream's load; nil if the answer doesn't state it.
 	Load *placement.Load
 }
