Report requests that get no complete answer

A connection that the server closed left no line: an aborted answer, a request after the connection's last answer, a handler that failed, a request that was still running when the server stopped, a connection closed for an unreadable request or a full write buffer. The error of a request that is not retried names why: no other upstream, or the retry budget.

--- a/pkg/relay/delivery.go
+++ b/pkg/relay/delivery.go
@@ -24,6 +24,8 @@
 	errBodyTooLarge       = errors.New("answer body exceeds the size limit")
 	errEventOrder         = errors.New("event is missing or out of order")
 	errUpstreamFailed     = errors.New("the upstream failed the request")
+	errNoUpstreamLeft     = errors.New("no other upstream is available")
+	errRetryBudgetSpent   = errors.New("the retry budget is spent")
 )
 
 // delivery writes an answer to the caller and records what was written.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -110,11 +110,11 @@
 		criteria := placement.Criteria{Parts: call.request.PromptParts, ExcludedIDs: call.triedIDs, Zone: call.relay.config.Zone}
 		ticket := call.pool.Choose(criteria, time.Now())
 		if ticket == nil {
-			return call.noUpstreamError()
+			return call.noUpstreamError(errNoUpstreamLeft)
 		}
 		if call.attemptsArrived > 0 && !call.relay.config.RetryBudget.AllowRetry(call.request.Service.Name, time.Now()) {
 			ticket.End(placement.Neutral, time.Now())
-			return call.noUpstreamError()
+			return call.noUpstreamError(errRetryBudgetSpent)
 		}
 		result := call.attempt(ctx, ticket)
 		if call.hasCrashed(ctx, ticket.Upstream, result) {
@@ -262,15 +262,16 @@
 
 // noUpstreamError returns the error of a request for which no further upstream
 // may be tried.
-func (call *call) noUpstreamError() error {
+func (call *call) noUpstreamError(cause error) error {
 	if call.possibleRuns > 0 {
-		return responseLostError(nil)
+		return responseLostError(cause)
 	}
 	return fault.New(fault.Config{
 		Kind:       fault.Unavailable,
 		Message:    "no upstream of the service accepts the request",
 		Remedy:     "retry the request after the stated time",
 		RetryAfter: unavailableRetryAfter,
+		Cause:      cause,
 	})
 }
 
@@ -305,7 +306,7 @@
 	case call.possibleRuns > 0:
 		return responseLostError(err)
 	default:
-		return call.noUpstreamError()
+		return call.noUpstreamError(err)
 	}
 }
 
--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -279,6 +279,7 @@
 		MaxRequests:    maxRequests,
 		MaxDeadline:    maxDeadline,
 		Overloaded:     func() bool { return builder.congestion.Congested(time.Now()) },
+		OnUnanswered:   builder.recordUnanswered,
 	})
 	builder.server.Store(server)
 	return err
--- a/pkg/router/controlserver.go
+++ b/pkg/router/controlserver.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -47,7 +48,7 @@
 		MessageHandlerPoolSize: maxControlRequests,
 		KeepaliveTime:          controlIdleTimeout,
 		NPoller:                1,
-	}, neverOverloaded)
+	}, neverOverloaded, func(net.Conn, error) {})
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/router/handlers.go
+++ b/pkg/router/handlers.go
@@ -304,3 +304,14 @@
 	logAtLevel("event", "request_ended", "request_id", admitted.id, "profile", admitted.profile.Name,
 		"service", admitted.service.Name, "outcome", outcome, "kind", kind, "duration_ms", duration.Milliseconds(), "err", message)
 }
+
+// recordUnanswered counts and logs a request that got no complete answer.
+func (router *Router) recordUnanswered(unanswered Unanswered) {
+	router.metrics.unanswered.WithLabelValues(string(unanswered.Reason)).Inc()
+	key := ""
+	if unanswered.Request != nil {
+		key = unanswered.Request.Header.Get(headerIdempotencyKey)
+	}
+	router.info("event", "request_unanswered", "reason", unanswered.Reason, "idempotency_key", key,
+		"caller", unanswered.Caller, "err", unanswered.Err)
+}
--- a/pkg/router/httpengine.go
+++ b/pkg/router/httpengine.go
@@ -86,9 +86,10 @@
 }
 
 // startHTTPEngine starts an HTTP engine. It pauses accepting connections while
-// overloaded returns true. It returns fault.Unavailable if the engine cannot listen
+// overloaded returns true, and passes each closed connection to onClose, with the
+// error that closed it. It returns fault.Unavailable if the engine cannot listen
 // on its address, or cannot start.
-func startHTTPEngine(config nbhttp.Config, overloaded func() bool) (*httpEngine, error) {
+func startHTTPEngine(config nbhttp.Config, overloaded func() bool, onClose func(net.Conn, error)) (*httpEngine, error) {
 	listener, err := listen(config.Network, config.Addrs[0], overloaded)
 	if err != nil {
 		return nil, fault.New(fault.Config{
@@ -102,6 +103,7 @@
 	config.Listen = func(string, string) (net.Listener, error) { return stoppable, nil }
 	engine := nbhttp.NewEngine(config)
 	synchronizeAcceptAndRead(engine)
+	engine.OnClose(onClose)
 	if err := engine.Start(); err != nil {
 		_ = stoppable.Close() // nothing was accepted
 		return nil, notStarted(config.Name, err)
--- a/pkg/router/metrics.go
+++ b/pkg/router/metrics.go
@@ -16,6 +16,7 @@
 	requests         *prometheus.CounterVec
 	requestDurations *prometheus.HistogramVec
 	lateBills        prometheus.Counter
+	unanswered       *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer, running func() float64) *metrics {
@@ -42,6 +43,11 @@
 			Name:      "bills_late_total",
 			Help:      "Answers that were completed before their bill was stored in the table or copied to a backup router.",
 		}),
+		unanswered: factory.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace,
+			Name:      "requests_unanswered_total",
+			Help:      "Requests whose connection was closed before their answer was complete, by reason.",
+		}, []string{"reason"}),
 	}
 }
 
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -13,6 +13,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -62,6 +63,9 @@
 	// CancelTimeout is how long a shutdown waits for the answers of requests that
 	// it cancelled; zero means 5 s.
 	CancelTimeout time.Duration
+	// OnUnanswered receives requests that got no complete answer; nil ignores them. It
+	// must not block.
+	OnUnanswered func(Unanswered)
 }
 
 // Server is an HTTP server for callers.
@@ -81,17 +85,34 @@
 // activeRequest is a running request and its connection.
 type activeRequest struct {
 	connection *nbio.Conn
+	request    *http.Request
 	cancel     context.CancelCauseFunc
+	// report receives the request if its answer is incomplete.
+	report   func(Unanswered)
+	reported atomic.Bool
+}
+
+// reportUnanswered reports that the request got no complete answer. Only the first
+// call reports it.
+func (activeRequest *activeRequest) reportUnanswered(reason UnansweredReason) {
+	request := activeRequest.request
+	if activeRequest.reported.CompareAndSwap(false, true) {
+		activeRequest.report(Unanswered{Reason: reason, Caller: request.RemoteAddr, Request: request})
+	}
 }
 
 // closeAfterPanic closes the connection if the handler panicked, as no answer will
 // follow. It panics again, so that nbio logs the panic with its stack, unless the
 // handler aborted the answer on purpose with http.ErrAbortHandler.
-func (activeRequest *activeRequest) closeAfterPanic() {
+func (activeRequest *activeRequest) closeAfterPanic(ctx context.Context) {
 	cause := recover()
 	if cause == nil {
+		if errors.Is(context.Cause(ctx), errCallerDisconnected) {
+			activeRequest.reportUnanswered(UnansweredCallerLeft)
+		}
 		return
 	}
+	activeRequest.reportUnanswered(reasonAfterPanic(ctx, cause))
 	if activeRequest.connection != nil {
 		_ = activeRequest.connection.Close()
 	}
@@ -132,6 +153,9 @@
 	if server.config.Overloaded == nil {
 		server.config.Overloaded = neverOverloaded
 	}
+	if server.config.OnUnanswered == nil {
+		server.config.OnUnanswered = ignoreUnanswered
+	}
 	httpEngine, err := startHTTPEngine(nbhttp.Config{
 		Name:                    "callers",
 		Network:                 "tcp",
@@ -144,7 +168,7 @@
 		MessageHandlerPoolSize:  config.MaxRequests,
 		KeepaliveTime:           config.MaxDeadline + idleTimeoutMargin,
 		ReleaseWebsocketPayload: true,
-	}, server.config.Overloaded)
+	}, server.config.Overloaded, server.reportClosed)
 	if err != nil {
 		return nil, err
 	}
@@ -177,16 +201,19 @@
 func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	ctx, cancel := context.WithCancelCause(request.Context())
 	defer cancel(nil)
-	activeRequest := &activeRequest{connection: nbioConnection(writer), cancel: cancel}
+	activeRequest := &activeRequest{
+		connection: nbioConnection(writer), request: request, cancel: cancel, report: server.config.OnUnanswered,
+	}
 	ambiguous := hasAmbiguousLength(request)
 	request.Close = request.Close || ambiguous || server.config.Overloaded()
 	if !server.closer.beginRequest(activeRequest.connection, writer, request) {
+		activeRequest.reportUnanswered(UnansweredClosing)
 		return
 	}
 	server.add(activeRequest)
 	defer server.remove(activeRequest)
 	defer func() { server.closer.endRequest(activeRequest.connection, time.Now()) }()
-	defer activeRequest.closeAfterPanic()
+	defer activeRequest.closeAfterPanic(ctx)
 	if ambiguous {
 		respondError(writer, errAmbiguousLength)
 		return
@@ -227,6 +254,15 @@
 	server.drain(ctx)
 }
 
+// reportStopped reports the requests that run when the server stops.
+func (server *Server) reportStopped() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for activeRequest := range server.requests {
+		activeRequest.reportUnanswered(UnansweredStopped)
+	}
+}
+
 func (server *Server) cancelAll() {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
@@ -240,6 +276,7 @@
 	server.stopOnce.Do(func() {
 		close(server.stop)
 		server.sweeper.Wait()
+		server.reportStopped()
 		server.httpEngine.stop()
 	})
 }
--- /dev/null
+++ b/pkg/router/unanswered.go
@@ -0,0 +1,69 @@
+package router
+
+// Reports of requests whose connection was closed before their answer was complete.
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+)
+
+// UnansweredReason is why a request got no complete answer.
+type UnansweredReason string
+
+// Reasons for requests without a complete answer.
+const (
+	// UnansweredCallerLeft means that the caller closed the connection.
+	UnansweredCallerLeft UnansweredReason = "caller_left"
+	// UnansweredAborted means that the handler aborted the answer that it had begun.
+	UnansweredAborted UnansweredReason = "aborted"
+	// UnansweredPanic means that the handler failed.
+	UnansweredPanic UnansweredReason = "panic"
+	// UnansweredStopped means that the server stopped before the answer was complete.
+	UnansweredStopped UnansweredReason = "stopped"
+	// UnansweredClosing means that the request came after the last answer of its
+	// connection, which had said so.
+	UnansweredClosing UnansweredReason = "closing"
+	// UnansweredUnread means that the server closed the connection because it could
+	// not be read or written, for example since a request exceeded a limit.
+	UnansweredUnread UnansweredReason = "unread"
+)
+
+// Unanswered describes a request that got no complete answer.
+type Unanswered struct {
+	Reason UnansweredReason
+	// Caller is the caller's address.
+	Caller string
+	// Request is nil if it was not read completely.
+	Request *http.Request
+	// Err is the cause; nil if the reason says all.
+	Err error
+}
+
+func ignoreUnanswered(Unanswered) {}
+
+// reasonAfterPanic returns why the answer of a handler that panicked is incomplete.
+func reasonAfterPanic(ctx context.Context, cause any) UnansweredReason {
+	err, ok := cause.(error)
+	switch {
+	case errors.Is(context.Cause(ctx), errCallerDisconnected):
+		return UnansweredCallerLeft
+	case errors.Is(context.Cause(ctx), errDrainTimeout):
+		return UnansweredStopped
+	case ok && errors.Is(err, http.ErrAbortHandler):
+		return UnansweredAborted
+	default:
+		return UnansweredPanic
+	}
+}
+
+// reportClosed reports a connection that the server closed because of an error.
+func (server *Server) reportClosed(connection net.Conn, err error) {
+	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		return
+	}
+	server.config.OnUnanswered(Unanswered{Reason: UnansweredUnread, Caller: connection.RemoteAddr().String(), Err: err})
+}
