--- a/pkg/relay/delivery.go
+++ b/pkg/relay/delivery.go
@@ -25,6 +25,8 @@
 	errEventOrder         = errors.New("event is missing or out of order")
 	errUpstreamFailed     = errors.New("the upstream failed the request")
 	errUnconfirmedRefusal = errors.New("the upstream's status promises that the request has not run, but the answer does not say so")
+	errNoUpstreamLeft     = errors.New("no other upstream is available")
+	errRetryBudgetSpent   = errors.New("the retry budget is spent")
 )
 
 // delivery writes an answer to the caller and records what was written.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -109,11 +109,11 @@
 		}
 		ticket := call.pool.Choose(call.criteria(), time.Now())
 		if ticket == nil {
-			return call.noUpstreamError()
+			return call.noUpstreamError(errNoUpstreamLeft)
 		}
 		if call.attemptsArrived > 0 && !call.relay.config.RetryBudget.AllowRetry(call.request.Service.Name, time.Now()) {
 			ticket.End(placement.Neutral, time.Now())
-			return call.noUpstreamError()
+			return call.noUpstreamError(errRetryBudgetSpent)
 		}
 		result := call.attempt(ctx, ticket)
 		if call.hasCrashed(ctx, ticket.Upstream, result) {
@@ -272,9 +272,9 @@
 
 // noUpstreamError returns the error of a request for which no further upstream
 // may be tried.
-func (call *call) noUpstreamError() error {
+func (call *call) noUpstreamError(cause error) error {
 	if call.possibleRuns > 0 {
-		return responseLostError(nil)
+		return responseLostError(cause)
 	}
 	message, retryAfter := "no upstream of the service accepts the request", unavailableRetryAfter
 	now := time.Now()
@@ -286,6 +286,7 @@
 		Message:    message,
 		Remedy:     "retry the request after the stated time",
 		RetryAfter: retryAfter,
+		Cause:      cause,
 	})
 }
 
@@ -320,7 +321,7 @@
 	case call.possibleRuns > 0:
 		return responseLostError(err)
 	default:
-		return call.noUpstreamError()
+		return call.noUpstreamError(err)
 	}
 }
 
