Don't fail a request on a connection that is being closed

A request could fail although nothing of it was sent: the transport of net/http reuses the connection of an answer without a body before the caller has seen the answer. If that answer belonged to an earlier request, the connection was closed while the next request was being written to it, which was reported as an attempt that may have run.

The connection is sealed before it is closed, and a request of which nothing was written to a reused connection is sent on a new one.

--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -293,7 +293,7 @@
 // open sends the request and waits for status and headers of the answer.
 func (client *Client) open(ctx context.Context, httpRequest *http.Request, options answerOptions) (*Answer, error) {
 	answer, err := client.roundTrip(ctx, httpRequest, options)
-	if err != nil && answer.wasRepeated() && ctx.Err() == nil {
+	if err != nil && answer.wasUnsent() && ctx.Err() == nil {
 		options.newConnection = true
 		answer, err = client.roundTrip(ctx, httpRequest, options)
 	}
--- a/pkg/exchange/connection.go
+++ b/pkg/exchange/connection.go
@@ -23,17 +23,24 @@
 	sealed bool
 }
 
-// beginRequest resets the records for a new request. It reports false, and seals the
-// connection, if the request before was the same attempt, whose late or repeated
-// answer could not be told from that of the new request.
-func (connection *connection) beginRequest(attemptID string) bool {
+// beginRequest resets the records for a new request. It seals the connection if the
+// request before was the same attempt, whose late or repeated answer could not be told
+// from that of the new request.
+func (connection *connection) beginRequest(attemptID string) {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
 	repeated := connection.used && connection.attemptID == attemptID
 	connection.attemptID, connection.used = attemptID, true
 	connection.written, connection.answered = false, false
 	connection.sealed = connection.sealed || repeated
-	return !repeated
+}
+
+// isSealedUnwritten reports whether the connection is sealed and nothing of the
+// current request was written.
+func (connection *connection) isSealedUnwritten() bool {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	return connection.sealed && !connection.written
 }
 
 // seal makes the connection reject further writes and reports whether data was
@@ -99,8 +106,10 @@
 }
 
 // discard closes the connection and discards the data that the kernel has not sent,
-// so that an abandoned request on a stalled connection is not delivered later.
+// so that an abandoned request on a stalled connection is not delivered later. The
+// connection is sealed first, because the transport may have reused it already.
 func (connection *connection) discard() {
+	connection.seal()
 	if tcp, ok := connection.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
