Heed upstreams that leave or want a pause in the product's own path

The protocol of the product's upstreams had no way to say that one leaves: only the configuration and the list of VMs ended new work there. Of Retry-After, whole seconds were read, and only for the answer to the caller. Callers saw attempts at engines that were going away, retries at engines that had asked for none, four of which ejected the engine as faulty, and 429 after one second when the engines wanted nothing for longer.

Any answer (attempt, resume, load report, health, cancel, record) may now carry Wisterialb-Leaving, and a 503 Retry-After. pkg/upstream keeps both by address in the register that the platform's path uses:

- A leaving upstream gets no new attempt, whatever the configuration lists.
A health probe without the header shows that a later process has the address.
- A paused one gets no attempt, resume, poll or probe.
An interrupted attempt is resumed after the pause, if the request can wait for it.

The state machine of the pool now draws notices too.

Not held back during a pause: cancelling attempts that run there and asking how far they are, which ends work rather than adds it.

--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
+	"gitlab.com/wisterialb/wisterialb/pkg/notice"
 	"gitlab.com/wisterialb/wisterialb/pkg/upstream"
 )
 
@@ -169,6 +170,13 @@
 	}
 }
 
+// asksForPause reports whether err is a refusal that says when the upstream accepts
+// requests again.
+func (attempt *attempt) asksForPause(err error) bool {
+	var refusal *refusalError
+	return errors.As(err, &refusal) && refusal.retryAfter > 0
+}
+
 // isRefusal reports whether err is a refusal with the status.
 func isRefusal(err error, status int) bool {
 	var refusal *refusalError
@@ -197,6 +205,9 @@
 	if recovery == recoverNone {
 		return recovery
 	}
+	if !attempt.waitForPause(ctx) {
+		return recoverNone
+	}
 	if attempt.recoveriesWithoutProgress > 0 {
 		sleep(ctx, retry.InitialBackoff<<attempt.recoveriesWithoutProgress)
 	}
@@ -205,6 +216,21 @@
 	return recovery
 }
 
+// waitForPause waits until the upstream accepts requests again. It reports false at
+// once if that takes longer than the request may wait.
+func (attempt *attempt) waitForPause(ctx context.Context) bool {
+	pause := attempt.run.service.pool.PauseOf(attempt.member)
+	if pause == 0 {
+		return true
+	}
+	deadline, ok := ctx.Deadline()
+	if pause > attempt.run.service.maxWait || ok && pause > time.Until(deadline) {
+		return false
+	}
+	sleep(ctx, pause)
+	return ctx.Err() == nil
+}
+
 // deliverAnswer passes the complete answer to the sink.
 func (attempt *attempt) deliverAnswer(answer *exchange.Answer) error {
 	if err := attempt.checkAnswer(answer); err != nil {
@@ -315,8 +341,7 @@
 
 // newRefusal returns the error of an attempt that the engine did not run.
 func newRefusal(answer *exchange.Answer) error {
-	seconds, _ := strconv.Atoi(answer.Header.Get(headerRetryAfter))
-	refusal := &refusalError{status: answer.Status, retryAfter: time.Duration(seconds) * time.Second}
+	refusal := &refusalError{status: answer.Status, retryAfter: notice.ParseRetryAfter(answer.Header.Get(headerRetryAfter))}
 	return &exchange.Error{Reason: reasonRefused, Err: refusal}
 }
 
@@ -379,7 +404,7 @@
 		return upstream.Success
 	case attempt.run.delivery.callerGone, ctx.Err() != nil, attempt.unknownToEngine, errors.Is(err, errReservationExceeded):
 		return upstream.Neutral
-	case isRefusal(err, http.StatusNotFound), isRefusal(err, http.StatusTooManyRequests):
+	case isRefusal(err, http.StatusNotFound), isRefusal(err, http.StatusTooManyRequests), attempt.asksForPause(err):
 		return upstream.Neutral
 	default:
 		return upstream.Failure
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -88,7 +88,7 @@
 	if existing, ok := dispatcher.services[name]; ok {
 		return existing
 	}
-	created := newService(dispatcher.config, name)
+	created := newService(dispatcher.config, dispatcher.metrics, name)
 	dispatcher.services[name] = created
 	dispatcher.metrics.registerService(created)
 	return created
--- a/pkg/dispatch/metrics.go
+++ b/pkg/dispatch/metrics.go
@@ -25,6 +25,7 @@
 	attempts         *prometheus.CounterVec
 	recoveries       *prometheus.CounterVec
 	retries          *prometheus.CounterVec
+	notices          *prometheus.CounterVec
 	wait             *prometheus.HistogramVec
 	firstPartLatency *prometheus.HistogramVec
 }
@@ -35,6 +36,7 @@
 	metrics.attempts = metrics.counter("attempts_total", "Attempts by result.", "end")
 	metrics.recoveries = metrics.counter("recoveries_total", "Recoveries of interrupted answers at the same upstream.", "recovery")
 	metrics.retries = metrics.counter("retry_verdicts_total", "Retry decisions after failed attempts.", "verdict")
+	metrics.notices = metrics.counter("upstream_notices_total", "Upstreams that said that they are leaving, and pauses that they asked for.", "notice")
 	metrics.wait = metrics.histogram("wait_seconds", "Time that requests waited for an upstream, in seconds.")
 	metrics.firstPartLatency = metrics.histogram("first_part_seconds", "Time from sending an attempt to the first part of its answer, in seconds.")
 	return metrics
--- a/pkg/dispatch/resume.go
+++ b/pkg/dispatch/resume.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/upstream"
 )
 
 // newAttemptID returns an unguessable attempt id with a prefix derived from the
@@ -45,6 +46,10 @@
 	attempt := newAttempt(run, member, token.AttemptID)
 	attempt.record.MayHaveStarted = true
 	run.mayHaveRun = true
+	if pause := run.service.pool.PauseOf(member); !attempt.waitForPause(ctx) {
+		run.service.release(member, upstream.Neutral, 0) // the attempt runs on and can be resumed later
+		return true, fault.WithOutcome(pausedError("the upstream of the attempt to resume has asked for a pause", pause), fault.OutcomeUnknown)
+	}
 	err := attempt.resume(ctx)
 	if attempt.unknownToEngine && !run.delivery.headSent {
 		run.finishAttempt(ctx, attempt, err)
--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -24,6 +24,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/notice"
 )
 
 // Headers of the protocol of model engines.
@@ -60,6 +62,9 @@
 	// OnConnect receives how long it took to open a connection, or to fail to open it;
 	// nil ignores it. It isn't called when the request ended in the meantime.
 	OnConnect func(address string, duration time.Duration, err error)
+	// OnNotice receives what an answer asks for; nil ignores it. Only answers in the
+	// product's own protocol are read.
+	OnNotice func(request notice.Request)
 }
 
 // Defaults of ClientConfig.
@@ -305,6 +310,7 @@
 		answer.Close()
 		return nil, &Error{Reason: ReasonForeign, MayHaveStarted: true, Err: errWrongAttempt}
 	}
+	client.readNotice(response, options.attemptID)
 	return answer, nil
 }
 
--- a/pkg/exchange/control.go
+++ b/pkg/exchange/control.go
@@ -70,7 +70,7 @@
 // error is ErrUnknownAttempt if the engine has no record of the attempt.
 func (client *Client) Cancel(ctx context.Context, attemptID string) (Record, error) {
 	var record Record
-	err := client.sendControl(ctx, client.unpooledTransport, http.MethodPost, attemptPath(attemptID)+"/cancel", &record)
+	_, err := client.sendControl(ctx, client.unpooledTransport, http.MethodPost, attemptPath(attemptID)+"/cancel", &record)
 	return record, err
 }
 
@@ -78,7 +78,7 @@
 // ErrUnknownAttempt if the engine has no record of the attempt.
 func (client *Client) AttemptRecord(ctx context.Context, attemptID string) (Record, error) {
 	var record Record
-	err := client.sendControl(ctx, client.unpooledTransport, http.MethodGet, attemptPath(attemptID), &record)
+	_, err := client.sendControl(ctx, client.unpooledTransport, http.MethodGet, attemptPath(attemptID), &record)
 	return record, err
 }
 
@@ -87,41 +87,44 @@
 // ErrUnknownAttempt if the upstream answers with status 404.
 func (client *Client) LoadReport(ctx context.Context) (LoadReport, error) {
 	var report LoadReport
-	err := client.sendControl(ctx, client.transport(false), http.MethodGet, "/v1/load", &report)
+	_, err := client.sendControl(ctx, client.transport(false), http.MethodGet, "/v1/load", &report)
 	return report, err
 }
 
-// CheckHealth returns nil if the upstream reports that it is healthy. It uses a new
-// connection.
-func (client *Client) CheckHealth(ctx context.Context) error {
+// CheckHealth returns nil if the upstream reports that it is healthy, and whether it
+// says that it is leaving. It uses a new connection.
+func (client *Client) CheckHealth(ctx context.Context) (leaving bool, err error) {
 	return client.sendControl(ctx, client.unpooledTransport, http.MethodGet, "/healthz", nil)
 }
 
 // sendControl sends a request without a body and decodes the JSON response into
-// target unless target is nil. The error is ErrUnknownAttempt for status 404 and a
-// StatusError for any other status than 200.
-func (client *Client) sendControl(ctx context.Context, transport *http.Transport, method, path string, target any) error {
+// target unless target is nil. It returns whether the upstream says that it is leaving.
+// The error is ErrUnknownAttempt for status 404 and a StatusError for any other status
+// than 200.
+func (client *Client) sendControl(ctx context.Context, transport *http.Transport, method, path string, target any) (leaving bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, client.config.ControlTimeout)
 	defer cancel()
 	httpRequest, err := http.NewRequestWithContext(ctx, method, "http://"+client.config.Address+path, http.NoBody)
 	if err != nil {
-		return err
+		return false, err
 	}
 	response, err := transport.RoundTrip(httpRequest)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer response.Body.Close()
+	client.readNotice(response, path)
+	leaving = noticeOf(response, path).Leaving
 	if response.StatusCode == http.StatusNotFound {
-		return ErrUnknownAttempt
+		return leaving, ErrUnknownAttempt
 	}
 	if response.StatusCode != http.StatusOK {
-		return &StatusError{Status: response.StatusCode}
+		return leaving, &StatusError{Status: response.StatusCode}
 	}
 	body := io.LimitReader(response.Body, maxControlResponseBytes)
 	if target != nil {
 		err = json.NewDecoder(body).Decode(target)
 	}
 	_, _ = io.Copy(io.Discard, body)
-	return err
+	return leaving, err
 }
--- a/pkg/standin/enginehttp.go
+++ b/pkg/standin/enginehttp.go
@@ -16,6 +16,25 @@
 	IdempotencyKeyHeader = "Idempotency-Key"
 )
 
+// The response headers in which engines and services say that they are leaving, or
+// how long they want no requests.
+const (
+	leavingHeader    = "Wisterialb-Leaving"
+	retryAfterHeader = "Retry-After"
+)
+
+func setLeaving(writer http.ResponseWriter, leaving bool) {
+	if leaving {
+		writer.Header().Set(leavingHeader, "1")
+	}
+}
+
+func setRetryAfter(writer http.ResponseWriter, retryAfter string) {
+	if retryAfter != "" {
+		writer.Header().Set(retryAfterHeader, retryAfter)
+	}
+}
+
 const (
 	streamContentType = "text/event-stream"
 	attemptPathValue  = "attempt"
@@ -71,10 +90,12 @@
 			admin.ServeHTTP(writer, request)
 			return
 		}
-		if engineHandler.engine.Faults().Hold {
+		faults := engineHandler.engine.Faults()
+		if faults.Hold {
 			<-request.Context().Done()
 			return
 		}
+		setLeaving(writer, faults.Leaving)
 		next.ServeHTTP(writer, request)
 	})
 }
@@ -111,7 +132,8 @@
 // submit queues an attempt for the request. It returns the attempt and whether the
 // answer is to be streamed.
 func (engineHandler *engineHandler) submit(writer http.ResponseWriter, request *http.Request) (*attempt, bool, error) {
-	if engineHandler.engine.Faults().Refuse {
+	if faults := engineHandler.engine.Faults(); faults.Refuse {
+		setRetryAfter(writer, faults.RetryAfter)
 		return nil, false, fault.New(fault.Config{
 			Kind:    fault.Unavailable,
 			Message: "engine refuses requests",
--- a/pkg/standin/fault.go
+++ b/pkg/standin/fault.go
@@ -42,6 +42,10 @@
 	// Refuse responds to every completion request with status 503, without
 	// running it.
 	Refuse bool `json:"refuse"`
+	// RetryAfter is the Retry-After header of these responses; empty means none.
+	RetryAfter string `json:"retry_after,omitempty"`
+	// Leaving states in each response that the engine is leaving.
+	Leaving bool `json:"leaving,omitempty"`
 	// Hold accepts all requests, except those to /admin/, and never responds.
 	Hold bool `json:"hold"`
 	// SlowFactor multiplies the duration of each step; values up to 1 have no
--- a/pkg/standin/service.go
+++ b/pkg/standin/service.go
@@ -35,6 +35,10 @@
 type ServiceFaults struct {
 	// Refuse responds to every call with status 503, without running it.
 	Refuse bool `json:"refuse"`
+	// RetryAfter is the Retry-After header of these responses; empty means none.
+	RetryAfter string `json:"retry_after,omitempty"`
+	// Leaving states in each response to a call that the service is leaving.
+	Leaving bool `json:"leaving,omitempty"`
 	// Hold accepts calls but neither runs them nor responds.
 	Hold bool `json:"hold"`
 	// DropNext is the number of upcoming orders that run but close the connection
@@ -200,7 +204,9 @@
 		<-request.Context().Done()
 		return
 	}
+	setLeaving(writer, faults.Leaving)
 	if faults.Refuse {
+		setRetryAfter(writer, faults.RetryAfter)
 		writeFault(writer, fault.New(fault.Config{
 			Kind:    fault.Unavailable,
 			Message: "service refuses calls",
--- a/pkg/upstream/member.go
+++ b/pkg/upstream/member.go
@@ -8,6 +8,7 @@
 	"github.com/failsafe-go/failsafe-go/circuitbreaker"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
+	"gitlab.com/wisterialb/wisterialb/pkg/notice"
 )
 
 const (
@@ -81,9 +82,10 @@
 	ownAttempts int
 }
 
-func newMember(address string, config Config) *Member {
+func newMember(address string, config Config, onNotice func(notice.Request)) *Member {
 	exchangeConfig := config.Exchange
 	exchangeConfig.Address = address
+	exchangeConfig.OnNotice = onNotice
 	breaker := circuitbreaker.NewBuilder[any]().
 		WithFailureThresholdRatio(breakerFailureThreshold, breakerWindowAttempts).
 		WithSuccessThreshold(1).
--- a/pkg/upstream/monitor.go
+++ b/pkg/upstream/monitor.go
@@ -94,7 +94,9 @@
 	var group errgroup.Group
 	group.SetLimit(maxConcurrentPolls)
 	for _, pool := range monitor.config.Pools() {
-		pool.refresh()
+		if pool.refresh() && monitor.config.OnChange != nil {
+			monitor.config.OnChange(pool)
+		}
 		for _, check := range pool.dueChecks(monitor.config.PollInterval) {
 			if !monitor.rateLimiter.Allow() {
 				break
@@ -108,7 +110,8 @@
 	_ = group.Wait()
 }
 
-// memberCheck is a member to poll, or to probe if it is ejected.
+// memberCheck is a member to poll, or to probe if it is ejected or says that it is
+// leaving.
 type memberCheck struct {
 	member *Member
 	probe  bool
@@ -122,8 +125,10 @@
 	now := pool.config.Now()
 	var checks []memberCheck
 	for _, member := range pool.members {
+		notice := pool.notices.Of(member.address)
 		switch {
-		case member.ejected:
+		case notice.IsPaused(now):
+		case member.ejected, notice.IsLeaving():
 			if now.After(member.nextProbeAt) {
 				member.nextProbeAt = now.Add(member.probeBackoff.NextBackOff())
 				checks = append(checks, memberCheck{member: member, probe: true})
@@ -147,13 +152,13 @@
 	}
 }
 
-// probe sends a health check to an ejected member and ends the ejection if the
-// check succeeds.
+// probe sends a health check to a member and ends its ejection if the check succeeds.
 func (monitor *Monitor) probe(ctx context.Context, pool *Pool, member *Member) {
 	if !member.breaker.TryAcquirePermit() {
 		return
 	}
-	err := member.client.CheckHealth(ctx)
+	probedAt := pool.config.Now()
+	leaving, err := member.client.CheckHealth(ctx)
 	result := Success
 	if err != nil {
 		result = Failure
@@ -162,6 +167,9 @@
 	pool.mutex.Lock()
 	pool.recordResult(member, result)
 	pool.mutex.Unlock()
+	if err == nil && !leaving {
+		pool.forgetLeaving(member, probedAt)
+	}
 	_ = monitor.config.Logger.Log("event", "upstream_probed", "upstream", member.address, "err", err)
 }
 
@@ -206,11 +214,13 @@
 }
 
 // refresh readmits members that the VM list no longer marks as leaving. It updates
-// the entries of all members with load, since the weight of load reports decays.
-func (pool *Pool) refresh() {
+// the entries of all members with load, since the weight of load reports decays. It
+// reports whether a pause has ended.
+func (pool *Pool) refresh() bool {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	pool.syncMembers()
+	pauseEnded := pool.endPauses()
 	anyReadmitted := false
 	for _, member := range pool.members {
 		if member.leaving && !pool.config.IsLeaving(member.address) {
@@ -220,7 +230,7 @@
 	}
 	if anyReadmitted {
 		pool.rebuild()
-		return
+		return pauseEnded
 	}
 	now := pool.config.Now()
 	for _, member := range pool.memberSet.eligible {
@@ -228,4 +238,5 @@
 			pool.memberSet.update(member, now)
 		}
 	}
+	return pauseEnded
 }
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -18,13 +18,15 @@
 
 	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
 	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
+	"gitlab.com/wisterialb/wisterialb/pkg/notice"
 )
 
 var (
 	// ErrNoUpstream means that no upstream of the service accepts new attempts:
 	// all are draining, leaving or removed, or there are none.
 	ErrNoUpstream = errors.New("no upstream takes new work")
-	// ErrAtLimit means that each upstream is at its limit of concurrent attempts.
+	// ErrAtLimit means that each upstream is at its limit of concurrent attempts, or
+	// that the first pause of an upstream ends before Criteria.MaxPauseEnd.
 	ErrAtLimit = errors.New("every upstream is at its limit")
 )
 
@@ -38,6 +40,9 @@
 	// IsLeaving reports whether the VM list marks the VM at the address as leaving; nil
 	// means that no VM is leaving.
 	IsLeaving func(address string) bool
+	// OnNotice receives each answer of an upstream that changes what is sent to it; nil
+	// ignores it. The key of the process is the upstream's address.
+	OnNotice func(change notice.Change[string])
 	// Policy is the name of a policy; empty means DefaultPolicy.
 	Policy string
 	// Exchange configures the clients; its address is not used.
@@ -61,6 +66,9 @@
 	PrefixHash uint64
 	// Avoid lists the addresses of upstreams to use only if no other is available.
 	Avoid []string
+	// MaxPauseEnd is when a pause that all upstreams asked for must end for the attempt
+	// to wait for it; zero means that it doesn't wait.
+	MaxPauseEnd time.Time
 }
 
 func (criteria Criteria) avoids(member *Member) bool {
@@ -84,6 +92,12 @@
 	members   map[string]*Member
 	memberSet *memberSet
 	chooser   chooser
+	// notices holds what upstreams asked for, also of those that the configuration
+	// doesn't list at present.
+	notices *notice.Register[string]
+	// firstPauseEnd is when the first pause of an upstream ends; zero means that none
+	// is paused.
+	firstPauseEnd time.Time
 }
 
 // NewPool returns a pool. The error for an unknown policy lists all policies.
@@ -103,21 +117,24 @@
 	}
 	config.Limit = config.Limit.withDefaults()
 	pool := &Pool{config: config, policy: policy, members: make(map[string]*Member), memberSet: newMemberSet(policy.needsLoadOrder)}
+	pool.notices = notice.NewRegister(notice.RegisterConfig[string]{OnChange: config.OnNotice})
 	random := rand.New(rand.NewPCG(config.Seed, config.Seed))
 	pool.chooser = policy.newChooser(random)
 	return pool, nil
 }
 
 // Acquire chooses a member for an attempt and increments the member's attempts in
-// flight, which Release decrements. The error is ErrNoUpstream or ErrAtLimit.
+// flight, which Release decrements. The error is ErrNoUpstream, ErrAtLimit or a
+// PausedError.
 func (pool *Pool) Acquire(criteria Criteria) (*Member, error) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	pool.syncMembers()
+	pool.endPauses()
 	for {
 		member := pool.choose(criteria)
 		if member == nil {
-			return nil, pool.noMemberError()
+			return nil, pool.noMemberError(criteria)
 		}
 		if pool.config.IsLeaving(member.address) {
 			member.leaving = true
@@ -144,11 +161,17 @@
 }
 
 // noMemberError returns the error for a choice without a member.
-func (pool *Pool) noMemberError() error {
-	if len(pool.memberSet.eligible) == 0 {
+func (pool *Pool) noMemberError(criteria Criteria) error {
+	switch {
+	case len(pool.memberSet.eligible) > 0:
+		return ErrAtLimit
+	case pool.firstPauseEnd.IsZero():
 		return ErrNoUpstream
+	case pool.firstPauseEnd.After(criteria.MaxPauseEnd):
+		return &PausedError{Remaining: pool.firstPauseEnd.Sub(pool.config.Now())}
+	default:
+		return ErrAtLimit
 	}
-	return ErrAtLimit
 }
 
 // adjustInFlight adds delta to the member's attempts in flight and updates its
@@ -282,7 +305,7 @@
 func (pool *Pool) addOrUpdate(upstream configuration.Upstream) {
 	member, ok := pool.members[upstream.Address]
 	if !ok {
-		member = newMember(upstream.Address, pool.config)
+		member = newMember(upstream.Address, pool.config, func(request notice.Request) { pool.recordNotice(upstream.Address, request) })
 		pool.members[upstream.Address] = member
 	}
 	member.configured = true
@@ -293,8 +316,15 @@
 // members are healthy, since the fault is then more likely on the router's side.
 func (pool *Pool) rebuild() {
 	var acceptingMembers, healthy []*Member
+	now := pool.config.Now()
+	pool.firstPauseEnd = time.Time{}
 	for _, member := range pool.members {
-		if !member.configured || member.draining || member.leaving {
+		notice := pool.notices.Of(member.address)
+		if !member.configured || member.draining || member.leaving || notice.IsLeaving() {
+			continue
+		}
+		if notice.IsPaused(now) {
+			pool.firstPauseEnd = earliest(pool.firstPauseEnd, notice.PausedUntil)
 			continue
 		}
 		acceptingMembers = append(acceptingMembers, member)
@@ -306,7 +336,7 @@
 	if len(healthy) < minHealthy {
 		healthy = acceptingMembers
 	}
-	pool.memberSet.replace(healthy, pool.config.Now())
+	pool.memberSet.replace(healthy, now)
 }
 
 // Service returns the name of the service.
--- a/pkg/upstream/pool_test.go
+++ b/pkg/upstream/pool_test.go
@@ -17,6 +17,7 @@
 
 	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
 	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
+	"gitlab.com/wisterialb/wisterialb/pkg/notice"
 )
 
 func TestMain(m *testing.M) {
@@ -90,6 +91,8 @@
 		return
 	}
 	require.False(t, member.draining)
+	notice := poolStateMachine.pool.notices.Of(member.address)
+	require.False(t, notice.IsLeaving() || notice.IsPaused(poolStateMachine.clock.now))
 	require.LessOrEqual(t, member.inFlight, member.maxInFlight(poolStateMachine.clock.now))
 	poolStateMachine.running = append(poolStateMachine.running, member)
 }
@@ -119,6 +122,14 @@
 	}
 }
 
+func (poolStateMachine *poolStateMachine) recordNotice(t *rapid.T) {
+	address := rapid.SampledFrom(poolStateMachine.allUpstreams).Draw(t, "upstream").Address
+	poolStateMachine.pool.recordNotice(address, notice.Request{
+		Leaving: rapid.IntRange(0, 9).Draw(t, "leaving") == 0,
+		Pause:   time.Duration(rapid.IntRange(0, 4000).Draw(t, "pause")) * time.Millisecond,
+	})
+}
+
 func (poolStateMachine *poolStateMachine) advanceClock(t *rapid.T) {
 	elapsed := time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
 	poolStateMachine.clock.now = poolStateMachine.clock.now.Add(elapsed)
@@ -127,7 +138,7 @@
 
 // Guards against a missed update of the member set. With any policy and any order of
 // operations, the set is consistent with the members, no attempt exceeds a member's
-// limit, and draining members get no attempts.
+// limit, and draining, leaving and paused members get no attempts.
 func TestPoolKeepsInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		machine := newPoolStateMachine(t)
@@ -136,6 +147,7 @@
 			"put":    machine.release,
 			"drain":  machine.changeConfiguration,
 			"report": machine.observeLoad,
+			"notice": machine.recordNotice,
 			"pass":   machine.advanceClock,
 			"":       func(t *rapid.T) { checkMemberSet(t, machine.pool) },
 		})
