Hold notices against older start times of the same upstream

A list of upstreams that goes back to an older copy may name an upstream with the start time of a process before the one that is leaving. Requests name their upstream by ID only, so they would have reached the leaving process, whose notice was kept under its own start time.

The register keeps one notice for each ID, with the start time of the process that gave it. It holds for that and earlier start times; a later process starts clean. Upstreams of the product's own path state no start time.

TestOlderStartTimeDoesNotBringLeavingProcessBack failed before: both upstreams were chosen.

--- a/pkg/dispatch/service.go
+++ b/pkg/dispatch/service.go
@@ -27,7 +27,7 @@
 		Service:   name,
 		Upstreams: config.Upstreams,
 		IsLeaving: config.IsLeaving,
-		OnNotice: func(change notice.Change[string]) {
+		OnNotice: func(change notice.Change) {
 			metrics.notices.WithLabelValues(name, string(change.Kind)).Inc()
 			logNotice(config.Logger, name, change)
 		},
@@ -51,8 +51,8 @@
 }
 
 // logNotice logs an answer that changes what is sent to an upstream.
-func logNotice(logger log.Logger, service string, change notice.Change[string]) {
-	fields := []any{"event", "upstream_" + string(change.Kind), "service", service, "upstream", change.Process, "source", change.Source}
+func logNotice(logger log.Logger, service string, change notice.Change) {
+	fields := []any{"event", "upstream_" + string(change.Kind), "service", service, "upstream", change.Process.ID, "source", change.Source}
 	if change.Kind == notice.Paused {
 		fields = append(fields, "until", change.Notice.PausedUntil.UTC().Format(time.RFC3339Nano))
 	}
--- a/pkg/notice/notice_test.go
+++ b/pkg/notice/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -28,31 +29,34 @@
 // a first sign of leaving that later ones replace.
 func TestLatestPauseAndFirstLeavingHold(t *testing.T) {
 	now := time.Unix(100, 0)
+	a, b := Process{ID: "a", StartedAt: 5}, Process{ID: "b", StartedAt: 5}
 	var changes []string
-	register := NewRegister(RegisterConfig[string]{OnChange: func(change Change[string]) {
-		changes = append(changes, fmt.Sprintf("%s %s by %s", change.Process, change.Kind, change.Source))
+	register := NewRegister(RegisterConfig{OnChange: func(change Change) {
+		changes = append(changes, fmt.Sprintf("%s %s by %s", change.Process.ID, change.Kind, change.Source))
 	}})
-	register.Record("a", Request{Pause: 4 * time.Second, Source: "1"}, now)
-	register.Record("a", Request{Pause: time.Second, Leaving: true, Source: "2"}, now.Add(time.Second))
-	register.Record("a", Request{Leaving: true, Source: "3"}, now.Add(2*time.Second))
-	register.Record("b", Request{Source: "4"}, now)
-	require.Equal(t, Notice{LeavingSince: now.Add(time.Second), PausedUntil: now.Add(4 * time.Second)}, register.Of("a"))
-	require.True(t, register.Of("a").IsPaused(now.Add(4*time.Second-1)))
-	require.False(t, register.Of("a").IsPaused(now.Add(4*time.Second)))
-	require.Equal(t, Notice{}, register.Of("b"))
+	register.Record(a, Request{Pause: 4 * time.Second, Source: "1"}, now)
+	register.Record(a, Request{Pause: time.Second, Leaving: true, Source: "2"}, now.Add(time.Second))
+	register.Record(a, Request{Leaving: true, Source: "3"}, now.Add(2*time.Second))
+	register.Record(b, Request{Source: "4"}, now)
+	require.Equal(t, Notice{LeavingSince: now.Add(time.Second), PausedUntil: now.Add(4 * time.Second)}, register.Of(a))
+	require.True(t, register.Of(a).IsPaused(now.Add(4*time.Second-1)))
+	require.False(t, register.Of(a).IsPaused(now.Add(4*time.Second)))
+	require.Equal(t, Notice{}, register.Of(b))
+	require.Equal(t, register.Of(a), register.Of(Process{ID: "a", StartedAt: 4}))
+	require.Equal(t, Notice{}, register.Of(Process{ID: "a", StartedAt: 6}), "a later process")
 	require.Equal(t, []string{"a paused by 1", "a leaving by 2"}, changes, "one change each")
 	register.Forget("a")
-	require.Equal(t, Notice{}, register.Of("a"))
+	require.Equal(t, Notice{}, register.Of(a))
 }
 
 // Guards against a register that grows with each process that ever left.
 func TestRegisterIsBounded(t *testing.T) {
 	now := time.Unix(100, 0)
-	register := NewRegister(RegisterConfig[int]{})
+	register := NewRegister(RegisterConfig{})
 	for process := range maxProcesses + 10 {
-		register.Record(process, Request{Leaving: true}, now.Add(time.Duration(process)))
+		register.Record(Process{ID: strconv.Itoa(process)}, Request{Leaving: true}, now.Add(time.Duration(process)))
 	}
 	require.Len(t, register.entries, maxProcesses)
-	require.False(t, register.Of(9).IsLeaving())
-	require.True(t, register.Of(10).IsLeaving())
+	require.False(t, register.Of(Process{ID: "9"}).IsLeaving())
+	require.True(t, register.Of(Process{ID: "10"}).IsLeaving())
 }
--- a/pkg/notice/register.go
+++ b/pkg/notice/register.go
@@ -30,10 +30,17 @@
 	Paused Kind = "paused"
 )
 
+// Process identifies a process of an upstream. Of two with the same ID, the one with the
+// later start time is the later process.
+type Process struct {
+	ID        string
+	StartedAt int64
+}
+
 // Change is an answer that changes what the router sends to a process.
-type Change[P comparable] struct {
+type Change struct {
 	Kind    Kind
-	Process P
+	Process Process
 	// Notice is the state after the change.
 	Notice Notice
 	// Source names the answer.
@@ -41,57 +48,62 @@
 }
 
 // RegisterConfig configures a Register.
-type RegisterConfig[P comparable] struct {
+type RegisterConfig struct {
 	// OnChange receives each change; nil means that nothing does.
-	OnChange func(change Change[P])
+	OnChange func(change Change)
 }
 
-// Register holds the notices of processes. P identifies a process: a later process
-// must have another key, even at the same address. It is safe for concurrent use.
-type Register[P comparable] struct {
-	config  RegisterConfig[P]
+// Register holds the notices of processes, one for each ID. A notice also holds for
+// earlier start times, since the list of upstreams may go back to an older copy while
+// the process runs on; a later process starts without one. It is safe for concurrent
+// use.
+type Register struct {
+	config  RegisterConfig
 	mutex   sync.RWMutex
-	entries map[P]entry
+	entries map[string]entry
 }
 
 type entry struct {
-	notice      Notice
+	notice Notice
+	// startedAt is the start time of the process.
+	startedAt   int64
 	lastAskedAt time.Time
 }
 
 // NewRegister returns a register without notices.
-func NewRegister[P comparable](config RegisterConfig[P]) *Register[P] {
+func NewRegister(config RegisterConfig) *Register {
 	if config.OnChange == nil {
-		config.OnChange = func(Change[P]) {}
+		config.OnChange = func(Change) {}
 	}
-	return &Register[P]{config: config, entries: make(map[P]entry)}
+	return &Register{config: config, entries: make(map[string]entry)}
 }
 
 // Of returns the notice of the process; the zero value if it asked for nothing.
-func (register *Register[P]) Of(process P) Notice {
+func (register *Register) Of(process Process) Notice {
 	register.mutex.RLock()
 	defer register.mutex.RUnlock()
-	return register.entries[process].notice
+	return register.entries[process.ID].noticeOf(process)
 }
 
 // Record records what an answer of the process asks, and passes the changes on.
-func (register *Register[P]) Record(process P, request Request, now time.Time) {
+func (register *Register) Record(process Process, request Request, now time.Time) {
 	if !request.Leaving && request.Pause <= 0 {
 		return
 	}
 	before, after := register.update(process, request, now)
 	if after.IsLeaving() && !before.IsLeaving() {
-		register.config.OnChange(Change[P]{Kind: StartedToLeave, Process: process, Notice: after, Source: request.Source})
+		register.config.OnChange(Change{Kind: StartedToLeave, Process: process, Notice: after, Source: request.Source})
 	}
 	if after.IsPaused(now) && !before.IsPaused(now) {
-		register.config.OnChange(Change[P]{Kind: Paused, Process: process, Notice: after, Source: request.Source})
+		register.config.OnChange(Change{Kind: Paused, Process: process, Notice: after, Source: request.Source})
 	}
 }
 
-func (register *Register[P]) update(process P, request Request, now time.Time) (before, after Notice) {
+func (register *Register) update(process Process, request Request, now time.Time) (before, after Notice) {
 	register.mutex.Lock()
 	defer register.mutex.Unlock()
-	before = register.entries[process].notice
+	entry, known := register.entries[process.ID]
+	before = entry.noticeOf(process)
 	after = before
 	if request.Leaving {
 		after = after.WithLeaving(now)
@@ -99,27 +111,37 @@
 	if request.Pause > 0 {
 		after = after.WithPause(now.Add(request.Pause))
 	}
-	if _, known := register.entries[process]; !known && len(register.entries) >= maxProcesses {
+	if !known && len(register.entries) >= maxProcesses {
 		register.removeOldest()
 	}
-	register.entries[process] = entry{notice: after, lastAskedAt: now}
+	entry.notice, entry.lastAskedAt = after, now
+	entry.startedAt = max(entry.startedAt, process.StartedAt)
+	register.entries[process.ID] = entry
 	return before, after
 }
 
-func (register *Register[P]) removeOldest() {
-	var oldest P
+// noticeOf returns the notice as far as it holds for the process.
+func (entry entry) noticeOf(process Process) Notice {
+	if process.StartedAt > entry.startedAt {
+		return Notice{}
+	}
+	return entry.notice
+}
+
+func (register *Register) removeOldest() {
+	var oldest string
 	var oldestAskedAt time.Time
-	for process, entry := range register.entries {
+	for id, entry := range register.entries {
 		if oldestAskedAt.IsZero() || entry.lastAskedAt.Before(oldestAskedAt) {
-			oldest, oldestAskedAt = process, entry.lastAskedAt
+			oldest, oldestAskedAt = id, entry.lastAskedAt
 		}
 	}
 	delete(register.entries, oldest)
 }
 
-// Forget removes the notice of a process whose key now stands for another one.
-func (register *Register[P]) Forget(process P) {
+// Forget removes the notice of an ID that now stands for another process.
+func (register *Register) Forget(id string) {
 	register.mutex.Lock()
 	defer register.mutex.Unlock()
-	delete(register.entries, process)
+	delete(register.entries, id)
 }
--- a/pkg/placement/notice_test.go
+++ b/pkg/placement/notice_test.go
@@ -70,6 +70,20 @@
 	require.Len(t, chosenIDs(pool, now), 2, "a later process starts clean")
 }
 
+// Guards against an older copy of the list that has the start time of a process before
+// the one that is leaving: the requests would reach the latter, as its ID is the same.
+func TestOlderStartTimeDoesNotBringLeavingProcessBack(t *testing.T) {
+	now := time.Unix(100, 0)
+	pool := newNoticePool(now)
+	record(t, pool, "u-0", notice.Request{Leaving: true, Pause: time.Minute}, now)
+	older := deskUpstreams[0]
+	older.StartedAt = 2
+	pool.Update([]Upstream{older, deskUpstreams[1]}, now)
+	require.Equal(t, map[string]bool{"u-1": true}, chosenIDs(pool, now))
+	pool.Update(deskUpstreams, now)
+	require.Equal(t, map[string]bool{"u-1": true}, chosenIDs(pool, now))
+}
+
 // Guards against refusals while the only upstream that is left still serves, and
 // against requests there after its drain period.
 func TestLeavingUpstreamIsTheLastResort(t *testing.T) {
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -16,7 +16,7 @@
 	// Engine is set when the upstreams are model engines, which process prompts.
 	Engine bool
 	// Notices are shared by the pools of a router; nil means those of this pool only.
-	Notices *Notices
+	Notices *notice.Register
 	// LeavingPeriod is how long an upstream that says it is leaving may still get
 	// requests that no other upstream can take.
 	LeavingPeriod time.Duration
@@ -40,7 +40,7 @@
 		config.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	if config.Notices == nil {
-		config.Notices = notice.NewRegister(notice.RegisterConfig[Process]{})
+		config.Notices = notice.NewRegister(notice.RegisterConfig{})
 	}
 	return &Pool{config: config, prefillTokensPerMs: defaultPrefillTokensPerMs}
 }
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -6,7 +6,7 @@
 // The flow: Pool.Update sets the upstreams of a service; Choose estimates the
 // time to the first event at each upstream (cost.go) and returns a Ticket; the
 // ticket's methods record how the request went (ticket.go). What the upstreams ask
-// of the router in their answers (Notices) outlasts the pool's list of upstreams.
+// of the router in their answers (pkg/notice) outlasts the pool's list of upstreams.
 package placement
 
 import (
@@ -32,20 +32,11 @@
 	Draining bool
 }
 
-// Process identifies one process of an upstream.
-type Process struct {
-	ID        string
-	StartedAt int64
-}
-
-// Process returns the key of the upstream's process.
-func (upstream Upstream) Process() Process {
-	return Process{ID: upstream.ID, StartedAt: upstream.StartedAt}
+// Process identifies the upstream's process.
+func (upstream Upstream) Process() notice.Process {
+	return notice.Process{ID: upstream.ID, StartedAt: upstream.StartedAt}
 }
 
-// Notices holds what processes asked of this router in their answers.
-type Notices = notice.Register[Process]
-
 // PromptPart is a section of a prompt. Requests that share it send the same ID.
 type PromptPart struct {
 	ID     uint64
--- a/pkg/upstream/monitor.go
+++ b/pkg/upstream/monitor.go
@@ -125,7 +125,7 @@
 	now := pool.config.Now()
 	var checks []memberCheck
 	for _, member := range pool.members {
-		notice := pool.notices.Of(member.address)
+		notice := pool.noticeOf(member.address)
 		switch {
 		case notice.IsPaused(now):
 		case member.ejected, notice.IsLeaving():
--- a/pkg/upstream/notice.go
+++ b/pkg/upstream/notice.go
@@ -19,13 +19,19 @@
 	return fmt.Sprintf("every upstream has asked for a pause, the first for another %s", err.Remaining)
 }
 
+// noticeOf returns what the upstream at the address has asked for. Upstreams don't
+// state when they started.
+func (pool *Pool) noticeOf(address string) notice.Notice {
+	return pool.notices.Of(notice.Process{ID: address})
+}
+
 // recordNotice records what an upstream asks for in an answer and applies it at the
 // next choice.
 func (pool *Pool) recordNotice(address string, request notice.Request) {
 	now := pool.config.Now()
-	before := pool.notices.Of(address)
-	pool.notices.Record(address, request, now)
-	after := pool.notices.Of(address)
+	before := pool.noticeOf(address)
+	pool.notices.Record(notice.Process{ID: address}, request, now)
+	after := pool.noticeOf(address)
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	member, ok := pool.members[address]
@@ -51,7 +57,7 @@
 
 // PauseOf returns for how much longer the member wants nothing.
 func (pool *Pool) PauseOf(member *Member) time.Duration {
-	return max(0, pool.notices.Of(member.address).PausedUntil.Sub(pool.config.Now()))
+	return max(0, pool.noticeOf(member.address).PausedUntil.Sub(pool.config.Now()))
 }
 
 // forgetLeaving forgets that the upstream at the member's address was leaving, if a
@@ -60,7 +66,7 @@
 func (pool *Pool) forgetLeaving(member *Member, probedAt time.Time) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	notice := pool.notices.Of(member.address)
+	notice := pool.noticeOf(member.address)
 	if notice.IsLeaving() && notice.LeavingSince.Before(probedAt) {
 		pool.notices.Forget(member.address)
 		pool.rebuild()
--- a/pkg/upstream/notice_test.go
+++ b/pkg/upstream/notice_test.go
@@ -76,7 +76,7 @@
 	for pool.PauseOf(pool.members[upstreams[0].Address]) > 0 {
 		require.Zero(t, requests.Load())
 	}
-	require.Eventually(t, func() bool { return pool.notices.Of(upstreams[0].Address).IsLeaving() }, time.Minute, time.Millisecond,
+	require.Eventually(t, func() bool { return pool.noticeOf(upstreams[0].Address).IsLeaving() }, time.Minute, time.Millisecond,
 		"the load report says that the upstream is leaving")
 	before := requests.Load()
 	require.Eventually(t, func() bool { return requests.Load() > before }, time.Minute, time.Millisecond, "a probe")
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -41,8 +41,8 @@
 	// means that no VM is leaving.
 	IsLeaving func(address string) bool
 	// OnNotice receives each answer of an upstream that changes what is sent to it; nil
-	// ignores it. The key of the process is the upstream's address.
-	OnNotice func(change notice.Change[string])
+	// ignores it. The ID of the process is the upstream's address.
+	OnNotice func(change notice.Change)
 	// Policy is the name of a policy; empty means DefaultPolicy.
 	Policy string
 	// Exchange configures the clients; its address is not used.
@@ -94,7 +94,7 @@
 	chooser   chooser
 	// notices holds what upstreams asked for, also of those that the configuration
 	// doesn't list at present.
-	notices *notice.Register[string]
+	notices *notice.Register
 	// firstPauseEnd is when the first pause of an upstream ends; zero means that none
 	// is paused.
 	firstPauseEnd time.Time
@@ -117,7 +117,7 @@
 	}
 	config.Limit = config.Limit.withDefaults()
 	pool := &Pool{config: config, policy: policy, members: make(map[string]*Member), memberSet: newMemberSet(policy.needsLoadOrder)}
-	pool.notices = notice.NewRegister(notice.RegisterConfig[string]{OnChange: config.OnNotice})
+	pool.notices = notice.NewRegister(notice.RegisterConfig{OnChange: config.OnNotice})
 	random := rand.New(rand.NewPCG(config.Seed, config.Seed))
 	pool.chooser = policy.newChooser(random)
 	return pool, nil
@@ -319,7 +319,7 @@
 	now := pool.config.Now()
 	pool.firstPauseEnd = time.Time{}
 	for _, member := range pool.members {
-		notice := pool.notices.Of(member.address)
+		notice := pool.noticeOf(member.address)
 		if !member.configured || member.draining || member.leaving || notice.IsLeaving() {
 			continue
 		}
--- a/pkg/upstream/pool_test.go
+++ b/pkg/upstream/pool_test.go
@@ -91,7 +91,7 @@
 		return
 	}
 	require.False(t, member.draining)
-	notice := poolStateMachine.pool.notices.Of(member.address)
+	notice := poolStateMachine.pool.noticeOf(member.address)
 	require.False(t, notice.IsLeaving() || notice.IsPaused(poolStateMachine.clock.now))
 	require.LessOrEqual(t, member.inFlight, member.maxInFlight(poolStateMachine.clock.now))
 	poolStateMachine.running = append(poolStateMachine.running, member)
