Don't promise that a request has not run without the upstream's word

Callers take 503, 429, 408 and 421 for a promise that a request has not run and never will, and send it again. An upstream's answer with such a status but without the header that says so may have run: it was passed on, so that a request that must run at most once ran a second time when its caller came back. It is 502 now, which promises nothing. Requests that may be repeated still get the upstream's answer.

The upstream's status is otherwise passed on unchanged; a promise that is not known to be true goes before that.

--- a/pkg/relay/delivery.go
+++ b/pkg/relay/delivery.go
@@ -24,6 +24,7 @@
 	errBodyTooLarge       = errors.New("answer body exceeds the size limit")
 	errEventOrder         = errors.New("event is missing or out of order")
 	errUpstreamFailed     = errors.New("the upstream failed the request")
+	errUnprovenRefusal    = errors.New("refusal that doesn't say that the request has not run")
 )
 
 // delivery writes an answer to the caller and records what was written.
@@ -91,6 +92,8 @@
 		return call.deliverStream(ctx, ticket, answer)
 	case call.streamStarted:
 		return attemptResult{err: errUpstreamFailed, upstreamResult: failureResult(ctx), mayHaveRun: true}
+	case info.PromisesNotRun && !call.request.Route.Repeatable():
+		return attemptResult{err: errUnprovenRefusal, upstreamResult: failureResult(ctx), mayHaveRun: true}
 	default:
 		return call.deliverBuffered(ctx, ticket, answer)
 	}
--- a/pkg/relay/request.go
+++ b/pkg/relay/request.go
@@ -66,6 +66,9 @@
 type AnswerInfo struct {
 	// NotRun is set when the upstream reports that it did not run the request.
 	NotRun bool
+	// PromisesNotRun is set when callers take the status for a promise that the request
+	// has not run and never will.
+	PromisesNotRun bool
 	// Misdirected is set when another process than the upstream has its address.
 	Misdirected bool
 	// Signed is set when the answer carries the upstream's signature.
