--- a/pkg/standin/fault.go
+++ b/pkg/standin/fault.go
@@ -45,6 +45,10 @@
 	// RepeatRefusals is the number of upcoming completions on kept connections that
 	// are run and answered like an earlier refusal, with no attempt ID.
 	RepeatRefusals int `json:"repeat_refusals"`
+	// RetryAfter is the Retry-After header of these responses; empty means none.
+	RetryAfter string `json:"retry_after,omitempty"`
+	// Leaving states in each response that the engine is leaving.
+	Leaving bool `json:"leaving,omitempty"`
 	// Hold accepts all requests, except those to /admin/, and never responds.
 	Hold bool `json:"hold"`
 	// SlowFactor multiplies the duration of each step; values up to 1 have no
