Give up a silent upstream only for one that goes on

Callers saw streams that broke off in the middle, and reads that ended with 502, because their upstream was silent for a second, though it went on.

Cause: a repeatable attempt ended when its upstream had sent nothing for the timeout (a stream: four times its gap target). Whether another upstream may be asked was only decided after that: the retry budget may be spent, no other upstream be left, or the other one refuse. All streams of a silent upstream end at the same moment and compete for the same budget.

The other upstream is now asked while the first keeps the request. The first is given up when the other has begun to answer, or has had the request for 200 ms without refusing it; otherwise the wait goes on until the deadline. The answer decides about the first attempt, so nothing is lost if there is none.

--- a/pkg/command/edge.go
+++ b/pkg/command/edge.go
@@ -18,7 +18,10 @@
 
 // sampledEvents are logged for each request or attempt, so the logger limits
 // their lines per second.
-var sampledEvents = []string{"request_ended", "request_refused", "request_unanswered", "attempt_ended", "budget_short", "routers_listed", "upstream_crashed"}
+var sampledEvents = []string{
+	"request_ended", "request_refused", "request_unanswered", "attempt_ended", "upstream_silent", "budget_short",
+	"routers_listed", "upstream_crashed",
+}
 
 // EdgeCommand runs one router on the users' platform until SIGINT or SIGTERM.
 // SIGHUP reloads the settings file.
--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -82,6 +82,9 @@
 		return
 	}
 	assignedConnection.beginRequest()
+	if answer.options.onSend != nil {
+		answer.options.onSend()
+	}
 	answer.mutex.Lock()
 	defer answer.mutex.Unlock()
 	answer.connection = assignedConnection
@@ -127,7 +130,12 @@
 		return Part{}, io.EOF
 	}
 	answer.stallDetector.startWait(answer.nextPartTimeout())
-	defer answer.stallDetector.endWait()
+	part, err := answer.readPart()
+	answer.stallDetector.endWait(err == nil || errors.Is(err, io.EOF))
+	return part, err
+}
+
+func (answer *Answer) readPart() (Part, error) {
 	switch {
 	case answer.Stream && answer.options.passThrough:
 		return answer.nextRawEvent()
@@ -203,7 +211,7 @@
 // be reused. The answer is complete even if this fails.
 func (answer *Answer) drain() {
 	answer.complete = true
-	answer.stallDetector.endWait()
+	answer.stallDetector.endWait(true)
 	timer := time.AfterFunc(endOfBodyTimeout, func() { answer.cancel(errStalled) })
 	defer timer.Stop()
 	_, _ = io.CopyN(io.Discard, answer.scanner.reader, 1)
@@ -246,7 +254,7 @@
 // Close ends the exchange. It closes the connection unless the answer was read to its
 // end, in which case the connection may be reused.
 func (answer *Answer) Close() {
-	answer.stallDetector.endWait()
+	answer.stallDetector.endWait(true)
 	if !answer.complete {
 		answer.discardUnsent()
 	}
--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -203,6 +203,14 @@
 	InactivityTimeout time.Duration
 	// GapTimeout limits the gap between two parts; zero means InactivityTimeout.
 	GapTimeout time.Duration
+	// OnSilence decides what happens when the wait for a part has lasted its timeout:
+	// true ends the exchange as stalled, false starts the wait anew. Nil always ends it.
+	// The context ends when a part arrives after all. Until OnSilence returns, Next and
+	// Send don't return either.
+	OnSilence func(ctx context.Context) bool
+	// OnSend is called when a connection is there and the request is about to be
+	// written; nil ignores it.
+	OnSend func()
 	// AfterPosition is the position after which a passed-through stream continues.
 	AfterPosition int64
 	// ModelEngine is set if the upstream is a model engine. Its event streams must
@@ -252,6 +260,7 @@
 	return client.open(ctx, httpRequest, answerOptions{
 		attemptID: request.AttemptID, inactivityTimeout: request.InactivityTimeout, modelEngine: request.ModelEngine, newConnection: request.NewConnection,
 		passThrough: request.PassThrough, echoHeader: request.EchoHeader, gapTimeout: request.GapTimeout, afterPosition: request.AfterPosition,
+		onSilence: request.OnSilence, onSend: request.OnSend,
 	})
 }
 
@@ -274,6 +283,9 @@
 	inactivityTimeout time.Duration
 	// gapTimeout limits the gap between two parts; zero means inactivityTimeout.
 	gapTimeout time.Duration
+	// onSilence and onSend are those of the Request.
+	onSilence func(ctx context.Context) bool
+	onSend    func()
 	// modelEngine is set if event streams must repeat the attempt ID.
 	modelEngine bool
 	// newConnection is set if no pooled connection may be used.
@@ -295,6 +307,7 @@
 	trace := &httptrace.ClientTrace{GotConn: answer.gotConnection}
 	httpRequest = httpRequest.WithContext(httptrace.WithClientTrace(answer.ctx, trace)) //nolint:contextcheck // answer.ctx is derived from ctx
 	response, err := client.transport(options.newConnection).RoundTrip(httpRequest)     //nolint:bodyclose // Answer.Close closes it
+	answer.stallDetector.endWait(err == nil)
 	if err != nil {
 		failure := answer.fail(err, ReasonClosed)
 		answer.Close()
--- a/pkg/exchange/stall.go
+++ b/pkg/exchange/stall.go
@@ -19,7 +19,7 @@
 )
 
 // stallDetector limits the wait for the next part of an answer. It ends the exchange
-// as stalled after the timeout. Long before that, it requests the record of the
+// as stalled after the timeout, unless Request.OnSilence wants to wait on. Long before that, it requests the record of the
 // attempt from a model engine over a new connection: if the engine has sent parts
 // that do not arrive, the connection has stalled and the exchange ends at once.
 type stallDetector struct {
@@ -36,12 +36,18 @@
 	waiting bool
 	// checkDelay is the time to the next check. It doubles with each check of a wait.
 	checkDelay time.Duration
+	// timeout is the timeout of the current wait.
+	timeout time.Duration
+	// cancelSilence ends the context of a running OnSilence.
+	cancelSilence context.CancelFunc
+	// silences counts the running calls of OnSilence.
+	silences sync.WaitGroup
 }
 
 // newStallDetector returns a detector with stopped timers.
 func newStallDetector(answer *Answer) *stallDetector {
-	stallDetector := &stallDetector{answer: answer}
-	stallDetector.stallTimer = time.AfterFunc(time.Hour, func() { answer.cancel(errStalled) })
+	stallDetector := &stallDetector{answer: answer, cancelSilence: func() {}}
+	stallDetector.stallTimer = time.AfterFunc(time.Hour, stallDetector.timeOut)
 	stallDetector.stallTimer.Stop()
 	if answer.options.modelEngine {
 		stallDetector.checkTimer = time.AfterFunc(time.Hour, stallDetector.checkConnection)
@@ -56,6 +62,7 @@
 	defer stallDetector.mutex.Unlock()
 	stallDetector.waitNumber++
 	stallDetector.waiting = true
+	stallDetector.timeout = timeout
 	stallDetector.stallTimer.Reset(timeout)
 	if stallDetector.checkTimer != nil {
 		stallDetector.checkDelay = stallDetector.answer.client.config.SuspectTimeout
@@ -63,8 +70,14 @@
 	}
 }
 
-// endWait stops the timers of the current wait.
-func (stallDetector *stallDetector) endWait() {
+// endWait stops the timers of the current wait, and waits for a running OnSilence. If
+// the wait ended with a part, the context of OnSilence ends.
+func (stallDetector *stallDetector) endWait(gotPart bool) {
+	stallDetector.stopTimers(gotPart)
+	stallDetector.silences.Wait()
+}
+
+func (stallDetector *stallDetector) stopTimers(gotPart bool) {
 	stallDetector.mutex.Lock()
 	defer stallDetector.mutex.Unlock()
 	stallDetector.waiting = false
@@ -72,6 +85,47 @@
 	if stallDetector.checkTimer != nil {
 		stallDetector.checkTimer.Stop()
 	}
+	if gotPart {
+		stallDetector.cancelSilence()
+	}
+}
+
+// timeOut ends the exchange as stalled, or starts the wait anew if OnSilence wants to
+// wait on. It runs in the goroutine of stallTimer.
+func (stallDetector *stallDetector) timeOut() {
+	answer := stallDetector.answer
+	if answer.options.onSilence == nil {
+		answer.cancel(errStalled)
+		return
+	}
+	ctx, cancel := context.WithCancel(answer.ctx)
+	defer cancel()
+	if !stallDetector.beginSilence(cancel) {
+		return
+	}
+	defer stallDetector.silences.Done()
+	if answer.options.onSilence(ctx) {
+		answer.cancel(errStalled)
+		return
+	}
+	stallDetector.mutex.Lock()
+	defer stallDetector.mutex.Unlock()
+	if stallDetector.waiting {
+		stallDetector.stallTimer.Reset(stallDetector.timeout)
+	}
+}
+
+// beginSilence counts a call of OnSilence whose context cancel ends. It returns false
+// if the wait has ended.
+func (stallDetector *stallDetector) beginSilence(cancel context.CancelFunc) bool {
+	stallDetector.mutex.Lock()
+	defer stallDetector.mutex.Unlock()
+	if !stallDetector.waiting {
+		return false
+	}
+	stallDetector.cancelSilence = cancel
+	stallDetector.silences.Add(1)
+	return true
 }
 
 // currentWait returns the number of the current wait, or zero if there is none.
--- a/pkg/relay/delivery.go
+++ b/pkg/relay/delivery.go
@@ -83,7 +83,7 @@
 // attempt fails if the answer isn't authentic, or doesn't continue the stream
 // that was begun.
 func (call *call) deliver(ctx context.Context, ticket *placement.Ticket, answer *exchange.Answer, info AnswerInfo) attemptResult {
-	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
+	success := isSuccess(answer)
 	switch {
 	case info.Encoded:
 		return attemptResult{err: errEncodedBody, upstreamResult: failureResult(ctx), mayHaveRun: true}
@@ -98,6 +98,10 @@
 	}
 }
 
+func isSuccess(answer *exchange.Answer) bool {
+	return answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
+}
+
 // deliverBuffered reads the whole body before it sends any of it to the caller,
 // so that an interrupted answer can be retried.
 func (call *call) deliverBuffered(ctx context.Context, ticket *placement.Ticket, answer *exchange.Answer) attemptResult {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -60,10 +62,13 @@
 	return &Relay{config: config}
 }
 
-// call is the state of one request while it is served.
+// call is the state of one request while it is served. While the goroutine that
+// serves it waits for an upstream, takeOver may change it.
 type call struct {
-	relay    *Relay
-	request  Request
+	relay   *Relay
+	request Request
+	// ctx ends at the deadline.
+	ctx      context.Context
 	pool     *placement.Pool
 	delivery *delivery
 	result   Result
@@ -74,6 +79,13 @@
 	// possibleRuns counts the attempts in which the upstream may have run the
 	// request.
 	possibleRuns int
+	// undecidedRuns is 1 while the answer of the current attempt has not begun, so
+	// that possibleRuns doesn't count it.
+	undecidedRuns int
+	// current is the attempt that the request waits for.
+	current atomic.Pointer[startedAttempt]
+	// takeover is the attempt for which the current one was given up.
+	takeover *startedAttempt
 	// attemptsNotRun counts the attempts that were refused or never reached the
 	// upstream.
 	attemptsNotRun int
@@ -90,7 +102,7 @@
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(-deadlineMargin))
 	defer cancel()
 	call := &call{
-		relay: relay, request: request, pool: relay.config.Pool(request.Service),
+		relay: relay, request: request, ctx: ctx, pool: relay.config.Pool(request.Service),
 		delivery: &delivery{sink: sink, lastEventID: request.LastEventID, requestArrivedAt: request.Arrived},
 	}
 	err := call.tryUpstreams(ctx)
@@ -103,37 +115,91 @@
 }
 
 func (call *call) tryUpstreams(ctx context.Context) error {
+	defer call.discardTakeover()
 	for {
-		if err := call.relay.CheckPrompt(call.request); err != nil {
-			return call.quarantineError(err)
+		started, err := call.nextAttempt(ctx)
+		if err != nil {
+			return err
 		}
-		criteria := placement.Criteria{Parts: call.request.PromptParts, ExcludedIDs: call.triedIDs, Zone: call.relay.config.Zone}
-		ticket := call.pool.Choose(criteria, time.Now())
-		if ticket == nil {
-			return call.noUpstreamError(errNoUpstreamLeft)
-		}
-		if call.attemptsArrived > 0 && !call.relay.config.RetryBudget.AllowRetry(call.request.Service.Name, time.Now()) {
-			ticket.End(placement.Neutral, time.Now())
-			return call.noUpstreamError(errRetryBudgetSpent)
-		}
-		result := call.attempt(ctx, ticket)
-		if call.hasCrashed(ctx, ticket.Upstream, result) {
-			result.crashed, result.upstreamResult = true, placement.Unreachable
-			call.recordCrash(ticket.Upstream, result)
-		}
-		ticket.End(result.upstreamResult, time.Now())
-		call.logAttempt(ticket, result)
+		result := call.endAttempt(ctx, started, call.attempt(ctx, started))
 		if result.err == nil {
 			call.recordSuccess()
 			return nil
 		}
-		call.triedIDs = append(call.triedIDs, ticket.Upstream.ID)
 		if !call.mayRetry(ctx, result) {
 			return call.finalError(ctx, result.err)
 		}
 	}
 }
 
+// nextAttempt returns the attempt that takes over from the last one, or sends the
+// request to an upstream.
+func (call *call) nextAttempt(ctx context.Context) (*startedAttempt, error) {
+	if started := call.takeover; started != nil {
+		call.takeover = nil
+		return started, nil
+	}
+	if err := call.relay.CheckPrompt(call.request); err != nil {
+		return nil, call.quarantineError(err)
+	}
+	ticket := call.choose()
+	if ticket == nil {
+		return nil, call.noUpstreamError(errNoUpstreamLeft)
+	}
+	if call.attemptsArrived > 0 && !call.relay.config.RetryBudget.AllowRetry(call.request.Service.Name, time.Now()) {
+		ticket.End(placement.Neutral, time.Now())
+		return nil, call.noUpstreamError(errRetryBudgetSpent)
+	}
+	call.result.Attempts = append(call.result.Attempts, ticket.Upstream.ID)
+	started := newStartedAttempt(ticket, func() {})
+	message := call.message(started)
+	call.setCurrent(started)
+	started.answer, started.err = call.relay.config.Client(ticket.Upstream).Send(ctx, message)
+	close(started.done)
+	return started, nil
+}
+
+// discardTakeover ends an attempt that was to take over from one that ended the
+// request.
+func (call *call) discardTakeover() {
+	if call.takeover != nil {
+		call.discard(call.takeover)
+	}
+}
+
+// setCurrent makes the attempt the one that the request waits for.
+func (call *call) setCurrent(started *startedAttempt) {
+	call.undecidedRuns = 1
+	call.current.Store(started)
+}
+
+// choose chooses an upstream that is not among the tried ones and the others given.
+func (call *call) choose(excludedIDs ...string) *placement.Ticket {
+	criteria := placement.Criteria{
+		Parts: call.request.PromptParts, ExcludedIDs: slices.Concat(call.triedIDs, excludedIDs), Zone: call.relay.config.Zone,
+	}
+	return call.pool.Choose(criteria, time.Now())
+}
+
+// endAttempt records the end of an attempt. It returns the result with what is known
+// of the upstream.
+func (call *call) endAttempt(ctx context.Context, started *startedAttempt, result attemptResult) attemptResult {
+	if call.hasCrashed(ctx, started.ticket.Upstream, result) {
+		result.crashed, result.upstreamResult = true, placement.Unreachable
+		call.recordCrash(started.ticket.Upstream, result)
+	}
+	started.ticket.End(result.upstreamResult, time.Now())
+	call.logAttempt(started.ticket, result)
+	if result.err == nil {
+		return result
+	}
+	call.triedIDs = append(call.triedIDs, started.ticket.Upstream.ID)
+	if !result.mayHaveRun {
+		call.attemptsNotRun++
+	}
+	return result
+}
+
 func (call *call) logAttempt(ticket *placement.Ticket, result attemptResult) {
 	if result.err == nil && call.attemptsArrived == 1 {
 		return // the log line of the whole request has the same information
@@ -160,15 +226,18 @@
 	events int64
 }
 
-// attempt sends the request to the upstream and delivers the answer.
-func (call *call) attempt(ctx context.Context, ticket *placement.Ticket) attemptResult {
-	call.result.Attempts = append(call.result.Attempts, ticket.Upstream.ID)
+// attempt waits for the upstream's answer and delivers it.
+func (call *call) attempt(ctx context.Context, started *startedAttempt) attemptResult {
+	call.setCurrent(started)
+	<-started.done
+	call.undecidedRuns = 0
+	defer started.close()
+	ticket := started.ticket
 	call.result.ExpectedTimeToFirstByte, call.result.UncachedTokens = ticket.ExpectedTimeToFirstEvent(), ticket.UncachedTokens()
-	answer, err := call.send(ctx, ticket)
-	if err != nil {
-		return call.sendFailure(ctx, err)
+	if started.err != nil {
+		return call.sendFailure(ctx, started.err)
 	}
-	defer answer.Close()
+	answer := started.answer
 	call.attemptsArrived++
 	info := call.relay.config.Protocol.ParseAnswer(answer)
 	if info.Load != nil {
@@ -184,31 +253,34 @@
 	return result
 }
 
-func (call *call) send(ctx context.Context, ticket *placement.Ticket) (*exchange.Answer, error) {
+// message returns the request of the attempt.
+func (call *call) message(started *startedAttempt) exchange.Request {
 	request, protocol := call.request, call.relay.config.Protocol
 	lastEventID := call.delivery.lastEventID
 	message := exchange.Request{
 		AttemptID:     request.ID,
 		Method:        request.Method,
 		Path:          request.Target,
-		Header:        protocol.RequestHeader(request, ticket.Upstream, lastEventID),
+		Header:        protocol.RequestHeader(request, started.ticket.Upstream, lastEventID),
 		Body:          request.Body,
 		PassThrough:   true,
 		EchoHeader:    protocol.EchoHeader(),
 		NewConnection: !request.Route.Repeatable(),
 		AfterPosition: lastEventID,
+		OnSend:        started.markSent,
 	}
 	message.InactivityTimeout, message.GapTimeout = call.inactivityTimeouts()
-	return call.relay.config.Client(ticket.Upstream).Send(ctx, message)
+	message.OnSilence = func(ctx context.Context) bool { return call.takeOver(ctx, started) }
+	return message
 }
 
 // inactivityTimeouts returns how long an upstream may send nothing before the first
-// byte and between events. An attempt that can't be retried may take until the
-// deadline.
+// byte and between events until takeOver is called. An attempt that can't be
+// retried may take until the deadline.
 func (call *call) inactivityTimeouts() (firstByte, betweenEvents time.Duration) {
 	route := call.request.Route
 	remaining := time.Until(call.request.Deadline)
-	if !route.Repeatable() || call.possibleRuns+1 >= route.MaxAttempts {
+	if !route.Repeatable() || call.possibleRuns+call.undecidedRuns+1 >= route.MaxAttempts {
 		return remaining, remaining
 	}
 	firstByte = min(max(firstByteTimeoutFactor*route.LatencyTarget, minInactivityTimeout), remaining)
@@ -244,20 +316,20 @@
 
 // mayRetry reports whether the request may be sent to another upstream.
 func (call *call) mayRetry(ctx context.Context, result attemptResult) bool {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(result.err, errCallerDisconnected) || call.delivery.headerSent && !call.delivery.streaming {
 		return false
 	}
-	if !result.mayHaveRun {
-		call.attemptsNotRun++
-		return call.attemptsNotRun <= maxNotRunRetries && (call.possibleRuns == 0 || call.request.Route.Repeatable())
-	}
 	if result.crashed && !call.relay.config.Quarantine.MayRetry(partIDs(call.request.PromptParts)) {
 		return false
 	}
-	if errors.Is(result.err, errCallerDisconnected) || call.delivery.headerSent && !call.delivery.streaming {
-		return false
+	switch {
+	case call.takeover != nil:
+		return true
+	case !result.mayHaveRun:
+		return call.attemptsNotRun <= maxNotRunRetries && (call.possibleRuns == 0 || call.request.Route.Repeatable())
+	default:
+		return call.request.Route.Repeatable() && call.possibleRuns < call.request.Route.MaxAttempts
 	}
-	return call.request.Route.Repeatable() && call.possibleRuns < call.request.Route.MaxAttempts
 }
 
 // noUpstreamError returns the error of a request for which no further upstream
--- /dev/null
+++ b/pkg/relay/takeover.go
@@ -0,0 +1,174 @@
+package relay
+
+// Sending a request to a second upstream while the first is silent.
+//
+// The first upstream may go on after a pause, so its attempt is given up only for
+// one that is at least as good: the second upstream has begun to answer, or has the
+// request and doesn't refuse it. Otherwise the wait for the first goes on.
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
+	"gitlab.com/wisterialb/wisterialb/pkg/placement"
+)
+
+// maxOverlap is how long both upstreams may have the request. An upstream that
+// refuses a request does so at once, and a request is not to run twice for longer.
+const maxOverlap = 200 * time.Millisecond
+
+var errTakeoverNotNeeded = errors.New("the first upstream went on")
+
+// startedAttempt is an attempt that may not have an answer yet.
+type startedAttempt struct {
+	ticket *placement.Ticket
+	cancel context.CancelFunc
+	// sent is closed when the request is about to be written.
+	sent     chan struct{}
+	sentOnce sync.Once
+	// done is closed when answer and err are set.
+	done   chan struct{}
+	answer *exchange.Answer
+	err    error
+}
+
+func newStartedAttempt(ticket *placement.Ticket, cancel context.CancelFunc) *startedAttempt {
+	return &startedAttempt{ticket: ticket, cancel: cancel, sent: make(chan struct{}), done: make(chan struct{})}
+}
+
+func (startedAttempt *startedAttempt) markSent() {
+	startedAttempt.sentOnce.Do(func() { close(startedAttempt.sent) })
+}
+
+// takeOver is called while the upstream of an attempt is silent. It reports whether
+// the attempt is to be given up for the one in call.takeover.
+func (call *call) takeOver(ctx context.Context, silent *startedAttempt) bool {
+	if call.current.Load() != silent {
+		return false // this attempt is itself to take over from another
+	}
+	for call.mayTakeOver(ctx) {
+		ticket, err := call.chooseTakeover(silent)
+		if err != nil {
+			_ = call.relay.config.Logger.Log("event", "upstream_silent", "request_id", call.request.ID,
+				"upstream", silent.ticket.Upstream.ID, "events", call.delivery.eventCount, "waits_because", err)
+			return false
+		}
+		started := call.startTakeover(ticket) //nolint:contextcheck // it may outlive the wait
+		if call.awaitTakeover(ctx, started) {
+			call.takeover = started
+			return true
+		}
+	}
+	return false
+}
+
+func (call *call) mayTakeOver(ctx context.Context) bool {
+	return ctx.Err() == nil && call.attemptsNotRun <= maxNotRunRetries &&
+		call.possibleRuns+call.undecidedRuns < call.request.Route.MaxAttempts && call.relay.CheckPrompt(call.request) == nil
+}
+
+// chooseTakeover chooses another upstream than the silent one.
+func (call *call) chooseTakeover(silent *startedAttempt) (*placement.Ticket, error) {
+	ticket := call.choose(silent.ticket.Upstream.ID)
+	if ticket == nil {
+		return nil, errNoUpstreamLeft
+	}
+	if !call.relay.config.RetryBudget.AllowRetry(call.request.Service.Name, time.Now()) {
+		ticket.End(placement.Neutral, time.Now())
+		return nil, errRetryBudgetSpent
+	}
+	return ticket, nil
+}
+
+func (call *call) startTakeover(ticket *placement.Ticket) *startedAttempt {
+	ctx, cancel := context.WithCancel(call.ctx)
+	started := newStartedAttempt(ticket, cancel)
+	call.result.Attempts = append(call.result.Attempts, ticket.Upstream.ID)
+	message := call.message(started)
+	go func() {
+		defer close(started.done)
+		started.answer, started.err = call.relay.config.Client(ticket.Upstream).Send(ctx, message)
+	}()
+	return started
+}
+
+// awaitTakeover reports whether the attempt can replace the silent one. If not, it
+// has ended.
+func (call *call) awaitTakeover(ctx context.Context, started *startedAttempt) bool {
+	keep := context.AfterFunc(ctx, started.cancel)
+	if started.wait() && ctx.Err() == nil {
+		if result, ok := call.takeoverResult(started); !ok {
+			keep()
+			started.close()
+			call.endAttempt(ctx, started, result)
+			return false
+		}
+	}
+	if !keep() {
+		call.discard(started)
+		return false
+	}
+	return true
+}
+
+// wait waits until the attempt has failed or its answer has begun, but at most
+// maxOverlap after the request was sent. It reports whether either happened.
+func (startedAttempt *startedAttempt) wait() bool {
+	select {
+	case <-startedAttempt.done:
+		return true
+	case <-startedAttempt.sent:
+	}
+	timer := time.NewTimer(maxOverlap)
+	defer timer.Stop()
+	select {
+	case <-startedAttempt.done:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// takeoverResult reports whether the answer has begun and can be delivered, and
+// otherwise returns the result of the attempt.
+func (call *call) takeoverResult(started *startedAttempt) (attemptResult, bool) {
+	if started.err != nil {
+		return call.sendFailure(call.ctx, started.err), false
+	}
+	info := call.relay.config.Protocol.ParseAnswer(started.answer)
+	switch {
+	case info.NotRun || info.Misdirected:
+		call.attemptsArrived++
+		return refusedAttempt(started.answer, info), false
+	case info.Encoded || !info.Signed || !isSuccess(started.answer) || call.streamStarted && !started.answer.Stream:
+		call.attemptsArrived++
+		call.possibleRuns++
+		return attemptResult{err: errUpstreamFailed, upstreamResult: placement.Failure, mayHaveRun: true}, false
+	default:
+		return attemptResult{}, true
+	}
+}
+
+// discard ends an attempt that is not needed.
+func (call *call) discard(started *startedAttempt) {
+	started.cancel()
+	<-started.done
+	if started.err == nil || exchange.ErrorOf(started.err).MayHaveStarted {
+		call.attemptsArrived++
+		call.possibleRuns++
+	}
+	started.close()
+	started.ticket.End(placement.Neutral, time.Now())
+	call.logAttempt(started.ticket, attemptResult{err: errTakeoverNotNeeded, mayHaveRun: true})
+}
+
+// close ends the exchange of an attempt that is done.
+func (startedAttempt *startedAttempt) close() {
+	if startedAttempt.answer != nil {
+		startedAttempt.answer.Close()
+	}
+	startedAttempt.cancel()
+}
