Count the silence of an upstream that is waited for

An attempt that ended because its upstream was silent counted as a failure, which keeps new requests away from the upstream. Since the wait goes on when no other upstream can be asked, such an upstream stayed as good a choice as the others until its requests ended. Silence now counts as a failure when the timeout passes, once for a request.

--- a/pkg/placement/pool_test.go
+++ b/pkg/placement/pool_test.go
@@ -81,6 +81,27 @@
 	require.Less(t, sentToFailing, 30)
 }
 
+// TestSilentUpstreamGetsNoRequests guards against requests that are sent to an upstream
+// for which several others are still waiting.
+func TestSilentUpstreamGetsNoRequests(t *testing.T) {
+	now := time.Unix(100, 0)
+	pool := newTestPool(false, 3, 6, now)
+	tickets := make([]*Ticket, 0, 9)
+	for range 9 {
+		tickets = append(tickets, pool.Choose(Criteria{}, now))
+	}
+	now = now.Add(time.Second)
+	for _, ticket := range tickets {
+		if ticket.Upstream.ID == "u-0" {
+			ticket.Silent(now)
+			ticket.Silent(now)
+		}
+	}
+	for range 6 {
+		require.NotEqual(t, "u-0", pool.Choose(Criteria{}, now.Add(100*time.Millisecond)).Upstream.ID)
+	}
+}
+
 // Guards against a pool without a usable upstream when a fault hits most of
 // it: ejections are ignored when fewer than half of the upstreams are healthy.
 func TestEjectionIsIgnoredWhenMostUpstreamsFail(t *testing.T) {
--- a/pkg/placement/ticket.go
+++ b/pkg/placement/ticket.go
@@ -48,7 +48,9 @@
 	estimate      costEstimate
 	startedAt     time.Time
 	gotFirstEvent bool
-	ended         bool
+	// silent is set when Silent has counted as a failure.
+	silent bool
+	ended  bool
 }
 
 // ExpectedTimeToFirstEvent returns the time from Choose to the first event, as
@@ -98,6 +100,18 @@
 	}
 }
 
+// Silent records that the upstream has sent nothing for long. It counts as a failure,
+// once for a ticket, although the request goes on.
+func (ticket *Ticket) Silent(now time.Time) {
+	ticket.pool.mutex.Lock()
+	defer ticket.pool.mutex.Unlock()
+	if ticket.silent || ticket.ended {
+		return
+	}
+	ticket.silent = true
+	ticket.member.fail(now)
+}
+
 // End records how the request ended. Only the first call counts.
 func (ticket *Ticket) End(result AttemptResult, now time.Time) {
 	ticket.pool.mutex.Lock()
@@ -117,10 +131,8 @@
 		member.consecutiveFailures = 0
 		member.ejectionDuration = 0
 	case Failure:
-		member.failureRate += averageWeight * (1 - member.failureRate)
-		member.consecutiveFailures++
-		if member.consecutiveFailures >= ejectAfterFailures {
-			member.eject(now)
+		if !ticket.silent {
+			member.fail(now)
 		}
 	case Unreachable:
 		member.failureRate += averageWeight * (1 - member.failureRate)
@@ -131,6 +143,15 @@
 	}
 }
 
+// fail records a failed attempt.
+func (member *member) fail(now time.Time) {
+	member.failureRate += averageWeight * (1 - member.failureRate)
+	member.consecutiveFailures++
+	if member.consecutiveFailures >= ejectAfterFailures {
+		member.eject(now)
+	}
+}
+
 func (member *member) eject(now time.Time) {
 	member.ejectionDuration = min(max(2*member.ejectionDuration, initialEjection), maxEjection)
 	member.ejectedUntil = now.Add(member.ejectionDuration)
--- a/pkg/relay/takeover.go
+++ b/pkg/relay/takeover.go
@@ -49,6 +49,7 @@
 	if call.current.Load() != silent {
 		return false // this attempt is itself to take over from another
 	}
+	silent.ticket.Silent(time.Now())
 	for call.mayTakeOver(ctx) {
 		ticket, err := call.chooseTakeover(silent)
 		if err != nil {
