Wait for a long prompt as long as its choice expected

Callers of long prompts gave up without a first event: an upstream that was expected to need 1.4 s for 41,686 tokens was given up for another after 1.2 s, which had to read the same prompt from the start.

Cause: the timeout for the first byte came from the route's target alone. It is now at least the time that the choice of the upstream expected, plus the target.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -21,13 +21,14 @@
 	// upstreams, so that its error answer reaches the caller in time.
 	deadlineMargin = 20 * time.Millisecond
 	// A repeatable request waits firstByteTimeoutFactor times its latency target
-	// for the first byte before it is retried at another upstream.
+	// for the first byte before another upstream is asked, or its target beyond the
+	// expected time if that is longer.
 	firstByteTimeoutFactor = 2
 	// minInactivityTimeout is the minimum of the timeouts that are derived from
 	// latency and gap targets.
 	minInactivityTimeout = 300 * time.Millisecond
 	// A resumable stream waits gapTimeoutFactor times its gap target for the next
-	// event before it is resumed at another upstream.
+	// event before another upstream is asked to resume it.
 	gapTimeoutFactor = 4
 	// unavailableRetryAfter is the Retry-After value when no upstream accepts the
 	// request.
@@ -269,7 +270,7 @@
 		AfterPosition: lastEventID,
 		OnSend:        started.markSent,
 	}
-	message.InactivityTimeout, message.GapTimeout = call.inactivityTimeouts()
+	message.InactivityTimeout, message.GapTimeout = call.inactivityTimeouts(started.ticket)
 	message.OnSilence = func(ctx context.Context) bool { return call.takeOver(ctx, started) }
 	return message
 }
@@ -277,13 +278,14 @@
 // inactivityTimeouts returns how long an upstream may send nothing before the first
 // byte and between events until takeOver is called. An attempt that can't be
 // retried may take until the deadline.
-func (call *call) inactivityTimeouts() (firstByte, betweenEvents time.Duration) {
+func (call *call) inactivityTimeouts(ticket *placement.Ticket) (firstByte, betweenEvents time.Duration) {
 	route := call.request.Route
 	remaining := time.Until(call.request.Deadline)
 	if !route.Repeatable() || call.possibleRuns+call.undecidedRuns+1 >= route.MaxAttempts {
 		return remaining, remaining
 	}
-	firstByte = min(max(firstByteTimeoutFactor*route.LatencyTarget, minInactivityTimeout), remaining)
+	expected := ticket.ExpectedTimeToFirstEvent() + route.LatencyTarget
+	firstByte = min(max(firstByteTimeoutFactor*route.LatencyTarget, expected, minInactivityTimeout), remaining)
 	if route.GapTarget > 0 {
 		return firstByte, min(max(gapTimeoutFactor*route.GapTarget, minInactivityTimeout), remaining)
 	}
