Judge a crash as soon as its reports have settled

Callers: six engines crashed under a deadly prompt where five are allowed, once in seven whole runs of the tests, and callers lost what the sixth was serving.

Cause: an evaluation that found a crash which had not settled yet put the next one half a second after itself, not half a second after that crash. A third crash was judged up to a second after it.

Evidence: TestDeadlyPromptsInSeriesCrashFewEngines replays the requests of the test that was seen to fail; before, six engines crashed with each crash time from 50 to 97 ms. TestPartIsJudgedWhenItsThirdCrashHasSettled failed before, too.

--- a/pkg/quarantine/evaluate.go
+++ b/pkg/quarantine/evaluate.go
@@ -156,11 +156,13 @@
 // time to report, too.
 func (register *Register) settledCrashes(now time.Duration) []crash {
 	crashes := register.unexplainedCrashes()
-	settled := slices.DeleteFunc(crashes, func(crash crash) bool { return now-crash.at < settleTime })
-	if len(settled) < len(crashes) {
-		register.scheduleEvaluation(now)
+	for i, crash := range crashes {
+		if now-crash.at < settleTime {
+			register.scheduleEvaluation(crash.at)
+			return crashes[:i]
+		}
 	}
-	return settled
+	return crashes
 }
 
 // unexplainedCrashes returns the crashes, in order, that no rule explains. Once an
--- a/pkg/quarantine/register_test.go
+++ b/pkg/quarantine/register_test.go
@@ -60,6 +60,50 @@
 	require.True(t, clock.Blocks([]uint64{7, 1001}))
 }
 
+// TestPartIsJudgedWhenItsThirdCrashHasSettled guards against engines that crash while
+// the evaluation waits for longer than the reports of others may take: an earlier
+// evaluation must not delay the one of a later crash.
+func TestPartIsJudgedWhenItsThirdCrashHasSettled(t *testing.T) {
+	clock := newManualClock()
+	prompt := []uint64{7, 1000}
+	const firstCrash, interval = time.Minute, 200 * time.Millisecond
+	for number := range minCrashes {
+		clock.now = firstCrash + time.Duration(number)*interval
+		require.False(t, clock.Blocks(prompt))
+		clock.Crashed(fmt.Sprintf("engine/%d", number), prompt, true)
+	}
+	thirdCrash := clock.now
+	clock.now = thirdCrash + settleTime - time.Millisecond // evaluates the crashes before
+	require.False(t, clock.Blocks(prompt))
+	clock.now = thirdCrash + settleTime
+	require.True(t, clock.Blocks(prompt))
+}
+
+// TestDeadlyPromptsInSeriesCrashFewEngines guards against one engine more than the
+// bound, which depended on how long an engine takes to crash: the evaluations then
+// came just before a crash had settled, and half a second later again.
+func TestDeadlyPromptsInSeriesCrashFewEngines(t *testing.T) {
+	const pause, answerTime = 150 * time.Millisecond, 2 * time.Millisecond
+	for crashTime := 50 * time.Millisecond; crashTime <= 400*time.Millisecond; crashTime += time.Millisecond {
+		clock := newManualClock()
+		clock.now = time.Minute
+		crashes := 0
+		for number := range 20 {
+			if !clock.Blocks([]uint64{7, 1000}) {
+				clock.now += crashTime
+				clock.Crashed(fmt.Sprintf("engine/%d", number), []uint64{7, 1000}, true)
+				clock.MayRetry([]uint64{7, 1000})
+				crashes++
+			}
+			require.False(t, clock.Blocks([]uint64{8, 1000}))
+			clock.now += answerTime
+			clock.Succeeded([]uint64{8, 1000})
+			clock.now += pause
+		}
+		require.LessOrEqual(t, crashes, boundedCrashes, "engines crash after %s", crashTime)
+	}
+}
+
 // TestCommonPartIsNotBlockedAfterRestarts guards against all requests of a service being
 // refused for minutes: routers that have restarted know no success, and one crash
 // whose culprit nobody reported leaves the part that all prompts have as the likeliest.
