Bill a stored result also by the router that answers with it

What was seen: after routers were killed, a booking was answered and never billed ("1 of 303 answered requests not billed": a booking, two tries).

Cause: a router stores a booking's result with its claim and settles the bill after that, with the next batch. If it dies in between, the caller's next try gets the stored result from another router, which released its reservation and billed nothing. This is not the case that PROMISES.md excuses, in which a bill's holders all die: one death is enough.

Change: the result is stored with its bill, and a router that answers with it settles that bill before it releases the end. Bills name the attempt, so that whichever comes second charges nothing. The router holds its reservation while it waits for the run, and takes the bill out of the profile that the run was charged to.

--- a/pkg/claim/state.go
+++ b/pkg/claim/state.go
@@ -4,6 +4,7 @@
 package claim
 
 import (
+	"encoding/json"
 	"net/http"
 	"time"
 )
@@ -46,6 +47,9 @@
 	Status int         `json:"status"`
 	Header http.Header `json:"header"`
 	Body   []byte      `json:"body"`
+	// Bill is what the run is charged, as its router encoded it. Whoever answers with
+	// the result settles it, since that router may have died before it did.
+	Bill json.RawMessage `json:"bill,omitempty"`
 }
 
 // Decision is the result of Claim or Wait.
--- a/pkg/router/harness_test.go
+++ b/pkg/router/harness_test.go
@@ -45,6 +45,18 @@
 }
 
 func startFleetWithDrainTimeout(t *testing.T, limit int64, drainTimeout time.Duration, engines ...standin.EngineConfig) *testFleet {
+	t.Helper()
+	return startFleetAdjusted(t, limit, func(_ int, settings settings.Settings) settings.Settings {
+		settings.DrainTimeout = drainTimeout
+		return settings
+	}, engines...)
+}
+
+// startFleetAdjusted starts a fleet whose settings adjust changes, after the
+// intervals of the tests were set.
+func startFleetAdjusted(
+	t *testing.T, limit int64, adjust func(index int, settings settings.Settings) settings.Settings, engines ...standin.EngineConfig,
+) *testFleet {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
@@ -52,12 +64,11 @@
 		Zones:    []string{"varnamo", "gislaved", "jonkoping"},
 		Engines:  engines,
 		Services: 1,
-		Adjust: func(_ int, settings settings.Settings) settings.Settings {
+		Adjust: func(index int, settings settings.Settings) settings.Settings {
 			settings.PollInterval = 50 * time.Millisecond
 			settings.SettleInterval = 50 * time.Millisecond
 			settings.Horizon = time.Second
-			settings.DrainTimeout = drainTimeout
-			return settings
+			return adjust(index, settings)
 		},
 	})
 	require.NoError(t, err)
--- a/pkg/router/pipeline.go
+++ b/pkg/router/pipeline.go
@@ -64,7 +64,8 @@
 		return err
 	}
 	result, err := router.dispatcher.Dispatch(ctx, work, sink)
-	err = router.settle(ctx, admitted, reservation, result, err)
+	lines := router.settlementLines(admitted, reservation, result, err, callerDisconnected(ctx))
+	err = router.settle(ctx, admitted, budget.Settlement{Reservation: reservation, Lines: lines}, err)
 	return router.finishAnswer(sink, err)
 }
 
@@ -84,14 +85,17 @@
 	}
 	decision, err := router.claims.Claim(ctx, request)
 	if err != nil || decision.State != claim.Owned {
-		router.releaseReservation(reservation)
-		return router.answerFromClaim(ctx, request, decision, err, plainSink)
+		err = router.answerFromClaim(ctx, admitted, reservation, request, decision, err, plainSink)
+		return router.finishAnswer(sink, err)
 	}
 	result, err := router.dispatcher.Dispatch(ctx, work, sink)
+	settlement := budget.Settlement{
+		Reservation: reservation, Lines: router.settlementLines(admitted, reservation, result, err, callerDisconnected(ctx)),
+	}
 	settleCtx, cancel := router.settleContext(ctx, admitted)
 	defer cancel()
-	err = router.concludeClaim(settleCtx, request, plainSink, err)
-	err = router.settle(ctx, admitted, reservation, result, err)
+	err = router.concludeClaim(settleCtx, request, plainSink, settlement.Lines, err)
+	err = router.settle(ctx, admitted, settlement, err)
 	return router.finishAnswer(sink, err)
 }
 
@@ -105,26 +109,6 @@
 	return hex.EncodeToString(digest.Sum(nil))
 }
 
-// answerFromClaim answers a request whose claim belongs to another run. It waits
-// for that run if it has not ended.
-func (router *Router) answerFromClaim(ctx context.Context, request claim.Request, decision claim.Decision, err error, sink *plainSink) error {
-	if err == nil && decision.State == claim.Running {
-		decision, err = router.claims.Wait(ctx, request)
-	}
-	if err != nil {
-		return router.finishAnswer(sink, err)
-	}
-	switch decision.State {
-	case claim.Finished:
-		sink.result = decision.Result
-		return router.finishAnswer(sink, nil)
-	case claim.Withdrawn:
-		return router.finishAnswer(sink, errClaimWithdrawn)
-	default:
-		return router.finishAnswer(sink, errEarlierRunUnknown)
-	}
-}
-
 // settleContext returns a context that limits how long the end of an answer is held
 // back until its result and bill are stored. It ends after BillTimeout or
 // answerEndMargin before the deadline, whichever is earlier. What is not stored by
@@ -140,8 +124,9 @@
 
 // concludeClaim records in the claim how the run ended and returns the error to
 // send to the caller. It waits until ctx ends for the result to be stored.
-func (router *Router) concludeClaim(ctx context.Context, request claim.Request, sink *plainSink, runErr error) error {
+func (router *Router) concludeClaim(ctx context.Context, request claim.Request, sink *plainSink, lines []budget.Line, runErr error) error {
 	if runErr == nil {
+		sink.result.Bill = router.encodeBill(request, lines)
 		if err := router.claims.Finish(ctx, request, sink.result); err != nil {
 			router.warnClaimFailed("finish", request, err)
 		}
@@ -164,14 +149,12 @@
 	}
 }
 
-// settle charges the tokens that a run used. After a successful run it waits
-// until the bill is stored in the table or copied to a backup router, or until
+// settle charges what a run used. After a successful run it waits until the bill is stored in the table or copied to a backup router, or until
 // settleContext ends. It returns the error to send to the caller: that of the run, or
 // errCallerDisconnected if the connection was closed or the server shut down during
 // the wait. The end of the answer must not be sent then.
-func (router *Router) settle(ctx context.Context, admitted admittedRequest, reservation budget.Reservation, result dispatch.Result, runErr error) error {
-	lines := router.settlementLines(admitted, reservation, result, runErr, callerDisconnected(ctx))
-	receipt := router.escrow.Settle(budget.Settlement{Reservation: reservation, Lines: lines})
+func (router *Router) settle(ctx context.Context, admitted admittedRequest, settlement budget.Settlement, runErr error) error {
+	receipt := router.escrow.Settle(settlement)
 	if runErr != nil {
 		return runErr
 	}
--- /dev/null
+++ b/pkg/router/storedresult.go
@@ -0,0 +1,92 @@
+package router
+
+// Answers from a claim that belongs to another run of the same request.
+
+import (
+	"context"
+	"encoding/json"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/budget"
+	"gitlab.com/wisterialb/wisterialb/pkg/claim"
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+)
+
+// answerFromClaim waits for the run that holds the claim, if it has not ended, and puts
+// its result into the sink. It bills the run before it returns, as the router that ran
+// the request may have died before it did. The error is the one to send to the caller.
+func (router *Router) answerFromClaim(
+	ctx context.Context, admitted admittedRequest, reservation budget.Reservation,
+	request claim.Request, decision claim.Decision, err error, sink *plainSink,
+) error {
+	if err == nil && decision.State == claim.Running {
+		decision, err = router.claims.Wait(ctx, request)
+	}
+	if err == nil && decision.State == claim.Finished {
+		sink.result = decision.Result
+		return router.billStoredResult(ctx, admitted, reservation, request, decision.Result)
+	}
+	router.releaseReservation(reservation)
+	switch {
+	case err != nil:
+		return err
+	case decision.State == claim.Withdrawn:
+		return errClaimWithdrawn
+	default:
+		return errEarlierRunUnknown
+	}
+}
+
+// billStoredResult settles the bill that is stored with a result. A bill that the
+// router of the run has settled charges nothing more, as both name the same attempt.
+func (router *Router) billStoredResult(
+	ctx context.Context, admitted admittedRequest, reservation budget.Reservation, request claim.Request, result claim.Result,
+) error {
+	lines := router.decodeBill(request, result)
+	if len(lines) == 0 {
+		router.releaseReservation(reservation)
+		return nil
+	}
+	reservation, err := router.reserveForBill(ctx, admitted, reservation, lines)
+	if err != nil {
+		return fault.WithOutcome(err, fault.OutcomeUnknown)
+	}
+	return router.settle(ctx, admitted, budget.Settlement{Reservation: reservation, Lines: lines}, nil)
+}
+
+// reserveForBill returns a reservation of the profile that the run was charged to. The
+// request that gets the stored result may name another profile.
+func (router *Router) reserveForBill(
+	ctx context.Context, admitted admittedRequest, reservation budget.Reservation, lines []budget.Line,
+) (budget.Reservation, error) {
+	profile, tokens := lines[0].Profile, int64(0)
+	if profile == reservation.Profile {
+		return reservation, nil
+	}
+	router.releaseReservation(reservation)
+	for _, line := range lines {
+		tokens += line.Tokens
+	}
+	return router.escrow.Reserve(ctx, budget.Demand{Profile: profile, RequestID: admitted.id, Tokens: tokens, Deadline: admitted.deadline})
+}
+
+// encodeBill returns the lines as they are stored with a result.
+func (router *Router) encodeBill(request claim.Request, lines []budget.Line) json.RawMessage {
+	bill, err := json.Marshal(lines)
+	if err != nil {
+		router.warnClaimFailed("encode_bill", request, err)
+		return nil
+	}
+	return bill
+}
+
+// decodeBill returns the lines stored with a result, or none if there are none.
+func (router *Router) decodeBill(request claim.Request, result claim.Result) []budget.Line {
+	var lines []budget.Line
+	if len(result.Bill) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(result.Bill, &lines); err != nil {
+		router.warnClaimFailed("decode_bill", request, err)
+	}
+	return lines
+}
