--- a/pkg/command/edge.go
+++ b/pkg/command/edge.go
@@ -18,7 +18,7 @@
 
 // sampledEvents are logged for each request or attempt, so the logger limits
 // their lines per second.
-var sampledEvents = []string{"request_ended", "request_refused", "attempt_ended", "budget_short", "routers_listed", "upstream_crashed"}
+var sampledEvents = []string{"request_ended", "request_refused", "attempt_ended", "budget_short", "routers_listed", "upstream_crashed", "upstream_paused"}
 
 // EdgeCommand runs one router on the users' platform until SIGINT or SIGTERM.
 // SIGHUP reloads the settings file.
