--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -5,16 +5,20 @@
 // The flow: one goroutine of Directory writes the router's own row and reads all
 // rows periodically. A router is declared dead when its row stays unchanged for
 // too long. Only connected time counts, which is the time in which the table
-// could be read: while it is unreachable, the last known states stay. select.go
-// selects the routers that callers are directed to.
+// could be read: while it is unreachable, the last known states stay. A row that
+// changes because the table was restored from an older copy is no sign of life.
+// select.go selects the routers that callers are directed to.
 package directory
 
 import (
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"math"
+	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -82,6 +86,9 @@
 type routerState struct {
 	member  Member
 	version uint64
+	// versionUndone is set when the table was restored since the row was read, so that
+	// the row may be an older one.
+	versionUndone bool
 	// unchangedFor is the connected time since the row last changed.
 	unchangedFor time.Duration
 	alive        bool
@@ -99,8 +106,12 @@
 	self  Member
 	// others maps the names of the other routers to their last known states.
 	others map[string]*routerState
+	// unreadable maps the names of rows that can't be used to their versions.
+	unreadable map[string]uint64
 	// lastReadAt is when the rows were last read; zero before the first read.
 	lastReadAt time.Time
+	// era is that of the last read.
+	era uint64
 }
 
 // New returns a directory and starts its goroutine; Close stops it.
@@ -123,7 +134,7 @@
 		config.Now = time.Now
 	}
 	return &Directory{
-		config: config, self: config.Self, others: make(map[string]*routerState),
+		config: config, self: config.Self, others: make(map[string]*routerState), unreadable: make(map[string]uint64),
 		done: make(chan struct{}), writeNow: make(chan struct{}, 1),
 	}
 }
@@ -176,14 +187,37 @@
 func (directory *Directory) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	items, _, err := directory.config.Table.Read(ctx, platform.Query{Partition: partition})
+	items, receipt, err := directory.config.Table.Read(ctx, platform.Query{Partition: partition})
 	if err != nil {
 		return err
 	}
-	directory.applyRows(items, directory.config.Now())
+	if directory.enterEra(receipt.Era) {
+		directory.applyRows(items, directory.config.Now())
+	}
 	return nil
 }
 
+// enterEra prepares for the rows of a table that was restored, if the era is later
+// than that of the last read. It reports whether the rows are to be used.
+func (directory *Directory) enterEra(era uint64) bool {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	if era <= directory.era {
+		return era == directory.era || era == 0 // an answer that states no era
+	}
+	previous := directory.era
+	directory.era = era
+	if directory.lastReadAt.IsZero() {
+		return true
+	}
+	for _, state := range directory.others {
+		state.versionUndone = true
+	}
+	_ = directory.config.Logger.Log("event", "directory_restored", "old_era", previous, "era", era, "routers", len(directory.others))
+	directory.requestWrite() // the own row may be an older one, too
+	return true
+}
+
 // applyRows updates the states of the other routers from the rows.
 func (directory *Directory) applyRows(items []platform.Item, now time.Time) {
 	directory.mutex.Lock()
@@ -193,45 +227,97 @@
 		connectedTime = min(now.Sub(directory.lastReadAt), maxConnectedGap)
 	}
 	directory.lastReadAt = now
+	listed := make(map[string]bool, len(items))
 	for _, item := range items {
+		listed[item.Key.Sort] = true
 		if item.Key.Sort != directory.config.Name {
 			directory.applyRow(item, connectedTime)
 		}
 	}
+	for name, state := range directory.others {
+		if !listed[name] {
+			state.version, state.versionUndone = 0, false
+			directory.countUnchanged(name, state, connectedTime)
+		}
+	}
 }
 
 func (directory *Directory) applyRow(item platform.Item, connectedTime time.Duration) {
 	name := item.Key.Sort
 	state, ok := directory.others[name]
-	if !ok {
-		state = &routerState{}
-		directory.others[name] = state
+	if ok && state.versionUndone {
+		state.version, state.versionUndone = item.Version, false
 	}
-	if item.Version == state.version {
-		state.unchangedFor += connectedTime
-		if state.alive && state.unchangedFor > maxUnchangedDuration {
-			state.alive = false
-			_ = directory.config.Logger.Log("event", "router_gone", "router", name, "unchanged", state.unchangedFor)
-		}
+	if ok && item.Version == state.version {
+		directory.countUnchanged(name, state, connectedTime)
 		return
 	}
-	var member Member
-	if err := json.Unmarshal(item.Value, &member); err != nil || member.Address == "" {
-		_ = directory.config.Logger.Log("event", "router_row_unreadable", "router", name, "version", item.Version, "err", err)
+	member, err := decodeMember(item.Value)
+	if err != nil {
+		directory.logUnreadable(item, err)
+		if ok {
+			directory.countUnchanged(name, state, connectedTime)
+		}
 		return
 	}
+	if !ok {
+		state = &routerState{}
+		directory.others[name] = state
+	}
 	if !state.alive || state.member.Leaving != member.Leaving {
 		_ = directory.config.Logger.Log("event", "router_seen", "router", name, "address", member.Address, "leaving", member.Leaving)
 	}
 	*state = routerState{member: member, version: item.Version, alive: true}
 }
 
+// countUnchanged adds to the time for which a router hasn't written its row.
+func (directory *Directory) countUnchanged(name string, state *routerState, connectedTime time.Duration) {
+	state.unchangedFor += connectedTime
+	if state.alive && state.unchangedFor > maxUnchangedDuration {
+		state.alive = false
+		_ = directory.config.Logger.Log("event", "router_gone", "router", name, "unchanged", state.unchangedFor)
+	}
+}
+
+// logUnreadable logs once that a version of a row can't be used.
+func (directory *Directory) logUnreadable(item platform.Item, err error) {
+	if directory.unreadable[item.Key.Sort] == item.Version {
+		return
+	}
+	directory.unreadable[item.Key.Sort] = item.Version
+	_ = directory.config.Logger.Log("event", "router_row_unreadable", "router", item.Key.Sort, "version", item.Version, "err", err)
+}
+
+// decodeMember decodes a row and checks that callers can be directed to its router.
+func decodeMember(value []byte) (Member, error) {
+	var member Member
+	if err := json.Unmarshal(value, &member); err != nil {
+		return Member{}, err
+	}
+	host, port, err := net.SplitHostPort(member.Address)
+	if err != nil || host == "" {
+		return Member{}, errors.New("the address isn't a host and a port")
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
+		return Member{}, errors.New("the port is out of range")
+	}
+	if member.CapacityPerSecond < 0 || member.LoadPerSecond < 0 {
+		return Member{}, errors.New("the capacity or the load is below zero")
+	}
+	return member, nil
+}
+
 // Leave marks the router as leaving, so that no new callers are directed to it,
 // and requests an immediate write of its row.
 func (directory *Directory) Leave() {
 	directory.mutex.Lock()
 	directory.self.Leaving = true
 	directory.mutex.Unlock()
+	directory.requestWrite()
+}
+
+// requestWrite requests a write of the own row before the next interval.
+func (directory *Directory) requestWrite() {
 	select {
 	case directory.writeNow <- struct{}{}:
 	default:
--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -15,7 +15,8 @@
 const (
 	// maxPartBytes limits one part of a plain body.
 	maxPartBytes = 32 << 10
-	// endOfBodyTimeout limits the wait for the end of the body after the end marker.
+	// endOfBodyTimeout limits the wait for the end of a body whose content doesn't
+	// matter: after the end marker, and if it is discarded.
 	endOfBodyTimeout = 50 * time.Millisecond
 	// endMarker is the data of the last event of a stream.
 	endMarker = "[DONE]"
@@ -29,6 +30,8 @@
 	// Data is the event's data; in a passed-through stream it is the event with
 	// all its fields.
 	Data []byte
+	// Comment is set if a part of a passed-through stream has only comments.
+	Comment bool
 }
 
 // Answer is the response of an upstream. Its body is read part by part with Next.
@@ -63,6 +66,11 @@
 	delimited bool
 	// eventRead is set once an event of a passed-through stream has been read.
 	eventRead bool
+	// reused is set if the connection has carried another request before.
+	reused bool
+	// bodyless is set once an answer without a body was accepted. The transport may
+	// have reused its connection since.
+	bodyless bool
 	// complete is set once the end of the answer has been read.
 	complete bool
 }
@@ -81,10 +89,18 @@
 	if !ok {
 		return
 	}
-	assignedConnection.beginRequest()
+	assignedConnection.beginRequest(answer.options.attemptID)
 	answer.mutex.Lock()
 	defer answer.mutex.Unlock()
-	answer.connection = assignedConnection
+	answer.connection, answer.reused = assignedConnection, info.Reused
+}
+
+// wasUnsent reports whether nothing of the request was written because its reused
+// connection was sealed: it had just carried the same attempt, or was being closed.
+func (answer *Answer) wasUnsent() bool {
+	answer.mutex.Lock()
+	defer answer.mutex.Unlock()
+	return answer.reused && answer.connection.isSealedUnwritten()
 }
 
 // readHead takes status, headers and body reader from the response.
@@ -101,16 +117,40 @@
 	}
 }
 
-// matchesAttempt reports whether the answer repeats the ID of the attempt. Only
-// event streams of model engines must repeat it; other answers may omit it.
-func (answer *Answer) matchesAttempt() bool {
+// check returns an error if the answer does not belong to the attempt, or is none.
+func (answer *Answer) check() error {
+	answer.mutex.Lock()
+	defer answer.mutex.Unlock()
+	switch {
+	case answer.Status < http.StatusOK:
+		return &Error{Reason: ReasonClosed, MayHaveStarted: true, Err: errNotFinal}
+	case answer.connection != nil && !answer.connection.hasAnswered():
+		return &Error{Reason: ReasonForeign, MayHaveStarted: true, Err: errUnsolicited}
+	case !answer.matchesAttempt():
+		return &Error{Reason: ReasonForeign, MayHaveStarted: true, Err: errWrongAttempt}
+	default:
+		return nil
+	}
+}
+
+// echoedAttemptID returns the attempt ID that the answer repeats, or an empty text.
+func (answer *Answer) echoedAttemptID() string {
 	echoHeader := answer.options.echoHeader
 	if echoHeader == "" {
 		echoHeader = HeaderAttempt
 	}
-	echoedAttemptID := answer.Header.Get(echoHeader)
-	if echoedAttemptID == "" {
-		return !answer.Stream || !answer.options.modelEngine
+	return answer.Header.Get(echoHeader)
+}
+
+// matchesAttempt reports whether the answer repeats the ID of the attempt. Event
+// streams of model engines and answers to passed-through requests must repeat it. Any
+// other answer may omit it if nothing before it on the connection can have been the
+// request that it answers.
+func (answer *Answer) matchesAttempt() bool {
+	echoedAttemptID := answer.echoedAttemptID()
+	mustRepeat := answer.options.passThrough || answer.options.modelEngine && answer.Stream
+	if echoedAttemptID == "" && !mustRepeat {
+		return !answer.reused
 	}
 	return echoedAttemptID == answer.options.attemptID
 }
@@ -176,13 +216,18 @@
 	}
 }
 
+// BrokeOffInsideEvent reports whether a passed-through stream ended inside an event, so
+// that more events must follow.
+func (answer *Answer) BrokeOffInsideEvent() bool {
+	return answer.scanner != nil && answer.scanner.insideEvent
+}
+
 // nextRawEvent returns the next event unchanged. The stream is complete when its
 // body ends between two events. If nothing but the end of the connection marks that
-// end, and there was no event before, the upstream has crashed instead.
+// end, and there was no event before, the upstream may have crashed instead.
 func (answer *Answer) nextRawEvent() (Part, error) {
 	event, err := answer.scanner.nextRaw()
-	isFirst := !answer.eventRead && answer.options.afterPosition == 0
-	if errors.Is(err, io.EOF) && !answer.delimited && isFirst {
+	if errors.Is(err, io.EOF) && !answer.delimited && !answer.eventRead {
 		return Part{}, answer.fail(errTruncated, ReasonTruncated)
 	}
 	if errors.Is(err, io.EOF) {
@@ -192,11 +237,11 @@
 	if err != nil {
 		return Part{}, answer.fail(err, ReasonTruncated)
 	}
-	answer.eventRead = true
+	answer.eventRead = answer.eventRead || !event.comment
 	if event.id > 0 {
 		answer.position.Store(event.id)
 	}
-	return Part{Position: event.id, Data: event.data}, nil
+	return Part{Position: event.id, Data: event.data, Comment: event.comment}, nil
 }
 
 // drain reads the end of the body after the end marker, so that the connection can
@@ -209,6 +254,18 @@
 	_, _ = io.CopyN(io.Discard, answer.scanner.reader, 1)
 }
 
+// Discard reads the rest of the body, instead of calls of Next, so that the connection
+// can be reused. It gives up if the body is long or slow.
+func (answer *Answer) Discard() {
+	if answer.options.newConnection {
+		return
+	}
+	timer := time.AfterFunc(endOfBodyTimeout, func() { answer.cancel(errStalled) })
+	defer timer.Stop()
+	_, err := io.CopyN(io.Discard, answer.body, maxPartBytes)
+	answer.complete = errors.Is(err, io.EOF)
+}
+
 // nextBodyPart returns the next bytes of a plain body.
 func (answer *Answer) nextBodyPart() (Part, error) {
 	buffer := make([]byte, maxPartBytes)
@@ -240,6 +297,9 @@
 		return failure
 	}
 	failure.MayHaveStarted = answer.connection.seal()
+	if failure.Reason == ReasonClosed && answer.connection.receivedUnsolicited() {
+		failure.Reason = ReasonForeign
+	}
 	return failure
 }
 
@@ -247,8 +307,8 @@
 // end, in which case the connection may be reused.
 func (answer *Answer) Close() {
 	answer.stallDetector.endWait()
-	if !answer.complete {
-		answer.discardUnsent()
+	if !answer.complete && !answer.bodyless {
+		answer.discardConnection()
 	}
 	if answer.body != nil {
 		_ = answer.body.Close()
@@ -256,11 +316,12 @@
 	answer.cancel(context.Canceled)
 }
 
-// discardUnsent discards unsent data of the request when the connection closes.
-func (answer *Answer) discardUnsent() {
+// discardConnection closes the connection. The transport keeps that of an answer
+// without a body, which is wrong if the answer was not the attempt's own.
+func (answer *Answer) discardConnection() {
 	answer.mutex.Lock()
 	defer answer.mutex.Unlock()
 	if answer.connection != nil {
-		answer.connection.discardUnsentOnClose()
+		answer.connection.discard()
 	}
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -79,8 +79,6 @@
 	// attemptsNotRun counts the attempts that were refused or never reached the
 	// upstream.
 	attemptsNotRun int
-	// streamStarted is set once an event was delivered.
-	streamStarted bool
 }
 
 // Serve forwards the request to upstreams until one answer was delivered or no
@@ -111,11 +109,11 @@
 		}
 		ticket := call.pool.Choose(call.criteria(), time.Now())
 		if ticket == nil {
-			return call.noUpstreamError()
+			return call.noUpstreamError(errNoUpstreamLeft)
 		}
 		if call.attemptsArrived > 0 && !call.relay.config.RetryBudget.AllowRetry(call.request.Service.Name, time.Now()) {
 			ticket.End(placement.Neutral, time.Now())
-			return call.noUpstreamError()
+			return call.noUpstreamError(errRetryBudgetSpent)
 		}
 		result := call.attempt(ctx, ticket)
 		if call.hasCrashed(ctx, ticket.Upstream, result) {
@@ -266,7 +264,7 @@
 	if result.crashed && !call.relay.config.Quarantine.MayRetry(partIDs(call.request.PromptParts)) {
 		return false
 	}
-	if errors.Is(result.err, errCallerDisconnected) || call.delivery.headerSent && !call.delivery.streaming {
+	if errors.Is(result.err, errCallerDisconnected) || !call.delivery.mayResume() {
 		return false
 	}
 	return call.request.Route.Repeatable() && call.possibleRuns < call.request.Route.MaxAttempts
@@ -274,9 +272,9 @@
 
 // noUpstreamError returns the error of a request for which no further upstream
 // may be tried.
-func (call *call) noUpstreamError() error {
+func (call *call) noUpstreamError(cause error) error {
 	if call.possibleRuns > 0 {
-		return responseLostError(nil)
+		return responseLostError(cause)
 	}
 	message, retryAfter := "no upstream of the service accepts the request", unavailableRetryAfter
 	now := time.Now()
@@ -288,6 +286,7 @@
 		Message:    message,
 		Remedy:     "retry the request after the stated time",
 		RetryAfter: retryAfter,
+		Cause:      cause,
 	})
 }
 
@@ -322,7 +321,7 @@
 	case call.possibleRuns > 0:
 		return responseLostError(err)
 	default:
-		return call.noUpstreamError()
+		return call.noUpstreamError(err)
 	}
 }
 
--- a/pkg/standin/fault.go
+++ b/pkg/standin/fault.go
@@ -42,6 +42,9 @@
 	// Refuse responds to every completion request with status 503, without
 	// running it.
 	Refuse bool `json:"refuse"`
+	// RepeatRefusals is the number of upcoming completions on kept connections that
+	// are run and answered like an earlier refusal, with no attempt ID.
+	RepeatRefusals int `json:"repeat_refusals"`
 	// RetryAfter is the Retry-After header of these responses; empty means none.
 	RetryAfter string `json:"retry_after,omitempty"`
 	// Leaving states in each response that the engine is leaving.
@@ -109,6 +112,17 @@
 	return max(engineFaultInjector.faults.SlowFactor, 1)
 }
 
+// takeRepeatedRefusal reports whether a refusal is to be repeated, and counts it.
+func (engineFaultInjector *engineFaultInjector) takeRepeatedRefusal() bool {
+	engineFaultInjector.mutex.Lock()
+	defer engineFaultInjector.mutex.Unlock()
+	if engineFaultInjector.faults.RepeatRefusals <= 0 {
+		return false
+	}
+	engineFaultInjector.faults.RepeatRefusals--
+	return true
+}
+
 // nextStreamFault returns the fault for the next stream, or an empty string for
 // none.
 func (engineFaultInjector *engineFaultInjector) nextStreamFault() StreamFault {
