Let begun streams last until their deadline

Streams that reach their time limit were closed 20 ms before it. That margin leaves time for an error answer, which can't follow once the answer has begun; an end of the stream in that time was lost for nothing.

TestBegunAnswerLastsUntilItsDeadline fails with the margin for all answers. The answers that don't begin in time still end 20 ms before the deadline.

--- a/pkg/relay/delivery.go
+++ b/pkg/relay/delivery.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
@@ -34,7 +35,7 @@
 	// requestArrivedAt is when the request came in.
 	requestArrivedAt time.Time
 	// headerSent is set when the status and header were written.
-	headerSent bool
+	headerSent atomic.Bool
 	// streaming is set when the answer is an event stream.
 	streaming bool
 	// lastEventID is the ID of the last event delivered.
@@ -45,10 +46,10 @@
 }
 
 func (delivery *delivery) writeHeader(answer *exchange.Answer) error {
-	if delivery.headerSent {
+	if delivery.headerSent.Load() {
 		return nil
 	}
-	delivery.headerSent = true
+	delivery.headerSent.Store(true)
 	delivery.streaming = answer.Stream
 	delivery.timeToFirstByte = time.Since(delivery.requestArrivedAt)
 	if err := delivery.sink.WriteHeader(answer.Status, answer.Header); err != nil {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -18,7 +18,7 @@
 
 const (
 	// deadlineMargin is how long before the deadline the router stops waiting for
-	// upstreams, so that its error answer reaches the caller in time.
+	// an answer to begin, so that its error answer reaches the caller in time.
 	deadlineMargin = 20 * time.Millisecond
 	// A repeatable request waits firstByteTimeoutFactor times its latency target
 	// for the first byte before another upstream is asked, or its target beyond the
@@ -100,14 +100,12 @@
 // have run.
 func (relay *Relay) Serve(ctx context.Context, request Request, sink Sink) (Result, error) {
 	relay.config.RetryBudget.CountRequest(request.Service.Name, request.Arrived)
-	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(-deadlineMargin))
+	delivery := &delivery{sink: sink, lastEventID: request.LastEventID, requestArrivedAt: request.Arrived}
+	ctx, cancel := withDeadline(ctx, request.Deadline, delivery.headerSent.Load)
 	defer cancel()
-	call := &call{
-		relay: relay, request: request, ctx: ctx, pool: relay.config.Pool(request.Service),
-		delivery: &delivery{sink: sink, lastEventID: request.LastEventID, requestArrivedAt: request.Arrived},
-	}
+	call := &call{relay: relay, request: request, ctx: ctx, pool: relay.config.Pool(request.Service), delivery: delivery}
 	err := call.tryUpstreams(ctx)
-	call.result.HeaderSent = call.delivery.headerSent
+	call.result.HeaderSent = delivery.headerSent.Load()
 	call.result.Events = call.delivery.eventCount
 	call.result.TimeToFirstByte = call.delivery.timeToFirstByte
 	call.result.Delivered = err == nil
@@ -115,6 +113,23 @@
 	return call.result, err
 }
 
+// withDeadline returns a context that ends at the deadline or, unless the answer has
+// begun by then, deadlineMargin before it.
+func withDeadline(ctx context.Context, deadline time.Time, begun func() bool) (context.Context, context.CancelFunc) {
+	ctx, cancelAtDeadline := context.WithDeadline(ctx, deadline)
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(time.Until(deadline)-deadlineMargin, func() {
+		if !begun() {
+			cancel(context.DeadlineExceeded)
+		}
+	})
+	return ctx, func() {
+		timer.Stop()
+		cancel(nil)
+		cancelAtDeadline()
+	}
+}
+
 func (call *call) tryUpstreams(ctx context.Context) error {
 	defer call.discardTakeover()
 	for {
@@ -318,7 +333,7 @@
 
 // mayRetry reports whether the request may be sent to another upstream.
 func (call *call) mayRetry(ctx context.Context, result attemptResult) bool {
-	if ctx.Err() != nil || errors.Is(result.err, errCallerDisconnected) || call.delivery.headerSent && !call.delivery.streaming {
+	if ctx.Err() != nil || errors.Is(result.err, errCallerDisconnected) || call.delivery.headerSent.Load() && !call.delivery.streaming {
 		return false
 	}
 	if result.crashed && !call.relay.config.Quarantine.MayRetry(partIDs(call.request.PromptParts)) {
@@ -361,7 +376,7 @@
 // finalError returns the error of a request whose last attempt failed.
 func (call *call) finalError(ctx context.Context, err error) error {
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return fault.New(fault.Config{
 			Kind:    fault.DeadlineExceeded,
 			Message: "the deadline passed before the answer was complete",
