--- a/pkg/relay/delivery.go
+++ b/pkg/relay/delivery.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
@@ -35,7 +36,7 @@
 	// requestArrivedAt is when the request came in.
 	requestArrivedAt time.Time
 	// headerSent is set when the status and header were written.
-	headerSent bool
+	headerSent atomic.Bool
 	// streaming is set when the answer is an event stream.
 	streaming bool
 	// lastEventID is the ID of the last event delivered.
@@ -51,10 +52,10 @@
 }
 
 func (delivery *delivery) writeHeader(answer *exchange.Answer) error {
-	if delivery.headerSent {
+	if delivery.headerSent.Load() {
 		return nil
 	}
-	delivery.headerSent = true
+	delivery.headerSent.Store(true)
 	delivery.streaming = answer.Stream
 	delivery.timeToFirstByte = time.Since(delivery.requestArrivedAt)
 	if err := delivery.sink.WriteHeader(answer.Status, answer.Header); err != nil {
@@ -66,7 +67,7 @@
 // mayResume reports whether another upstream's answer may continue what was written: a
 // stream whose events have IDs, or nothing.
 func (delivery *delivery) mayResume() bool {
-	return !delivery.headerSent || delivery.streaming && !delivery.unnumbered
+	return !delivery.headerSent.Load() || delivery.streaming && !delivery.unnumbered
 }
 
 func (delivery *delivery) write(data []byte) error {
@@ -103,7 +104,7 @@
 		return attemptResult{err: errUnsigned, upstreamResult: failureResult(ctx), mayHaveRun: true}
 	case success && answer.Stream:
 		return call.deliverStream(ctx, ticket, answer)
-	case call.delivery.headerSent:
+	case call.delivery.headerSent.Load():
 		return attemptResult{err: errUpstreamFailed, upstreamResult: failureResult(ctx), mayHaveRun: true}
 	case info.PromisesNotRun:
 		return attemptResult{err: errUnconfirmedRefusal, upstreamResult: failureResult(ctx), mayHaveRun: true}
--- a/pkg/relay/takeover.go
+++ b/pkg/relay/takeover.go
@@ -144,7 +144,7 @@
 	case info.NotRun || info.Misdirected:
 		call.attemptsArrived++
 		return refusedAttempt(started.answer, info), false
-	case info.Encoded || !info.Signed || !isSuccess(started.answer) || call.delivery.headerSent && !started.answer.Stream:
+	case info.Encoded || !info.Signed || !isSuccess(started.answer) || call.delivery.headerSent.Load() && !started.answer.Stream:
 		call.attemptsArrived++
 		call.possibleRuns++
 		return attemptResult{err: errUpstreamFailed, upstreamResult: placement.Failure, mayHaveRun: true}, false
