--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -24,6 +24,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/notice"
 )
 
 // Headers of the protocol of model engines.
@@ -60,6 +62,9 @@
 	// OnConnect receives how long it took to open a connection, or to fail to open it;
 	// nil ignores it. It isn't called when the request ended in the meantime.
 	OnConnect func(address string, duration time.Duration, err error)
+	// OnNotice receives what an answer asks for; nil ignores it. Only answers in the
+	// product's own protocol are read.
+	OnNotice func(request notice.Request)
 }
 
 // Defaults of ClientConfig.
@@ -95,6 +100,8 @@
 	pooledTransport atomic.Pointer[http.Transport]
 	// unpooledTransport opens a new connection for each request.
 	unpooledTransport *http.Transport
+	// omitsAttemptIDs is set once an answer did not repeat the ID of its attempt.
+	omitsAttemptIDs atomic.Bool
 	// checkLimiter limits the rate of checks for stalled connections.
 	checkLimiter *rate.Limiter
 }
@@ -203,6 +210,14 @@
 	InactivityTimeout time.Duration
 	// GapTimeout limits the gap between two parts; zero means InactivityTimeout.
 	GapTimeout time.Duration
+	// OnSilence decides what happens when the wait for a part has lasted its timeout:
+	// true ends the exchange as stalled, false starts the wait anew. Nil always ends it.
+	// The context ends when a part arrives after all. Until OnSilence returns, Next and
+	// Send don't return either.
+	OnSilence func(ctx context.Context) bool
+	// OnSend is called when a connection is there and the request is about to be
+	// written; nil ignores it.
+	OnSend func()
 	// AfterPosition is the position after which a passed-through stream continues.
 	AfterPosition int64
 	// ModelEngine is set if the upstream is a model engine. Its event streams must
@@ -234,8 +249,7 @@
 // Send sends the attempt and returns its answer after its status and headers have
 // arrived. The error is an Error.
 func (client *Client) Send(ctx context.Context, request Request) (*Answer, error) {
-	body := nonReplayableBody{bytes.NewReader(request.Body)}
-	httpRequest, err := http.NewRequest(request.Method, "http://"+client.config.Address+request.Path, body)
+	httpRequest, err := http.NewRequest(request.Method, "http://"+client.config.Address+request.Path, http.NoBody)
 	if err != nil {
 		return nil, &Error{Reason: ReasonConnect, Err: err}
 	}
@@ -250,15 +264,16 @@
 		httpRequest.Header.Set(HeaderPriority, strconv.Itoa(request.Priority))
 	}
 	return client.open(ctx, httpRequest, answerOptions{
-		attemptID: request.AttemptID, inactivityTimeout: request.InactivityTimeout, modelEngine: request.ModelEngine, newConnection: request.NewConnection,
+		attemptID: request.AttemptID, body: request.Body, inactivityTimeout: request.InactivityTimeout, modelEngine: request.ModelEngine, newConnection: request.NewConnection,
 		passThrough: request.PassThrough, echoHeader: request.EchoHeader, gapTimeout: request.GapTimeout, afterPosition: request.AfterPosition,
+		onSilence: request.OnSilence, onSend: request.OnSend,
 	})
 }
 
 // Resume requests the events of an attempt after a position. The error is an Error.
 func (client *Client) Resume(ctx context.Context, attemptID string, afterPosition int64) (*Answer, error) {
 	path := attemptPath(attemptID) + "/events?after=" + strconv.FormatInt(afterPosition, 10)
-	httpRequest, err := http.NewRequest(http.MethodGet, "http://"+client.config.Address+path, nonReplayableBody{http.NoBody})
+	httpRequest, err := http.NewRequest(http.MethodGet, "http://"+client.config.Address+path, http.NoBody)
 	if err != nil {
 		return nil, &Error{Reason: ReasonConnect, Err: err}
 	}
@@ -268,12 +283,17 @@
 // answerOptions are the properties of the request that determine how the answer is
 // read.
 type answerOptions struct {
-	attemptID     string
+	attemptID string
+	// body is the body of the request.
+	body          []byte
 	afterPosition int64
 	// inactivityTimeout is zero if the client's timeouts apply.
 	inactivityTimeout time.Duration
 	// gapTimeout limits the gap between two parts; zero means inactivityTimeout.
 	gapTimeout time.Duration
+	// onSilence and onSend are those of the Request.
+	onSilence func(ctx context.Context) bool
+	onSend    func()
 	// modelEngine is set if event streams must repeat the attempt ID.
 	modelEngine bool
 	// newConnection is set if no pooled connection may be used.
@@ -289,25 +309,53 @@
 
 // open sends the request and waits for status and headers of the answer.
 func (client *Client) open(ctx context.Context, httpRequest *http.Request, options answerOptions) (*Answer, error) {
+	answer, err := client.roundTrip(ctx, httpRequest, options)
+	if err != nil && answer.wasUnsent() && ctx.Err() == nil {
+		options.newConnection = true
+		answer, err = client.roundTrip(ctx, httpRequest, options)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// roundTrip sends the request once. The answer is not nil, and closed if there is an
+// error.
+func (client *Client) roundTrip(ctx context.Context, httpRequest *http.Request, options answerOptions) (*Answer, error) {
 	answer := &Answer{client: client, options: options}
 	answer.position.Store(options.afterPosition)
 	answer.start(ctx)
 	trace := &httptrace.ClientTrace{GotConn: answer.gotConnection}
 	httpRequest = httpRequest.WithContext(httptrace.WithClientTrace(answer.ctx, trace)) //nolint:contextcheck // answer.ctx is derived from ctx
-	response, err := client.transport(options.newConnection).RoundTrip(httpRequest)     //nolint:bodyclose // Answer.Close closes it
+	httpRequest.Body = nonReplayableBody{bytes.NewReader(options.body)}
+	response, err := client.transport(client.needsNewConnection(options)).RoundTrip(httpRequest) //nolint:bodyclose // Answer.Close closes it
+	answer.stallDetector.endWait(err == nil)
 	if err != nil {
 		failure := answer.fail(err, ReasonClosed)
 		answer.Close()
-		return nil, failure
+		return answer, failure
 	}
 	answer.readHead(response)
-	if !answer.matchesAttempt() {
+	if answer.echoedAttemptID() == "" {
+		client.omitsAttemptIDs.Store(true)
+	}
+	if err := answer.check(); err != nil {
 		answer.Close()
-		return nil, &Error{Reason: ReasonForeign, MayHaveStarted: true, Err: errWrongAttempt}
+		return answer, err
 	}
+	answer.bodyless = response.Body == http.NoBody
+	client.readNotice(response, options.attemptID)
 	return answer, nil
 }
 
+// needsNewConnection reports whether no pooled connection may be used. An upstream
+// that does not repeat attempt IDs in all answers gets a new connection for each
+// request, since nothing else tells an answer from that to an earlier request.
+func (client *Client) needsNewConnection(options answerOptions) bool {
+	return options.newConnection || !options.passThrough && client.omitsAttemptIDs.Load()
+}
+
 // transport returns the transport for a pooled or a new connection.
 func (client *Client) transport(newConnection bool) *http.Transport {
 	if newConnection {
--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -5,12 +5,14 @@
 //
 // The flow: Pool.Update sets the upstreams of a service; Choose estimates the
 // time to the first event at each upstream (cost.go) and returns a Ticket; the
-// ticket's methods record how the request went (ticket.go).
+// ticket's methods record how the request went (ticket.go). What the upstreams ask
+// of the router in their answers (pkg/notice) outlasts the pool's list of upstreams.
 package placement
 
 import (
 	"time"
 
+	"gitlab.com/wisterialb/wisterialb/pkg/notice"
 	"gitlab.com/wisterialb/wisterialb/pkg/rendezvous"
 )
 
@@ -30,6 +32,11 @@
 	Draining bool
 }
 
+// Process identifies the upstream's process.
+func (upstream Upstream) Process() notice.Process {
+	return notice.Process{ID: upstream.ID, StartedAt: upstream.StartedAt}
+}
+
 // PromptPart is a section of a prompt. Requests that share it send the same ID.
 type PromptPart struct {
 	ID     uint64
--- a/pkg/relay/delivery.go
+++ b/pkg/relay/delivery.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
@@ -24,6 +25,9 @@
 	errBodyTooLarge       = errors.New("answer body exceeds the size limit")
 	errEventOrder         = errors.New("event is missing or out of order")
 	errUpstreamFailed     = errors.New("the upstream failed the request")
+	errUnconfirmedRefusal = errors.New("the upstream's status promises that the request has not run, but the answer does not say so")
+	errNoUpstreamLeft     = errors.New("no other upstream is available")
+	errRetryBudgetSpent   = errors.New("the retry budget is spent")
 )
 
 // delivery writes an answer to the caller and records what was written.
@@ -32,21 +36,26 @@
 	// requestArrivedAt is when the request came in.
 	requestArrivedAt time.Time
 	// headerSent is set when the status and header were written.
-	headerSent bool
+	headerSent atomic.Bool
 	// streaming is set when the answer is an event stream.
 	streaming bool
 	// lastEventID is the ID of the last event delivered.
 	lastEventID int64
 	// eventCount counts the delivered events that have an ID.
-	eventCount      int64
+	eventCount int64
+	// unnumbered is set once an event without an ID was delivered.
+	unnumbered bool
+	// cutInsideEvent is set once an upstream's stream broke off inside an event, so
+	// that the stream has at least one more.
+	cutInsideEvent  bool
 	timeToFirstByte time.Duration
 }
 
 func (delivery *delivery) writeHeader(answer *exchange.Answer) error {
-	if delivery.headerSent {
+	if delivery.headerSent.Load() {
 		return nil
 	}
-	delivery.headerSent = true
+	delivery.headerSent.Store(true)
 	delivery.streaming = answer.Stream
 	delivery.timeToFirstByte = time.Since(delivery.requestArrivedAt)
 	if err := delivery.sink.WriteHeader(answer.Status, answer.Header); err != nil {
@@ -55,6 +64,12 @@
 	return nil
 }
 
+// mayResume reports whether another upstream's answer may continue what was written: a
+// stream whose events have IDs, or nothing.
+func (delivery *delivery) mayResume() bool {
+	return !delivery.headerSent.Load() || delivery.streaming && !delivery.unnumbered
+}
+
 func (delivery *delivery) write(data []byte) error {
 	if err := delivery.sink.Write(data); err != nil {
 		return errors.Join(errCallerDisconnected, err)
@@ -69,7 +84,7 @@
 	if info.Misdirected {
 		upstreamResult = placement.Unreachable
 	}
-	_, _ = readBody(answer) // lets the connection be reused; the refusal counts even if its body can't be read
+	answer.Discard() // the status and header are the whole refusal
 	return attemptResult{
 		err:            errors.New("the upstream refused the request with status " + strconv.Itoa(answer.Status)),
 		upstreamResult: upstreamResult,
@@ -81,7 +96,7 @@
 // attempt fails if the answer isn't authentic, or doesn't continue the stream
 // that was begun.
 func (call *call) deliver(ctx context.Context, ticket *placement.Ticket, answer *exchange.Answer, info AnswerInfo) attemptResult {
-	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
+	success := isSuccess(answer)
 	switch {
 	case info.Encoded:
 		return attemptResult{err: errEncodedBody, upstreamResult: failureResult(ctx), mayHaveRun: true}
@@ -89,13 +104,19 @@
 		return attemptResult{err: errUnsigned, upstreamResult: failureResult(ctx), mayHaveRun: true}
 	case success && answer.Stream:
 		return call.deliverStream(ctx, ticket, answer)
-	case call.streamStarted:
+	case call.delivery.headerSent.Load():
 		return attemptResult{err: errUpstreamFailed, upstreamResult: failureResult(ctx), mayHaveRun: true}
+	case info.PromisesNotRun:
+		return attemptResult{err: errUnconfirmedRefusal, upstreamResult: failureResult(ctx), mayHaveRun: true}
 	default:
 		return call.deliverBuffered(ctx, ticket, answer)
 	}
 }
 
+func isSuccess(answer *exchange.Answer) bool {
+	return answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
+}
+
 // deliverBuffered reads the whole body before it sends any of it to the caller,
 // so that an interrupted answer can be retried.
 func (call *call) deliverBuffered(ctx context.Context, ticket *placement.Ticket, answer *exchange.Answer) attemptResult {
@@ -105,7 +126,7 @@
 	}
 	ticket.FirstEvent(time.Now())
 	failed := answer.Status >= http.StatusInternalServerError
-	if failed && call.mayRetryFailure() {
+	if failed && call.mayRetryFailure(ticket) {
 		return attemptResult{err: errUpstreamFailed, upstreamResult: placement.Failure, mayHaveRun: true}
 	}
 	answer.Header.Set("Content-Length", strconv.Itoa(len(body)))
@@ -124,34 +145,40 @@
 
 // mayRetryFailure reports whether a request with a 5xx answer may be retried at
 // another upstream.
-func (call *call) mayRetryFailure() bool {
+func (call *call) mayRetryFailure(ticket *placement.Ticket) bool {
 	route := call.request.Route
-	return route.Repeatable() && call.possibleRuns < route.MaxAttempts && call.pool.AvailableCount() > 1
+	if !route.Repeatable() || call.possibleRuns >= route.MaxAttempts {
+		return false
+	}
+	return call.pool.CanServe(call.criteria(ticket.Upstream.ID), time.Now())
 }
 
 // deliverStream forwards each event once it has been read completely.
 func (call *call) deliverStream(ctx context.Context, ticket *placement.Ticket, answer *exchange.Answer) attemptResult {
+	lastEventID := call.delivery.lastEventID
 	for {
 		part, err := answer.Next()
 		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
+			call.delivery.cutInsideEvent = call.delivery.cutInsideEvent || answer.BrokeOffInsideEvent()
 			return call.interruptedStream(ctx, err)
 		}
 		ticket.FirstEvent(time.Now())
-		if part.Position > 0 {
-			if part.Position <= call.delivery.lastEventID {
-				continue // already delivered
-			}
-			if call.delivery.eventCount > 0 && part.Position != call.delivery.lastEventID+1 {
-				return call.interruptedStream(ctx, errEventOrder)
-			}
+		if part.Position > 0 && part.Position <= call.delivery.lastEventID && call.delivery.lastEventID > lastEventID {
+			continue // a duplicate of an event of this answer
+		}
+		if !call.delivery.continuesWith(part) {
+			return call.interruptedStream(ctx, errEventOrder)
 		}
 		if err := call.writeEvent(answer, part); err != nil {
 			return attemptResult{err: err, mayHaveRun: true}
 		}
 	}
+	if call.delivery.cutInsideEvent && call.delivery.lastEventID == lastEventID {
+		return call.interruptedStream(ctx, errEventOrder)
+	}
 	if err := call.delivery.writeHeader(answer); err != nil {
 		return attemptResult{err: err, mayHaveRun: true}
 	}
@@ -159,6 +186,20 @@
 	return attemptResult{upstreamResult: placement.Success, mayHaveRun: true}
 }
 
+// continuesWith reports whether the part may follow what the caller has. An event must
+// have the ID after the last one. Events without IDs are in order only in streams that
+// have no IDs.
+func (delivery *delivery) continuesWith(part exchange.Part) bool {
+	switch {
+	case part.Comment:
+		return true
+	case part.Position > 0:
+		return delivery.lastEventID == 0 || part.Position == delivery.lastEventID+1
+	default:
+		return delivery.lastEventID == 0
+	}
+}
+
 func (call *call) writeEvent(answer *exchange.Answer, part exchange.Part) error {
 	if err := call.delivery.writeHeader(answer); err != nil {
 		return err
@@ -166,7 +207,7 @@
 	if err := call.delivery.write(part.Data); err != nil {
 		return err
 	}
-	call.streamStarted = true
+	call.delivery.unnumbered = call.delivery.unnumbered || part.Position == 0 && !part.Comment
 	if part.Position > 0 {
 		call.delivery.lastEventID = part.Position
 		call.delivery.eventCount++
--- a/pkg/relay/request.go
+++ b/pkg/relay/request.go
@@ -66,6 +66,9 @@
 type AnswerInfo struct {
 	// NotRun is set when the upstream reports that it did not run the request.
 	NotRun bool
+	// PromisesNotRun is set when callers take the status for a promise that the request
+	// has not run and never will.
+	PromisesNotRun bool
 	// Misdirected is set when another process than the upstream has its address.
 	Misdirected bool
 	// Signed is set when the answer carries the upstream's signature.
@@ -73,6 +76,10 @@
 	// Encoded is set when the body has a content encoding. Upstreams apply none,
 	// so an intermediary has changed the body.
 	Encoded bool
+	// Leaving is set when the upstream says that it is leaving, and Pause is how long
+	// it asks to be sent nothing.
+	Leaving bool
+	Pause   time.Duration
 	// Load is the upstream's load; nil if the answer doesn't state it.
 	Load *placement.Load
 }
--- a/pkg/standin/enginehttp.go
+++ b/pkg/standin/enginehttp.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 )
@@ -16,6 +17,25 @@
 	IdempotencyKeyHeader = "Idempotency-Key"
 )
 
+// The response headers in which engines and services say that they are leaving, or
+// how long they want no requests.
+const (
+	leavingHeader    = "Wisterialb-Leaving"
+	retryAfterHeader = "Retry-After"
+)
+
+func setLeaving(writer http.ResponseWriter, leaving bool) {
+	if leaving {
+		writer.Header().Set(leavingHeader, "1")
+	}
+}
+
+func setRetryAfter(writer http.ResponseWriter, retryAfter string) {
+	if retryAfter != "" {
+		writer.Header().Set(retryAfterHeader, retryAfter)
+	}
+}
+
 const (
 	streamContentType = "text/event-stream"
 	attemptPathValue  = "attempt"
@@ -24,6 +44,16 @@
 // engineHandler serves the HTTP protocol of an engine.
 type engineHandler struct {
 	engine *Engine
+	// usedConnections has the remote addresses of connections that have carried a
+	// completion request.
+	usedConnections sync.Map
+}
+
+// repeatsRefusal reports whether RepeatRefusals applies to the request. It does only on
+// a connection that was used before.
+func (engineHandler *engineHandler) repeatsRefusal(request *http.Request) bool {
+	_, used := engineHandler.usedConnections.LoadOrStore(request.RemoteAddr, true)
+	return used && engineHandler.engine.faultInjector.takeRepeatedRefusal()
 }
 
 func newEngineHandler(engine *Engine) http.Handler {
@@ -71,10 +101,12 @@
 			admin.ServeHTTP(writer, request)
 			return
 		}
-		if engineHandler.engine.Faults().Hold {
+		faults := engineHandler.engine.Faults()
+		if faults.Hold {
 			<-request.Context().Done()
 			return
 		}
+		setLeaving(writer, faults.Leaving)
 		next.ServeHTTP(writer, request)
 	})
 }
@@ -82,11 +114,17 @@
 // serveCompletion runs a completion and sends its answer, either as a stream or as
 // one response, as the request asks.
 func (engineHandler *engineHandler) serveCompletion(writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set(AttemptHeader, request.Header.Get(AttemptHeader))
 	attempt, stream, err := engineHandler.submit(writer, request)
 	if err != nil {
 		writeFault(writer, err)
 		return
 	}
+	if engineHandler.repeatsRefusal(request) {
+		writer.Header().Del(AttemptHeader)
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if text := engineHandler.engine.Faults().CrashText; text != "" && strings.Contains(attempt.prompt, text) {
 		engineHandler.crash(writer, attempt)
 		return
@@ -111,7 +149,8 @@
 // submit queues an attempt for the request. It returns the attempt and whether the
 // answer is to be streamed.
 func (engineHandler *engineHandler) submit(writer http.ResponseWriter, request *http.Request) (*attempt, bool, error) {
-	if engineHandler.engine.Faults().Refuse {
+	if faults := engineHandler.engine.Faults(); faults.Refuse {
+		setRetryAfter(writer, faults.RetryAfter)
 		return nil, false, fault.New(fault.Config{
 			Kind:    fault.Unavailable,
 			Message: "engine refuses requests",
@@ -224,6 +263,7 @@
 
 func (engineHandler *engineHandler) withAttempt(writer http.ResponseWriter, request *http.Request, serve func(*attempt)) {
 	attemptID := request.PathValue(attemptPathValue)
+	writer.Header().Set(AttemptHeader, attemptID)
 	attempt := engineHandler.engine.find(attemptID)
 	if attempt == nil {
 		writeFault(writer, fault.New(fault.Config{
--- a/pkg/standin/service.go
+++ b/pkg/standin/service.go
@@ -35,6 +35,10 @@
 type ServiceFaults struct {
 	// Refuse responds to every call with status 503, without running it.
 	Refuse bool `json:"refuse"`
+	// RetryAfter is the Retry-After header of these responses; empty means none.
+	RetryAfter string `json:"retry_after,omitempty"`
+	// Leaving states in each response to a call that the service is leaving.
+	Leaving bool `json:"leaving,omitempty"`
 	// Hold accepts calls but neither runs them nor responds.
 	Hold bool `json:"hold"`
 	// DropNext is the number of upcoming orders that run but close the connection
@@ -195,12 +199,15 @@
 
 // serve runs an order or looks up stock.
 func (service *Service) serve(writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set(AttemptHeader, request.Header.Get(AttemptHeader))
 	faults := service.Faults()
 	if faults.Hold {
 		<-request.Context().Done()
 		return
 	}
+	setLeaving(writer, faults.Leaving)
 	if faults.Refuse {
+		setRetryAfter(writer, faults.RetryAfter)
 		writeFault(writer, fault.New(fault.Config{
 			Kind:    fault.Unavailable,
 			Message: "service refuses calls",
@@ -279,7 +286,6 @@
 	if sleep(request.Context(), delay) != nil {
 		return
 	}
-	writer.Header().Set(AttemptHeader, request.Header.Get(AttemptHeader))
 	writeJSON(writer, http.StatusOK, Booking{
 		RunNumber: runNumber,
 		RequestID: request.Header.Get(IdempotencyKeyHeader),
--- a/pkg/upstream/pool_test.go
+++ b/pkg/upstream/pool_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,6 +18,7 @@
 
 	"gitlab.com/wisterialb/wisterialb/pkg/configuration"
 	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
+	"gitlab.com/wisterialb/wisterialb/pkg/notice"
 )
 
 func TestMain(m *testing.M) {
@@ -90,6 +92,8 @@
 		return
 	}
 	require.False(t, member.draining)
+	notice := poolStateMachine.pool.noticeOf(member.address)
+	require.False(t, notice.IsLeaving() || notice.IsPaused(poolStateMachine.clock.now))
 	require.LessOrEqual(t, member.inFlight, member.maxInFlight(poolStateMachine.clock.now))
 	poolStateMachine.running = append(poolStateMachine.running, member)
 }
@@ -119,6 +123,14 @@
 	}
 }
 
+func (poolStateMachine *poolStateMachine) recordNotice(t *rapid.T) {
+	address := rapid.SampledFrom(poolStateMachine.allUpstreams).Draw(t, "upstream").Address
+	poolStateMachine.pool.recordNotice(address, notice.Request{
+		Leaving: rapid.IntRange(0, 9).Draw(t, "leaving") == 0,
+		Pause:   time.Duration(rapid.IntRange(0, 4000).Draw(t, "pause")) * time.Millisecond,
+	})
+}
+
 func (poolStateMachine *poolStateMachine) advanceClock(t *rapid.T) {
 	elapsed := time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
 	poolStateMachine.clock.now = poolStateMachine.clock.now.Add(elapsed)
@@ -127,7 +139,7 @@
 
 // Guards against a missed update of the member set. With any policy and any order of
 // operations, the set is consistent with the members, no attempt exceeds a member's
-// limit, and draining members get no attempts.
+// limit, and draining, leaving and paused members get no attempts.
 func TestPoolKeepsInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		machine := newPoolStateMachine(t)
@@ -136,6 +148,7 @@
 			"put":    machine.release,
 			"drain":  machine.changeConfiguration,
 			"report": machine.observeLoad,
+			"notice": machine.recordNotice,
 			"pass":   machine.advanceClock,
 			"":       func(t *rapid.T) { checkMemberSet(t, machine.pool) },
 		})
@@ -346,6 +359,41 @@
 	require.Greater(t, member.otherRoutersLoad(time.Now()), 1.0)
 }
 
+// Guards against load reports that no upstream can have: the member would get no
+// attempts any more, or any number of them.
+func TestOddLoadReportsAreIgnored(t *testing.T) {
+	for _, odd := range []string{
+		`{"running":9223372036854775807,"waiting":9223372036854775807}`, `{"running":1000000000000}`, `{"waiting":1000000000000}`,
+		`{"running":-5}`, `{"capacity":-1}`, `{"capacity":4611686018427387904}`, `{"running":5,"age_ms":-1000000}`,
+		`{"running":5,"age_ms":9223372036854775807}`, `{"running":1e300}`, `{"running":"5"}`, `[]`, `null`, `?`, strings.Repeat("[", 60_000),
+	} {
+		var polls atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			polls.Add(1)
+			fmt.Fprint(writer, odd)
+		}))
+		upstreams := []configuration.Upstream{{Address: server.Listener.Addr().String()}}
+		pool, err := NewPool(Config{Upstreams: func(string) []configuration.Upstream { return upstreams }})
+		require.NoError(t, err)
+		member := mustAcquire(t, pool, Criteria{})
+		monitor := NewMonitor(MonitorConfig{
+			Pools: func() []*Pool { return []*Pool{pool} }, Logger: log.NewNopLogger(), PollInterval: 10 * time.Millisecond, PollsPerSecond: 1000,
+		})
+		require.Eventually(t, func() bool { return polls.Load() > 3 }, time.Minute, time.Millisecond)
+		pool.mutex.Lock()
+		load, limit, wait := member.load(time.Now()), member.maxInFlight(time.Now()), member.expectedWaitSeconds(time.Now(), 1)
+		minLimit := member.minLimit(pool.config.Limit)
+		pool.mutex.Unlock()
+		monitor.Close()
+		pool.Close()
+		server.Close()
+		require.InDelta(t, 1, load, 0, odd)
+		require.Equal(t, defaultInitialLimit, limit, odd)
+		require.Less(t, wait, 1.0, odd)
+		require.LessOrEqual(t, minLimit, float64(defaultMaxLimit), odd)
+	}
+}
+
 // BenchmarkAcquire measures the choice of a member and the end of the attempt, while
 // a tenth of the allowed attempts is in flight.
 func BenchmarkAcquire(b *testing.B) {
