--- a/pkg/quarantine/exchange_test.go
+++ b/pkg/quarantine/exchange_test.go
@@ -73,3 +73,39 @@
 		require.Empty(t, table.all(), "the copy had a row that was deleted since")
 	})
 }
+
+// TestReportWrittenAroundRestoreIsWrittenAgain guards against a report that counts as
+// stored because its answer came after the rows of the restored table, which don't have
+// it.
+func TestReportWrittenAroundRestoreIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &rowTable{rows: make(map[string]platform.Item)}
+		answers := make(chan struct{})
+		exchange := NewExchange(ExchangeConfig{
+			Router: "self", Now: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
+			Commit: func(ctx context.Context, transaction platform.Transaction) error {
+				<-answers
+				return table.commit(ctx, transaction)
+			},
+		})
+		defer exchange.Close()
+		defer close(answers)
+		exchange.ReadAll(nil)
+		exchange.Register().Crashed("engine", []uint64{1, 2}, true)
+		answers <- struct{}{}
+		time.Sleep(reportInterval)
+		exchange.Register().Crashed("another", []uint64{1, 2}, true)
+		time.Sleep(reportInterval) // the second write waits for its answer
+		first := table.all()
+		exchange.ReadRestored(first)
+		answers <- struct{}{}
+		synctest.Wait()
+		second := table.all()
+		require.NotEqual(t, first, second)
+		require.NoError(t, table.commit(t.Context(), platform.Transaction{Writes: []platform.Write{{Key: first[0].Key, Value: first[0].Value}}}))
+		time.Sleep(2 * reportInterval)
+		answers <- struct{}{}
+		synctest.Wait()
+		require.Equal(t, second, table.all())
+	})
+}
