Tell a common part of prompts from the deadly one by their crashes

Cause: a part is exonerated by its successes only, and routers that have restarted know none. Each crash of the deadly part then counts against the common one as well, and one whose culprit is missing from the reports counts against the common one alone, so that it has more crashes.

Now a crash of which only requests are known that still waited counts half, as the one that caused it had begun, and is missing. A part that another one never comes without is not taken for the cause while that other one is suspected, too, unless the crashes without it are enough. Between parts with the same evidence, the one of fewer requests is taken, as before.

--- a/pkg/quarantine/evaluate.go
+++ b/pkg/quarantine/evaluate.go
@@ -10,7 +10,9 @@
 )
 
 const (
-	// minCrashes is the number of crashes from which a part is taken for the cause.
+	// minCrashes is the number of crashes from which a part is taken for the cause. A
+	// crash of which only suspects that still waited are known counts half: the one that
+	// caused it had begun, and is missing among them.
 	minCrashes = 3
 	// crashGap separates crashes: upstreams that crash closer together have a common
 	// cause, such as a loss of power, which is no evidence against a prompt.
@@ -35,14 +37,58 @@
 
 // crash is the crash of one upstream with its suspects.
 type crash struct {
-	at       time.Duration
+	at time.Duration
+	// begun is set when the upstream had begun to answer the suspects.
+	begun    bool
 	suspects []Suspect
 }
 
+// has reports whether one of the suspects has the part.
+func (crash crash) has(part uint64) bool {
+	return slices.ContainsFunc(crash.suspects, func(suspect Suspect) bool { return slices.Contains(suspect.Parts, part) })
+}
+
+// evidence are the crashes that a part may have caused, by whether the upstream had
+// begun to answer the suspects with the part.
+type evidence struct {
+	begun, waiting []time.Duration
+}
+
+// with returns the evidence with a later crash, unless it is too close to the last one.
+func (evidence evidence) with(crash crash) evidence {
+	isNear := func(times []time.Duration) bool { return len(times) > 0 && crash.at-times[len(times)-1] < crashGap }
+	switch {
+	case isNear(evidence.begun), !crash.begun && isNear(evidence.waiting):
+	case !crash.begun:
+		evidence.waiting = append(evidence.waiting, crash.at)
+	default:
+		if isNear(evidence.waiting) {
+			evidence.waiting = evidence.waiting[:len(evidence.waiting)-1]
+		}
+		evidence.begun = append(evidence.begun, crash.at)
+	}
+	return evidence
+}
+
+// isEnough reports whether the evidence is that of minCrashes crashes.
+func (evidence evidence) isEnough() bool {
+	return 2*len(evidence.begun)+len(evidence.waiting) >= 2*minCrashes
+}
+
+// count returns the number of crashes.
+func (evidence evidence) count() int { return len(evidence.begun) + len(evidence.waiting) }
+
+// times returns the times of the crashes in order.
+func (evidence evidence) times() []time.Duration {
+	times := slices.Concat(evidence.begun, evidence.waiting)
+	slices.Sort(times)
+	return times
+}
+
 // candidate is a part with the crashes that it may have caused.
 type candidate struct {
 	part    uint64
-	crashes []time.Duration
+	crashes evidence
 	// requests counts the suspects that have the part.
 	requests int
 	// companions are the parts that all of them have.
@@ -70,13 +116,14 @@
 // addNextRule adds a rule for the part that explains the most crashes, and reports
 // whether there was one.
 func (register *Register) addNextRule(now time.Duration) bool {
-	candidates := register.candidates(now)
+	crashes := register.settledCrashes(now)
+	candidates := register.candidates(crashes)
 	clear(register.crashCounts)
 	var best *candidate
 	for i := range candidates {
 		candidate := &candidates[i]
-		register.crashCounts[candidate.part] = len(candidate.crashes)
-		if len(candidate.crashes) >= minCrashes && (best == nil || candidate.compare(*best) > 0) {
+		register.crashCounts[candidate.part] = candidate.crashes.count()
+		if candidate.crashes.isEnough() && (best == nil || candidate.compare(*best) > 0) && !register.isExplained(*candidate, candidates, crashes) {
 			best = candidate
 		}
 	}
@@ -84,28 +131,53 @@
 		return false
 	}
 	// A success that leaves too few of the crashes disproves the rule.
-	rule := Rule{Parts: []uint64{best.part}, Since: best.crashes[len(best.crashes)-minCrashes] - soundPeriod}
+	times := best.crashes.times()
+	rule := Rule{Parts: []uint64{best.part}, Since: times[len(times)-minCrashes] - soundPeriod}
 	// Parts that always come together can't be told apart yet: refineRules does it
 	// when one of them comes alone.
 	for _, other := range candidates {
-		if other.part != best.part && len(other.crashes) >= len(best.crashes) && slices.Contains(best.companions, other.part) {
+		if other.part != best.part && other.crashes.count() >= best.crashes.count() && slices.Contains(best.companions, other.part) {
 			rule.Parts = append(rule.Parts, other.part)
 		}
 	}
 	return register.addRule(rule, now)
 }
 
+// isExplained reports whether another part may have caused crashes of the candidate,
+// one that never comes without it, and the crashes without that one aren't enough.
+func (register *Register) isExplained(suspected candidate, candidates []candidate, crashes []crash) bool {
+	for _, other := range candidates {
+		isNarrower := slices.Contains(other.companions, suspected.part) && !slices.Contains(suspected.companions, other.part)
+		if !isNarrower || len(other.crashes.begun) < minCrashes-1 {
+			continue
+		}
+		var rest evidence
+		for _, crash := range crashes {
+			if crash.has(suspected.part) && !crash.has(other.part) && !exonerates(register.lastSuccess(suspected.part), crash.at) {
+				rest = rest.with(crash)
+			}
+		}
+		if !rest.isEnough() {
+			return true
+		}
+	}
+	return false
+}
+
 // compare orders candidates: more crashes first, then fewer requests, as the first
 // request with a deadly part ends its upstream.
 func (candidate candidate) compare(other candidate) int {
-	return cmp.Or(cmp.Compare(len(candidate.crashes), len(other.crashes)), cmp.Compare(other.requests, candidate.requests))
+	return cmp.Or(
+		cmp.Compare(len(candidate.crashes.begun), len(other.crashes.begun)),
+		cmp.Compare(len(candidate.crashes.waiting), len(other.crashes.waiting)),
+		cmp.Compare(other.requests, candidate.requests),
+	)
 }
 
-// candidates returns the parts that may have caused crashes which no rule
-// explains.
-func (register *Register) candidates(now time.Duration) []candidate {
+// candidates returns the parts that may have caused the crashes.
+func (register *Register) candidates(crashes []crash) []candidate {
 	byPart := make(map[uint64]*candidate)
-	for _, crash := range register.settledCrashes(now) {
+	for _, crash := range crashes {
 		for _, suspect := range crash.suspects {
 			for _, part := range suspect.Parts {
 				if exonerates(register.lastSuccess(part), crash.at) {
@@ -118,7 +190,7 @@
 				}
 				found.requests++
 				found.companions = intersect(found.companions, suspect.Parts)
-				found.crashes = appendCrash(found.crashes, crash.at)
+				found.crashes = found.crashes.with(crash)
 			}
 		}
 	}
@@ -175,6 +247,7 @@
 			continue
 		}
 		if slices.ContainsFunc(found.suspects, func(suspect Suspect) bool { return suspect.Begun }) {
+			found.begun = true
 			found.suspects = slices.DeleteFunc(found.suspects, func(suspect Suspect) bool { return !suspect.Begun })
 		}
 		crashes = append(crashes, *found)
--- a/pkg/quarantine/register_test.go
+++ b/pkg/quarantine/register_test.go
@@ -117,6 +117,36 @@
 	require.False(t, clock.Blocks([]uint64{common, 10, 1002}))
 }
 
+// TestCulpritIsFoundAfterRestarts guards against the opposite of the test above, a
+// deadly part that is taken for innocent because a common one was in more crashes.
+func TestCulpritIsFoundAfterRestarts(t *testing.T) {
+	const common, deadly = 7, 8
+	clock := newManualClock()
+	clock.now = time.Minute
+	for number := range minCrashes {
+		clock.Crashed(fmt.Sprintf("engine/of a culprit that nobody reported/%d", number), []uint64{common, 9, 1001}, false)
+		clock.crash(1, common, deadly, 1000)
+	}
+	require.True(t, clock.Blocks([]uint64{common, deadly, 1002}))
+	require.False(t, clock.Blocks([]uint64{common, 10, 1002}))
+}
+
+// TestCrashesAtOnceCountOnce guards against a part that is blocked because many engines
+// lost their power at the same moments, while requests with it had begun at some and
+// waited at others.
+func TestCrashesAtOnceCountOnce(t *testing.T) {
+	clock := newManualClock()
+	clock.now = time.Minute
+	for moment := range minCrashes - 1 {
+		for engine := range 6 {
+			clock.now += crashGap / 10
+			clock.Crashed(fmt.Sprintf("engine/%d/%d", moment, engine), []uint64{7, 1000}, engine%2 == 0)
+		}
+		clock.now += time.Second
+	}
+	require.False(t, clock.Blocks([]uint64{7, 1001}))
+}
+
 // TestReportFitsInARow guards against reports that the store refuses for their size,
 // so that a router that sees crashes under long prompts tells nobody.
 func TestReportFitsInARow(t *testing.T) {
