Leave a part out of a rule only after two crashes without it

Callers: all prompts that share a part with a deadly one were refused for ten minutes after one engine had crashed by itself under a single request.

Cause: a rule for parts that always came together was narrowed to those of any later crash with one suspect. If that engine crashed for another reason, or the culprit was missing from the reports, what was left was the common part.

Now a part is left out when two crashes apart had none of it. Successes leave it out as before.

Evidence: TestOneCrashDoesNotWidenRule failed before. A deadly part that comes without its companion costs one engine more until it is known.

--- a/pkg/quarantine/evaluate.go
+++ b/pkg/quarantine/evaluate.go
@@ -317,18 +317,28 @@
 	}
 }
 
-// necessaryParts returns the parts of the rule that can't be left out.
+// necessaryParts returns the parts of the rule that can't be left out. One crash
+// without a part is not enough to leave it out, as its cause may be unknown.
 func (register *Register) necessaryParts(rule Rule, crashes []crash) []uint64 {
 	parts := slices.DeleteFunc(slices.Clone(rule.Parts), func(part uint64) bool { return register.lastSuccess(part) > rule.Since })
+	without := make(map[uint64]evidence)
 	for _, crash := range crashes {
-		if crash.at <= rule.Since || len(crash.suspects) != 1 || !crash.suspects[0].Begun {
+		if crash.at <= rule.Since || len(crash.suspects) != 1 || !crash.begun {
 			continue
 		}
 		if common := intersect(parts, crash.suspects[0].Parts); len(common) > 0 {
-			parts = common
+			for _, part := range parts {
+				if !slices.Contains(common, part) {
+					without[part] = without[part].with(crash)
+				}
+			}
 		}
 	}
-	return parts
+	necessary := slices.DeleteFunc(slices.Clone(parts), func(part uint64) bool { return without[part].count() >= minCrashes-1 })
+	if len(necessary) == 0 {
+		return parts
+	}
+	return necessary
 }
 
 func intersect(a, b []uint64) []uint64 {
--- a/pkg/quarantine/register_test.go
+++ b/pkg/quarantine/register_test.go
@@ -147,6 +147,31 @@
 	require.False(t, clock.Blocks([]uint64{7, 1001}))
 }
 
+// TestOneCrashDoesNotWidenRule guards against a rule for a deadly part and a common one
+// that blocks all prompts with the common one, after one engine has crashed by itself.
+func TestOneCrashDoesNotWidenRule(t *testing.T) {
+	const common, deadly = 7, 8
+	clock := newManualClock()
+	clock.now = time.Minute
+	clock.crash(minCrashes, common, deadly, 1000)
+	require.True(t, clock.Blocks([]uint64{common, deadly, 1001}))
+	clock.crash(1, common, 9, 1002)
+	require.False(t, clock.Blocks([]uint64{common, 10, 1003}))
+	require.True(t, clock.Blocks([]uint64{common, deadly, 1004}))
+}
+
+// TestSeriesOfCrashesWidensRule guards against a deadly part that crashes engines for
+// good in prompts without the other part of its rule.
+func TestSeriesOfCrashesWidensRule(t *testing.T) {
+	const other, deadly = 7, 8
+	clock := newManualClock()
+	clock.now = time.Minute
+	clock.crash(minCrashes, other, deadly, 1000)
+	clock.Blocks([]uint64{1})
+	clock.crash(minCrashes-1, 9, deadly, 1001)
+	require.True(t, clock.Blocks([]uint64{10, deadly, 1002}))
+}
+
 // TestReportFitsInARow guards against reports that the store refuses for their size,
 // so that a router that sees crashes under long prompts tells nobody.
 func TestReportFitsInARow(t *testing.T) {
