Quarantine no part that nearly all prompts have

Callers: all requests to engines were refused for ten minutes when engines crashed by themselves at a time when no success was known, as after the restart of all routers. No request could succeed then and disprove it.

Cause: the crashes of engines tell nothing about a part that all prompts have, and nobody looked how many have it. A router that started took the rule over from the others.

Now a router remembers the last 64 prompts, each once, and has no rule that nine of ten of at least 16 match. A rule that turns out to do so is dropped, and the crashes are evaluated again.

Evidence: TestPartOfMostPromptsIsNotBlocked and TestReportedRuleForMostPromptsIsDropped failed before.

--- a/pkg/quarantine/evaluate.go
+++ b/pkg/quarantine/evaluate.go
@@ -120,27 +120,33 @@
 	candidates := register.candidates(crashes)
 	clear(register.crashCounts)
 	var best *candidate
+	var bestRule Rule
 	for i := range candidates {
 		candidate := &candidates[i]
 		register.crashCounts[candidate.part] = candidate.crashes.count()
-		if candidate.crashes.isEnough() && (best == nil || candidate.compare(*best) > 0) && !register.isExplained(*candidate, candidates, crashes) {
-			best = candidate
+		if !candidate.crashes.isEnough() || (best != nil && candidate.compare(*best) <= 0) || register.isExplained(*candidate, candidates, crashes) {
+			continue
+		}
+		if rule := candidate.rule(candidates); !register.blocksMost(rule) {
+			best, bestRule = candidate, rule
 		}
 	}
-	if best == nil {
-		return false
-	}
+	return best != nil && register.addRule(bestRule, now)
+}
+
+// rule returns the rule for a part that is taken for the cause.
+func (candidate candidate) rule(candidates []candidate) Rule {
 	// A success that leaves too few of the crashes disproves the rule.
-	times := best.crashes.times()
-	rule := Rule{Parts: []uint64{best.part}, Since: times[len(times)-minCrashes] - soundPeriod}
+	times := candidate.crashes.times()
+	rule := Rule{Parts: []uint64{candidate.part}, Since: times[len(times)-minCrashes] - soundPeriod}
 	// Parts that always come together can't be told apart yet: refineRules does it
 	// when one of them comes alone.
 	for _, other := range candidates {
-		if other.part != best.part && other.crashes.count() >= best.crashes.count() && slices.Contains(best.companions, other.part) {
+		if other.part != candidate.part && other.crashes.count() >= candidate.crashes.count() && slices.Contains(candidate.companions, other.part) {
 			rule.Parts = append(rule.Parts, other.part)
 		}
 	}
-	return register.addRule(rule, now)
+	return rule
 }
 
 // isExplained reports whether another part may have caused crashes of the candidate,
@@ -279,7 +285,7 @@
 // covers, and reports whether it was added.
 func (register *Register) addRule(rule Rule, now time.Duration) bool {
 	isUsable := len(rule.Parts) > 0 && len(rule.Parts) <= maxReportedParts && !rule.isOld(now)
-	if !isUsable || register.disproved(rule) || register.matchingRule(rule.Parts) != nil {
+	if !isUsable || register.disproved(rule) || register.blocksMost(rule) || register.matchingRule(rule.Parts) != nil {
 		return false
 	}
 	slices.Sort(rule.Parts)
--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -59,6 +59,11 @@
 	restarts int
 	// clockError is by how much the clocks of routers differ at most.
 	clockError time.Duration
+	// sameStart is set when all prompts begin with the same part.
+	sameStart bool
+	// unreported is the share of deadly requests whose router doesn't report them as
+	// suspects of the crash that they cause.
+	unreported float64
 }
 
 // engineState is a simulated engine and the requests that it runs.
@@ -187,6 +192,9 @@
 func (simulation *simulation) sendRequest() {
 	random, scenario := simulation.random, simulation.scenario
 	parts := []uint64{partID(commonPart + random.Uint64N(commonParts)), partID(subjectPart + random.Uint64N(subjectParts)), random.Uint64()}
+	if scenario.sameStart {
+		parts[0] = firstPart
+	}
 	deadly := simulation.now >= scenario.deadlyFrom && random.Float64() < scenario.deadlyShare
 	switch {
 	case deadly:
@@ -263,10 +271,14 @@
 		if simulation.now-request.beginsAt > 100*time.Millisecond {
 			continue // has made progress
 		}
+		isDeadly := slices.Contains(request.parts, deadlyPart)
+		if isDeadly && simulation.scenario.unreported > 0 && simulation.random.Float64() < simulation.scenario.unreported {
+			continue
+		}
 		register := simulation.registers[request.router]
 		register.Crashed(process, request.parts, request.beginsAt <= simulation.now)
 		if register.MayRetry(request.parts) {
-			simulation.send(request.router, request.parts, slices.Contains(request.parts, deadlyPart))
+			simulation.send(request.router, request.parts, isDeadly)
 		}
 	}
 }
@@ -357,6 +369,32 @@
 	}
 }
 
+// TestSoundPromptsAreServedAfterRestarts guards against sound requests that are
+// refused because routers that have restarted know no success, and what some of them
+// had seen is lost: then the part that all prompts begin with looks like the cause.
+func TestSoundPromptsAreServedAfterRestarts(t *testing.T) {
+	t.Parallel()
+	const seeds = 60
+	for name, scenario := range map[string]scenario{
+		"restarts":            {routers: 3, engines: 2, requestsPerSecond: 10, deadlyShare: 0.4, sameStart: true, sameNames: true, restarts: 12, ownCrashes: 4},
+		"unreported culprits": {routers: 3, engines: 2, requestsPerSecond: 10, deadlyShare: 0.2, sameStart: true, sameNames: true, restarts: 6, unreported: 0.1},
+		"more of them":        {routers: 3, engines: 2, requestsPerSecond: 10, deadlyShare: 0.2, sameStart: true, sameNames: true, restarts: 6, unreported: 0.3},
+		"larger fleet":        {routers: 9, engines: 9, requestsPerSecond: 25, deadlyShare: 0.1, sameStart: true, travels: true, restarts: 25, ownCrashes: 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			refused, sound := 0, 0
+			for seed := range uint64(seeds) {
+				simulation := runFleet(seed, scenario)
+				refused += simulation.refusedSound
+				sound += simulation.sound
+			}
+			t.Logf("%d of %d sound requests were refused", refused, sound)
+			require.LessOrEqual(t, refused, sound/100)
+		})
+	}
+}
+
 // TestCrashesOfEnginesBlockNothing guards against sound requests that are refused
 // because their engines crashed by themselves.
 func TestCrashesOfEnginesBlockNothing(t *testing.T) {
--- a/pkg/quarantine/register.go
+++ b/pkg/quarantine/register.go
@@ -38,6 +38,13 @@
 	ruleLifetime = 10 * time.Minute
 	// refusalRetryAfter is the Retry-After value of a request that Check refuses.
 	refusalRetryAfter = 30 * time.Second
+	// maxPrompts limits the last prompts that are remembered, and minPrompts is the
+	// number from which they tell what most prompts have.
+	maxPrompts = 64
+	minPrompts = 16
+	// maxBlockedShare is the share of all prompts that no rule may reach. What they all
+	// have can't be told apart from other causes, and blocking it would refuse everything.
+	maxBlockedShare = 0.9
 	// MaxSuspectEvents is the number of events up to which an answer that broke off
 	// counts as just begun. With more, its prompt isn't the cause of a crash.
 	MaxSuspectEvents = 1
@@ -79,6 +86,13 @@
 	OnChange func()
 }
 
+// prompt has the parts of one request's prompt.
+type prompt struct {
+	// own is the part that no other request has, and shared are the others.
+	own    uint64
+	shared []uint64
+}
+
 // Register is one router's knowledge of crashes. It is safe for concurrent use.
 type Register struct {
 	config Config
@@ -86,6 +100,10 @@
 	mutex sync.Mutex
 	// successes are the times of the last successes at this router, by part.
 	successes *lru.Cache[uint64, time.Duration]
+	// prompts are the last ones that Blocks was asked for; the next one replaces that at
+	// nextPrompt.
+	prompts    []prompt
+	nextPrompt int
 	// suspects are those of this router.
 	suspects []Suspect
 	rules    []Rule
@@ -159,8 +177,52 @@
 func (register *Register) Blocks(parts []uint64) bool {
 	register.mutex.Lock()
 	defer register.mutex.Unlock()
+	shared := sharedParts(parts)
+	register.rememberPrompt(parts)
 	register.evaluateIfDue()
-	return register.matchingRule(sharedParts(parts)) != nil
+	rule := register.matchingRule(shared)
+	if rule != nil && register.blocksMost(*rule) {
+		register.dropRule(*rule)
+		rule = register.matchingRule(shared)
+	}
+	return rule != nil
+}
+
+// rememberPrompt adds to the last prompts. A request that is tried again counts once.
+func (register *Register) rememberPrompt(parts []uint64) {
+	if len(parts) == 0 {
+		return
+	}
+	shared := sharedParts(parts)
+	next := prompt{own: parts[len(parts)-1], shared: slices.Clone(shared[:min(len(shared), maxSuspectParts)])}
+	if slices.ContainsFunc(register.prompts, func(other prompt) bool { return other.own == next.own }) {
+		return
+	}
+	if len(register.prompts) < maxPrompts {
+		register.prompts = append(register.prompts, next)
+		return
+	}
+	register.prompts[register.nextPrompt] = next
+	register.nextPrompt = (register.nextPrompt + 1) % maxPrompts
+}
+
+// blocksMost reports whether most of the last prompts match the rule.
+func (register *Register) blocksMost(rule Rule) bool {
+	count := 0
+	for _, prompt := range register.prompts {
+		if rule.matches(prompt.shared) {
+			count++
+		}
+	}
+	return len(register.prompts) >= minPrompts && float64(count) >= maxBlockedShare*float64(len(register.prompts))
+}
+
+// dropRule removes a rule that would block most prompts. The crashes that it explained
+// are evaluated again.
+func (register *Register) dropRule(rule Rule) {
+	register.rules = slices.DeleteFunc(register.rules, func(other Rule) bool { return slices.Equal(other.Parts, rule.Parts) })
+	_ = register.config.Logger.Log("event", "part_released", "parts", Names(rule.Parts), "reason", "most prompts have it")
+	register.scheduleEvaluation(register.config.Now() - settleTime)
 }
 
 // Check returns an error of kind Unavailable if Blocks returns true.
--- a/pkg/quarantine/register_test.go
+++ b/pkg/quarantine/register_test.go
@@ -172,6 +172,40 @@
 	require.True(t, clock.Blocks([]uint64{10, deadly, 1002}))
 }
 
+// TestPartOfMostPromptsIsNotBlocked guards against all requests being refused for
+// minutes, because engines crashed by themselves while no success was known.
+func TestPartOfMostPromptsIsNotBlocked(t *testing.T) {
+	const common, deadly = 7, 8
+	clock := newManualClock()
+	clock.now = time.Minute
+	for number := range uint64(minPrompts) {
+		clock.Blocks([]uint64{common, 100 + number, 1000 + number})
+		clock.Blocks([]uint64{deadly, 2000}) // one request that is tried again and again
+	}
+	for number := range uint64(minCrashes) {
+		clock.crash(1, common, 200+number, 3000+number)
+	}
+	require.False(t, clock.Blocks([]uint64{common, 300, 4000}))
+	clock.Merge(map[string]Report{"another": {Rules: []Rule{{Parts: []uint64{common}, Since: clock.now}}}})
+	require.False(t, clock.Blocks([]uint64{common, 301, 4001}))
+	clock.crash(minCrashes, common, deadly, 5000)
+	require.True(t, clock.Blocks([]uint64{common, deadly, 4002}))
+	require.False(t, clock.Blocks([]uint64{common, 302, 4003}))
+}
+
+// TestReportedRuleForMostPromptsIsDropped guards against a router that starts, reads
+// the rule of another for a part of all prompts, and refuses them all.
+func TestReportedRuleForMostPromptsIsDropped(t *testing.T) {
+	const common = 7
+	clock := newManualClock()
+	clock.now = time.Minute
+	clock.Merge(map[string]Report{"another": {Rules: []Rule{{Parts: []uint64{common}, Since: clock.now}}}})
+	for number := range uint64(minPrompts) - 1 {
+		require.True(t, clock.Blocks([]uint64{common, 100 + number, 1000 + number}))
+	}
+	require.False(t, clock.Blocks([]uint64{common, 300, 4000}))
+}
+
 // TestReportFitsInARow guards against reports that the store refuses for their size,
 // so that a router that sees crashes under long prompts tells nobody.
 func TestReportFitsInARow(t *testing.T) {
