Forget reports of crashes with times out of range

Routers: a report of another writer with times near the lower bound of 64 bits was kept for good, as the difference to the present overflowed.

Cause: ages were computed before they were compared. Now times are compared with the oldest one that counts, and what is too old is left out when a report is merged.

Evidence: TestOddReportsBlockNothing, 17 reports, failed on one of them before; none of them blocked a prompt or ended the router, before or after.

--- a/pkg/quarantine/register.go
+++ b/pkg/quarantine/register.go
@@ -62,6 +62,9 @@
 	Parts []uint64 `json:"parts"`
 }
 
+// isOld compares so that no time of another writer can overflow.
+func (suspect Suspect) isOld(now time.Duration) bool { return suspect.At < now-evidenceLifetime }
+
 // Rule says that requests with all of the parts crash engines.
 type Rule struct {
 	Parts []uint64 `json:"parts"`
@@ -70,7 +73,7 @@
 	Since time.Duration `json:"since"`
 }
 
-func (rule Rule) isOld(now time.Duration) bool { return now-rule.Since > ruleLifetime }
+func (rule Rule) isOld(now time.Duration) bool { return rule.Since < now-ruleLifetime }
 
 func (rule Rule) matches(parts []uint64) bool {
 	return !slices.ContainsFunc(rule.Parts, func(part uint64) bool { return !slices.Contains(parts, part) })
--- a/pkg/quarantine/register_test.go
+++ b/pkg/quarantine/register_test.go
@@ -1,13 +1,17 @@
 package quarantine
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
 // maxRowBytes is the size that the users' store allows for a row.
@@ -300,3 +304,29 @@
 	require.True(t, clock.Blocks([]uint64{7, 1001}), "crashes without a success")
 	require.False(t, clock.Blocks([]uint64{9, 1001}))
 }
+
+// TestOddReportsBlockNothing guards against reports of another writer that block sound
+// prompts, are kept for good, or end the router.
+func TestOddReportsBlockNothing(t *testing.T) {
+	for _, odd := range []string{
+		"", "?", "null", "[]", strings.Repeat("[", 20_000), `{"suspects":7}`, `{"suspects":[null]}`, `{"rules":[{}]}`, `{"rules":[null]}`,
+		`{"rules":[{"parts":[7],"since":1e300}]}`, `{"rules":[{"parts":[-7],"since":0}]}`,
+		`{"rules":[{"parts":[7],"since":9223372036854775807}]}`, `{"rules":[{"parts":[7],"since":-9223372036854775808}]}`,
+		`{"successes":{"7":-9223372036854775808}}`, `{"successes":{"seven":1}}`,
+		`{"suspects":[{"upstream":"a","at":-9223372036854775808,"begun":true,"parts":[7]},` +
+			`{"upstream":"b","at":-9223372036000000000,"begun":true,"parts":[7]},{"upstream":"c","at":-9223372035000000000,"begun":true,"parts":[7]}]}`,
+		`{"suspects":[{"upstream":"a","at":9223372036854775807,"begun":true,"parts":[7]}]}`,
+	} {
+		clock := newManualClock()
+		clock.now = time.Hour
+		exchange := NewExchange(ExchangeConfig{Router: "self", Now: func() time.Duration { return clock.now }, Commit: func(context.Context, platform.Transaction) error { return nil }})
+		exchange.ReadAll([]platform.Item{{Key: platform.Key{Sort: "another"}, Value: []byte(odd), Version: 1}})
+		exchange.Close()
+		clock.now += time.Second
+		require.False(t, exchange.Register().Blocks([]uint64{7, 1000}), odd)
+		exchange.Register().Report()
+		exchange.Register().mutex.Lock()
+		require.Empty(t, exchange.Register().reports, odd)
+		exchange.Register().mutex.Unlock()
+	}
+}
--- a/pkg/quarantine/report.go
+++ b/pkg/quarantine/report.go
@@ -95,7 +95,7 @@
 	register.mutex.Lock()
 	now := register.config.Now()
 	for router, report := range reports {
-		report = report.until(now + maxClockError)
+		report = report.at(now)
 		register.reports[router] = report
 		for _, rule := range report.Rules {
 			register.addRule(rule, now)
@@ -109,21 +109,22 @@
 	}
 }
 
-// until returns a copy without what is reported for a later time.
-func (report Report) until(end time.Duration) Report {
+// at returns a copy without what is reported for a later time, or is too old to count.
+func (report Report) at(now time.Duration) Report {
+	latest := now + maxClockError
 	suspects := slices.Clone(report.Suspects[max(len(report.Suspects)-maxSuspects, 0):])
 	successes := maps.Clone(report.Successes)
-	maps.DeleteFunc(successes, func(_ uint64, at time.Duration) bool { return at > end })
+	maps.DeleteFunc(successes, func(_ uint64, at time.Duration) bool { return at > latest || isOldSuccess(at, now) })
 	return Report{
-		Suspects:  slices.DeleteFunc(suspects, func(suspect Suspect) bool { return suspect.At > end }),
+		Suspects:  slices.DeleteFunc(suspects, func(suspect Suspect) bool { return suspect.At > latest || suspect.isOld(now) }),
 		Successes: successes,
-		Rules:     slices.DeleteFunc(slices.Clone(report.Rules), func(rule Rule) bool { return rule.Since > end }),
+		Rules:     slices.DeleteFunc(slices.Clone(report.Rules), func(rule Rule) bool { return rule.Since > latest || rule.isOld(now) }),
 	}
 }
 
 // forget removes what is too old.
 func (register *Register) forget(now time.Duration) {
-	isOld := func(suspect Suspect) bool { return now-suspect.At > evidenceLifetime }
+	isOld := func(suspect Suspect) bool { return suspect.isOld(now) }
 	register.suspects = slices.DeleteFunc(register.suspects, isOld)
 	for router, report := range register.reports {
 		report.Suspects = slices.DeleteFunc(report.Suspects, isOld)
@@ -147,13 +148,13 @@
 			return false
 		}
 	}
-	return !slices.ContainsFunc(report.Suspects, func(suspect Suspect) bool { return now-suspect.At <= evidenceLifetime }) &&
+	return !slices.ContainsFunc(report.Suspects, func(suspect Suspect) bool { return !suspect.isOld(now) }) &&
 		!slices.ContainsFunc(report.Rules, func(rule Rule) bool { return !rule.isOld(now) })
 }
 
 // isOldSuccess reports whether a success is too old to exonerate a part of a crash
 // that still counts.
-func isOldSuccess(at, now time.Duration) bool { return now-at > evidenceLifetime+soundPeriod }
+func isOldSuccess(at, now time.Duration) bool { return at < now-evidenceLifetime-soundPeriod }
 
 // allSuspects returns the suspects of all routers.
 func (register *Register) allSuspects() []Suspect {
