Test that the connection of an early answer is not reused

An upstream may answer before it has read a long body, also behind interim answers. The connection with the unsent rest of that body must not carry the next request, and the early refusal counts, as it names the attempt. This has held before; the test shows it.

--- a/pkg/exchange/stale_test.go
+++ b/pkg/exchange/stale_test.go
@@ -204,3 +204,44 @@
 	require.True(t, ErrorOf(err).MayHaveStarted)
 	require.ErrorIs(t, err, errNotFinal)
 }
+
+// Guards against sending the next request behind the unsent rest of one that was
+// answered before its body had been read.
+func TestConnectionOfEarlyAnswerIsNotReused(t *testing.T) {
+	const longBodyBytes = 16 << 20 // more than the sockets buffer
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	requests := make(chan string, 2)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				attemptID := request.Header.Get(echoHeader)
+				_, _ = io.WriteString(conn, "HTTP/1.1 103 Early Hints\r\n\r\n"+rawAnswer(http.StatusServiceUnavailable, attemptID, ""))
+				requests <- attemptID
+				<-t.Context().Done() // and doesn't read the rest of the body
+			}()
+		}
+	}()
+	client := NewClient(ClientConfig{Address: listener.Addr().String(), FirstPartTimeout: patientTimeout, GapTimeout: patientTimeout})
+	defer client.Close()
+	for _, attemptID := range []string{"long", "next"} {
+		request := passedThrough(attemptID)
+		if attemptID == "long" {
+			request.Body = make([]byte, longBodyBytes)
+		}
+		answer, _, err := exchangeAll(t, client, request)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, answer.Status, "the status behind interim answers")
+		require.Equal(t, attemptID, <-requests, "the server reads one request of each connection")
+	}
+}
