Log which booking was answered with a stored result

The line names the request, the incarnation that ran it and the lines of its bill, so that a bill that is missing can be told from one whose holders all died: the first has such a line behind the death of the owner.

--- a/pkg/router/storedresult.go
+++ b/pkg/router/storedresult.go
@@ -23,7 +23,9 @@
 	}
 	if err == nil && decision.State == claim.Finished {
 		sink.result = decision.Result
-		return router.billStoredResult(ctx, admitted, reservation, request, decision.Result)
+		lines := router.decodeBill(request, decision.Result)
+		router.info("event", "stored_result", "request_id", admitted.id, "owner", decision.Owner, "bill_lines", len(lines))
+		return router.billStoredResult(ctx, admitted, reservation, lines)
 	}
 	router.releaseReservation(reservation)
 	switch {
@@ -38,10 +40,7 @@
 
 // billStoredResult settles the bill that is stored with a result. A bill that the
 // router of the run has settled charges nothing more, as both name the same attempt.
-func (router *Router) billStoredResult(
-	ctx context.Context, admitted admittedRequest, reservation budget.Reservation, request claim.Request, result claim.Result,
-) error {
-	lines := router.decodeBill(request, result)
+func (router *Router) billStoredResult(ctx context.Context, admitted admittedRequest, reservation budget.Reservation, lines []budget.Line) error {
 	if len(lines) == 0 {
 		router.releaseReservation(reservation)
 		return nil
