Use a new connection if a kept one is discarded before its next request

TestRepeatedRefusalIsNotTakenForTheNextRequest failed in 2 of 12 runs with the race detector beside three busy processes: the transport assigned the connection that had just been discarded to the next request, which failed as closed, and counted as sent, since the write to the closed connection had been recorded.

--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -68,9 +68,6 @@
 	eventRead bool
 	// reused is set if the connection has carried another request before.
 	reused bool
-	// repeated is set if the connection was sealed because its last request was the
-	// same attempt.
-	repeated bool
 	// bodyless is set once an answer without a body was accepted. The transport may
 	// have reused its connection since.
 	bodyless bool
@@ -92,18 +89,17 @@
 	if !ok {
 		return
 	}
-	begun := assignedConnection.beginRequest(answer.options.attemptID)
+	assignedConnection.beginRequest(answer.options.attemptID)
 	answer.mutex.Lock()
 	defer answer.mutex.Unlock()
-	answer.connection, answer.reused, answer.repeated = assignedConnection, info.Reused, !begun
+	answer.connection, answer.reused = assignedConnection, info.Reused
 }
 
-// wasRepeated reports whether the request was not sent because the connection had
-// just carried the same attempt.
-func (answer *Answer) wasRepeated() bool {
+// wasReused reports whether the request was assigned a kept connection.
+func (answer *Answer) wasReused() bool {
 	answer.mutex.Lock()
 	defer answer.mutex.Unlock()
-	return answer.repeated
+	return answer.reused
 }
 
 // readHead takes status, headers and body reader from the response.
--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -290,10 +290,12 @@
 	echoHeader string
 }
 
-// open sends the request and waits for status and headers of the answer.
+// open sends the request and waits for status and headers of the answer. If a kept
+// connection turns out to be unusable before any of the request was written to it, the
+// request is sent over a new one.
 func (client *Client) open(ctx context.Context, httpRequest *http.Request, options answerOptions) (*Answer, error) {
 	answer, err := client.roundTrip(ctx, httpRequest, options)
-	if err != nil && answer.wasRepeated() && ctx.Err() == nil {
+	if err != nil && answer.wasReused() && isUnsent(err) {
 		options.newConnection = true
 		answer, err = client.roundTrip(ctx, httpRequest, options)
 	}
@@ -303,6 +305,13 @@
 	return answer, nil
 }
 
+// isUnsent reports whether the connection failed before any of the request was written
+// to it.
+func isUnsent(err error) bool {
+	failure := ErrorOf(err)
+	return !failure.MayHaveStarted && failure.Reason != ReasonStalled && failure.Reason != ReasonCancelled
+}
+
 // roundTrip sends the request once. The answer is not nil, and closed if there is an
 // error.
 func (client *Client) roundTrip(ctx context.Context, httpRequest *http.Request, options answerOptions) (*Answer, error) {
--- a/pkg/exchange/connection.go
+++ b/pkg/exchange/connection.go
@@ -19,21 +19,20 @@
 	written, answered bool
 	// unsolicited is set once data arrived before the request that it would answer.
 	unsolicited bool
-	// sealed is set by seal; the connection then rejects writes.
+	// sealed is set by seal and discard; the connection then rejects writes.
 	sealed bool
 }
 
-// beginRequest resets the records for a new request. It reports false, and seals the
-// connection, if the request before was the same attempt, whose late or repeated
-// answer could not be told from that of the new request.
-func (connection *connection) beginRequest(attemptID string) bool {
+// beginRequest resets the records for a new request. It seals the connection if the
+// request before was the same attempt, whose late or repeated answer could not be told
+// from that of the new request.
+func (connection *connection) beginRequest(attemptID string) {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
 	repeated := connection.used && connection.attemptID == attemptID
 	connection.attemptID, connection.used = attemptID, true
 	connection.written, connection.answered = false, false
 	connection.sealed = connection.sealed || repeated
-	return !repeated
 }
 
 // seal makes the connection reject further writes and reports whether data was
@@ -101,6 +100,7 @@
 // discard closes the connection and discards the data that the kernel has not sent,
 // so that an abandoned request on a stalled connection is not delivered later.
 func (connection *connection) discard() {
+	connection.seal() // the transport may assign it to a request before it notices
 	if tcp, ok := connection.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
