--- a/pkg/dispatch/notice_test.go
+++ b/pkg/dispatch/notice_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"gitlab.com/wisterialb/wisterialb/pkg/exchange"
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 	"gitlab.com/wisterialb/wisterialb/pkg/standin"
 )
@@ -78,3 +80,65 @@
 	require.Equal(t, fault.Unavailable, fault.KindOf(err))
 	require.Empty(t, service.Runs().Runs)
 }
+
+// pauseEngine makes the router hear that the engine wants nothing for the time.
+func pauseEngine(t *testing.T, dispatcher *UpstreamDispatcher, engine *standin.Engine, pause string) {
+	t.Helper()
+	require.NoError(t, engine.SetFaults(standin.EngineFaults{Refuse: true, RetryAfter: pause}))
+	work := modelWork("refused")
+	work.Deadline = time.Now().Add(300 * time.Millisecond)
+	_, err := dispatcher.Dispatch(t.Context(), work, &recordingSink{})
+	require.Equal(t, fault.Unavailable, fault.KindOf(err))
+	require.NoError(t, engine.SetFaults(standin.EngineFaults{}))
+}
+
+// Guards against a stream that is resumed at an engine during its pause, and against one
+// that is lost for the pause: it waits, or the caller may resume it later.
+func TestResumeWaitsForThePause(t *testing.T) {
+	engine := startEngine(t, standin.EngineConfig{TokenInterval: 5 * time.Millisecond})
+	dispatcher := startDispatcher(t, Config{}, upstreamAt(engine.Address()))
+	member := dispatcher.serviceFor("advice").pool.AcquireAddress(engine.Address())
+	answer, err := member.Client().Send(t.Context(), exchange.Request{
+		AttemptID: newAttemptID(modelWork("one")), Method: http.MethodPost, Path: "/v1/chat/completions", Body: modelWork("one").Body, ModelEngine: true,
+	})
+	require.NoError(t, err)
+	answer.Close()
+	work := modelWork("one")
+	work.Resume = ResumeToken{UpstreamAddress: engine.Address(), AttemptID: engine.Runs()[0].AttemptID}
+	pauseEngine(t, dispatcher, engine, "1.5")
+	pausedAt := time.Now()
+	work.Deadline = pausedAt.Add(500 * time.Millisecond)
+	result, err := dispatcher.Dispatch(t.Context(), work, &recordingSink{})
+	require.Equal(t, fault.Unavailable, fault.KindOf(err), "the pause ends after the deadline")
+	require.Equal(t, fault.OutcomeUnknown, result.Outcome)
+	require.Positive(t, fault.RetryAfterOf(err))
+	work.Deadline = pausedAt.Add(time.Minute)
+	sink := &recordingSink{}
+	_, err = dispatcher.Dispatch(t.Context(), work, sink)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, time.Since(pausedAt), time.Second)
+	require.Equal(t, expectedText(), sink.text(), "the attempt was not cancelled")
+	require.Len(t, engine.Runs(), 1)
+}
+
+// Guards against a stream that breaks off and is resumed during the engine's pause.
+func TestInterruptedStreamIsResumedAfterThePause(t *testing.T) {
+	engine := startEngine(t, standin.EngineConfig{TokenInterval: 20 * time.Millisecond})
+	dispatcher := startDispatcher(t, Config{}, upstreamAt(engine.Address()))
+	require.NoError(t, engine.SetFaults(standin.EngineFaults{
+		Streams: map[standin.StreamFault]standin.FaultFrequency{standin.StreamFault("cut"): {NextCount: 1}},
+	}))
+	done := make(chan error, 1)
+	sink := &recordingSink{}
+	go func() {
+		_, err := dispatcher.Dispatch(context.Background(), modelWork("one"), sink)
+		done <- err
+	}()
+	require.Eventually(t, func() bool { return len(engine.Runs()) == 1 }, time.Minute, time.Millisecond)
+	pauseEngine(t, dispatcher, engine, "1")
+	pausedAt := time.Now()
+	require.NoError(t, <-done)
+	require.GreaterOrEqual(t, time.Since(pausedAt), 600*time.Millisecond)
+	require.Equal(t, expectedText(), sink.text())
+	require.Len(t, engine.Runs(), 1)
+}
