Charge the reservation for a usage that no engine can have

Teams: an engine that reported a usage below zero gave back tokens that the request had used, up to serving it for nothing; two numbers whose sum overflows did the same, and a failed attempt with such a report paid for further ones.

Cause: the numbers of a usage report, and of an engine's record, were taken as they came. Now a report with a number below zero or above 2^40 counts as none, and the whole reservation is charged.

Evidence: TestOddUsageChargesTheReservation; before, -390 tokens were charged instead of 500 for the first report.

--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -369,7 +369,7 @@
 	if err != nil || record.State == exchange.StateRunning {
 		return Usage{}
 	}
-	return Usage{PromptTokens: record.PromptTokens, CompletionTokens: record.CompletionTokens, Known: true}
+	return reportedUsage(record.PromptTokens, record.CompletionTokens)
 }
 
 // attemptResult returns what the attempt's end says about the upstream's health.
--- a/pkg/dispatch/charge_test.go
+++ b/pkg/dispatch/charge_test.go
@@ -162,3 +162,21 @@
 		require.NoError(t, dispatcher.Close(t.Context()))
 	})
 }
+
+// TestOddUsageChargesTheReservation guards against tokens that a team uses and isn't
+// charged for, because an engine reports a usage below zero, or one whose sum overflows.
+func TestOddUsageChargesTheReservation(t *testing.T) {
+	work := modelWork("request")
+	work.ReservedTokens = 500
+	for _, odd := range []string{
+		`{"prompt_tokens":-400,"completion_tokens":10}`, `{"prompt_tokens":10,"completion_tokens":-1}`,
+		`{"prompt_tokens":9223372036854775807,"completion_tokens":1}`, `{"prompt_tokens":9223372036854775807,"completion_tokens":9223372036854775807}`,
+		`{"prompt_tokens":1e300}`, `{"prompt_tokens":"4"}`, `{"prompt_tokens":1.5}`, `[]`, `null`, strings.Repeat("[", 20_000),
+	} {
+		delivery := &delivery{work: work}
+		delivery.parseUsage([]byte(`{"usage":` + odd + `}`))
+		require.EqualValues(t, 500, tokensToCharge(work, Result{Usage: delivery.usage}), odd)
+	}
+	record := exchange.Record{State: exchange.StateFinished, PromptTokens: -400, CompletionTokens: 10}
+	require.EqualValues(t, 500, tokensToCharge(work, Result{Usage: usageOf(record, nil)}))
+}
--- a/pkg/dispatch/delivery.go
+++ b/pkg/dispatch/delivery.go
@@ -122,9 +122,5 @@
 	if json.Unmarshal(data, &report) != nil || report.Usage == nil {
 		return
 	}
-	delivery.usage = Usage{
-		PromptTokens:     report.Usage.PromptTokens,
-		CompletionTokens: report.Usage.CompletionTokens,
-		Known:            true,
-	}
+	delivery.usage = reportedUsage(report.Usage.PromptTokens, report.Usage.CompletionTokens)
 }
--- a/pkg/dispatch/work.go
+++ b/pkg/dispatch/work.go
@@ -96,6 +96,18 @@
 	Known bool
 }
 
+// maxReportedTokens limits each number of a usage report.
+const maxReportedTokens = 1 << 40
+
+// reportedUsage returns the usage that an upstream reported. It is unknown if no
+// upstream can have used so many tokens.
+func reportedUsage(promptTokens, completionTokens int64) Usage {
+	if min(promptTokens, completionTokens) < 0 || max(promptTokens, completionTokens) > maxReportedTokens {
+		return Usage{}
+	}
+	return Usage{PromptTokens: promptTokens, CompletionTokens: completionTokens, Known: true}
+}
+
 // Tokens returns the sum of prompt and completion tokens.
 func (usage Usage) Tokens() int64 {
 	return usage.PromptTokens + usage.CompletionTokens
