Don't report a booking as not run because its retry is refused

What callers saw: a booking ran, its answer was lost, and the retry under the same key was refused for want of budget with the outcome "not_run", though the first try had run and taken the budget.

Cause: the budget is reserved before the claim is looked at, and the refusal said nothing but what this try had done.

Change: such a refusal looks the claim up. It is "not_run" only if the table has no claim, or a withdrawn one; otherwise, and if the table doesn't answer, the outcome is unknown.

--- a/pkg/claim/state.go
+++ b/pkg/claim/state.go
@@ -17,6 +17,9 @@
 	// Owned means that this call of Claim wrote the claim, so this router may run
 	// the request. It is never stored.
 	Owned State = "owned"
+	// Unclaimed means that there is no claim, and none has been removed. It is never
+	// stored.
+	Unclaimed State = "unclaimed"
 	// Running means that another run of the request holds the claim.
 	Running State = "running"
 	// Finished means that the request ran and its result is stored.
--- a/pkg/claim/wait.go
+++ b/pkg/claim/wait.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
 // Bounds of the interval between two reads of a running claim.
@@ -42,6 +44,24 @@
 	}
 }
 
+// Lookup returns the present state of the claim of a request, without waiting and
+// without claiming it. The errors are fault.Invalid, fault.Unavailable if the table does
+// not answer, and fault.Internal if the row is unreadable.
+func (registry *Registry) Lookup(ctx context.Context, request Request) (Decision, error) {
+	entry, err := registry.newEntry(request)
+	if err != nil {
+		return Decision{}, err
+	}
+	items, err := registry.table.Get(ctx, entry.key, entry.hour.sealKey())
+	if err != nil {
+		return Decision{}, undecidedError(entry, err)
+	}
+	if items[0].Version == 0 && items[1].Version == 0 {
+		return Decision{State: Unclaimed}, nil
+	}
+	return registry.decisionOf(items[0])
+}
+
 func waitContext(ctx context.Context, request Request) (context.Context, context.CancelFunc) {
 	if request.Deadline.IsZero() {
 		return context.WithTimeout(ctx, DefaultWaitTimeout)
@@ -55,11 +75,16 @@
 	if err != nil {
 		return Decision{State: Unknown, Reason: "the table does not answer"}, undecidedError(entry, err)
 	}
-	row, err := decode[claimRow](items[0])
+	return registry.decisionOf(items[0])
+}
+
+// decisionOf returns the state that the row of a claim states.
+func (registry *Registry) decisionOf(item platform.Item) (Decision, error) {
+	row, err := decode[claimRow](item)
 	if err != nil {
 		return Decision{}, err
 	}
-	if items[0].Version == 0 {
+	if item.Version == 0 {
 		return Decision{State: Unknown, Reason: "there is no claim of the request"}, nil
 	}
 	return registry.resolveDeadOwner(row.decision()), nil
--- a/pkg/router/bill_test.go
+++ b/pkg/router/bill_test.go
@@ -105,3 +105,18 @@
 	require.Empty(t, waste)
 	require.Equal(t, bills[0].Tokens, statement.SettledTokens)
 }
+
+// Guards against telling a caller that a booking has not run because its retry is
+// refused for want of budget, although the first try has run.
+func TestRefusedRetryOfABookingIsNotReportedAsNotRun(t *testing.T) {
+	const limit = 30 // covers one booking
+	fleet := startFleet(t, limit, slowEngine())
+	key := claim.NewRequestID()
+	outcome, body := fleet.sendBooking(call{key: key, body: "ring"})
+	require.Equal(t, fault.Answered, outcome, body)
+	deadline := map[string]string{"Wisterialb-Deadline": "2000"}
+	outcome, body = fleet.sendBooking(call{routerIndex: 1, key: claim.NewRequestID(), body: "ring", header: deadline})
+	require.Equal(t, fault.NotRun, outcome, "a first try that is refused has not run: %s", body)
+	outcome, body = fleet.sendBooking(call{routerIndex: 1, key: key, body: "ring", header: deadline})
+	require.Equal(t, fault.OutcomeUnknown, outcome, body)
+}
--- a/pkg/router/pipeline.go
+++ b/pkg/router/pipeline.go
@@ -47,8 +47,7 @@
 		Deadline:  admitted.deadline,
 	})
 	if err != nil {
-		sink.Fail(err)
-		return err
+		return router.finishAnswer(sink, router.withEarlierOutcome(ctx, admitted, work, err))
 	}
 	if !admitted.idempotent {
 		return router.runClaimed(ctx, admitted, reservation, work, sink)
@@ -77,12 +76,7 @@
 		router.releaseReservation(reservation)
 		return router.finishAnswer(sink, errModelNotIdempotent)
 	}
-	request := claim.Request{
-		Scope:       admitted.caller.Name,
-		RequestID:   admitted.idempotencyKey,
-		Fingerprint: workFingerprint(work),
-		Deadline:    admitted.deadline,
-	}
+	request := newClaimRequest(admitted, work)
 	decision, err := router.claims.Claim(ctx, request)
 	if err != nil || decision.State != claim.Owned {
 		err = router.answerFromClaim(ctx, admitted, reservation, request, decision, err, plainSink)
@@ -99,6 +93,15 @@
 	return router.finishAnswer(sink, err)
 }
 
+func newClaimRequest(admitted admittedRequest, work dispatch.Work) claim.Request {
+	return claim.Request{
+		Scope:       admitted.caller.Name,
+		RequestID:   admitted.idempotencyKey,
+		Fingerprint: workFingerprint(work),
+		Deadline:    admitted.deadline,
+	}
+}
+
 // workFingerprint returns a hash of the request's content, so that a reused
 // idempotency key does not return the stored result of a different request.
 func workFingerprint(work dispatch.Work) string {
--- a/pkg/router/storedresult.go
+++ b/pkg/router/storedresult.go
@@ -8,6 +8,7 @@
 
 	"gitlab.com/wisterialb/wisterialb/pkg/budget"
 	"gitlab.com/wisterialb/wisterialb/pkg/claim"
+	"gitlab.com/wisterialb/wisterialb/pkg/dispatch"
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 )
 
@@ -38,6 +39,22 @@
 	}
 }
 
+// withEarlierOutcome returns the error of a request that was refused before it was
+// claimed. An earlier try of a non-idempotent request may have run, so that its outcome
+// is unknown unless the table shows that there is no claim, or a withdrawn one.
+func (router *Router) withEarlierOutcome(ctx context.Context, admitted admittedRequest, work dispatch.Work, refusal error) error {
+	if admitted.idempotent || fault.OutcomeOf(refusal) != fault.NotRun {
+		return refusal
+	}
+	ctx, cancel := router.settleContext(ctx, admitted)
+	defer cancel()
+	decision, err := router.claims.Lookup(ctx, newClaimRequest(admitted, work))
+	if err == nil && (decision.State == claim.Unclaimed || decision.State == claim.Withdrawn) {
+		return refusal
+	}
+	return fault.WithOutcome(refusal, fault.OutcomeUnknown)
+}
+
 // billStoredResult settles the bill that is stored with a result. A bill that the
 // router of the run has settled charges nothing more, as both name the same attempt.
 func (router *Router) billStoredResult(ctx context.Context, admitted admittedRequest, reservation budget.Reservation, lines []budget.Line) error {
