--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -98,12 +98,11 @@
 	answer.connection, answer.reused = assignedConnection, info.Reused
 }
 
-// wasUnsent reports whether nothing of the request was written because its reused
-// connection was sealed: it had just carried the same attempt, or was being closed.
-func (answer *Answer) wasUnsent() bool {
+// wasReused reports whether the request was assigned a kept connection.
+func (answer *Answer) wasReused() bool {
 	answer.mutex.Lock()
 	defer answer.mutex.Unlock()
-	return answer.reused && answer.connection.isSealedUnwritten()
+	return answer.reused
 }
 
 // readHead takes status, headers and body reader from the response.
--- a/pkg/exchange/connection.go
+++ b/pkg/exchange/connection.go
@@ -19,7 +19,7 @@
 	written, answered bool
 	// unsolicited is set once data arrived before the request that it would answer.
 	unsolicited bool
-	// sealed is set by seal; the connection then rejects writes.
+	// sealed is set by seal and discard; the connection then rejects writes.
 	sealed bool
 }
 
@@ -35,14 +35,6 @@
 	connection.sealed = connection.sealed || repeated
 }
 
-// isSealedUnwritten reports whether the connection is sealed and nothing of the
-// current request was written.
-func (connection *connection) isSealedUnwritten() bool {
-	connection.mutex.Lock()
-	defer connection.mutex.Unlock()
-	return connection.sealed && !connection.written
-}
-
 // seal makes the connection reject further writes and reports whether data was
 // written since beginRequest. If it returns false, the upstream cannot receive any
 // byte of the request.
--- a/pkg/quarantine/evaluate.go
+++ b/pkg/quarantine/evaluate.go
@@ -10,7 +10,9 @@
 )
 
 const (
-	// minCrashes is the number of crashes from which a part is taken for the cause.
+	// minCrashes is the number of crashes from which a part is taken for the cause. A
+	// crash of which only suspects that still waited are known counts half: the one that
+	// caused it had begun, and is missing among them.
 	minCrashes = 3
 	// crashGap separates crashes: upstreams that crash closer together have a common
 	// cause, such as a loss of power, which is no evidence against a prompt.
@@ -35,14 +37,58 @@
 
 // crash is the crash of one upstream with its suspects.
 type crash struct {
-	at       time.Duration
+	at time.Duration
+	// begun is set when the upstream had begun to answer the suspects.
+	begun    bool
 	suspects []Suspect
 }
 
+// has reports whether one of the suspects has the part.
+func (crash crash) has(part uint64) bool {
+	return slices.ContainsFunc(crash.suspects, func(suspect Suspect) bool { return slices.Contains(suspect.Parts, part) })
+}
+
+// evidence are the crashes that a part may have caused, by whether the upstream had
+// begun to answer the suspects with the part.
+type evidence struct {
+	begun, waiting []time.Duration
+}
+
+// with returns the evidence with a later crash, unless it is too close to the last one.
+func (evidence evidence) with(crash crash) evidence {
+	isNear := func(times []time.Duration) bool { return len(times) > 0 && crash.at-times[len(times)-1] < crashGap }
+	switch {
+	case isNear(evidence.begun), !crash.begun && isNear(evidence.waiting):
+	case !crash.begun:
+		evidence.waiting = append(evidence.waiting, crash.at)
+	default:
+		if isNear(evidence.waiting) {
+			evidence.waiting = evidence.waiting[:len(evidence.waiting)-1]
+		}
+		evidence.begun = append(evidence.begun, crash.at)
+	}
+	return evidence
+}
+
+// isEnough reports whether the evidence is that of minCrashes crashes.
+func (evidence evidence) isEnough() bool {
+	return 2*len(evidence.begun)+len(evidence.waiting) >= 2*minCrashes
+}
+
+// count returns the number of crashes.
+func (evidence evidence) count() int { return len(evidence.begun) + len(evidence.waiting) }
+
+// times returns the times of the crashes in order.
+func (evidence evidence) times() []time.Duration {
+	times := slices.Concat(evidence.begun, evidence.waiting)
+	slices.Sort(times)
+	return times
+}
+
 // candidate is a part with the crashes that it may have caused.
 type candidate struct {
 	part    uint64
-	crashes []time.Duration
+	crashes evidence
 	// requests counts the suspects that have the part.
 	requests int
 	// companions are the parts that all of them have.
@@ -70,42 +116,74 @@
 // addNextRule adds a rule for the part that explains the most crashes, and reports
 // whether there was one.
 func (register *Register) addNextRule(now time.Duration) bool {
-	candidates := register.candidates(now)
+	crashes := register.settledCrashes(now)
+	candidates := register.candidates(crashes)
 	clear(register.crashCounts)
 	var best *candidate
+	var bestRule Rule
 	for i := range candidates {
 		candidate := &candidates[i]
-		register.crashCounts[candidate.part] = len(candidate.crashes)
-		if len(candidate.crashes) >= minCrashes && (best == nil || candidate.compare(*best) > 0) {
-			best = candidate
+		register.crashCounts[candidate.part] = candidate.crashes.count()
+		if !candidate.crashes.isEnough() || (best != nil && candidate.compare(*best) <= 0) || register.isExplained(*candidate, candidates, crashes) {
+			continue
+		}
+		if rule := candidate.rule(candidates); !register.blocksMost(rule) {
+			best, bestRule = candidate, rule
 		}
 	}
-	if best == nil {
-		return false
-	}
+	return best != nil && register.addRule(bestRule, now)
+}
+
+// rule returns the rule for a part that is taken for the cause.
+func (candidate candidate) rule(candidates []candidate) Rule {
 	// A success that leaves too few of the crashes disproves the rule.
-	rule := Rule{Parts: []uint64{best.part}, Since: best.crashes[len(best.crashes)-minCrashes] - soundPeriod}
+	times := candidate.crashes.times()
+	rule := Rule{Parts: []uint64{candidate.part}, Since: times[len(times)-minCrashes] - soundPeriod}
 	// Parts that always come together can't be told apart yet: refineRules does it
 	// when one of them comes alone.
 	for _, other := range candidates {
-		if other.part != best.part && len(other.crashes) >= len(best.crashes) && slices.Contains(best.companions, other.part) {
+		if other.part != candidate.part && other.crashes.count() >= candidate.crashes.count() && slices.Contains(candidate.companions, other.part) {
 			rule.Parts = append(rule.Parts, other.part)
 		}
 	}
-	return register.addRule(rule, now)
+	return rule
+}
+
+// isExplained reports whether another part may have caused crashes of the candidate,
+// one that never comes without it, and the crashes without that one aren't enough.
+func (register *Register) isExplained(suspected candidate, candidates []candidate, crashes []crash) bool {
+	for _, other := range candidates {
+		isNarrower := slices.Contains(other.companions, suspected.part) && !slices.Contains(suspected.companions, other.part)
+		if !isNarrower || len(other.crashes.begun) < minCrashes-1 {
+			continue
+		}
+		var rest evidence
+		for _, crash := range crashes {
+			if crash.has(suspected.part) && !crash.has(other.part) && !exonerates(register.lastSuccess(suspected.part), crash.at) {
+				rest = rest.with(crash)
+			}
+		}
+		if !rest.isEnough() {
+			return true
+		}
+	}
+	return false
 }
 
 // compare orders candidates: more crashes first, then fewer requests, as the first
 // request with a deadly part ends its upstream.
 func (candidate candidate) compare(other candidate) int {
-	return cmp.Or(cmp.Compare(len(candidate.crashes), len(other.crashes)), cmp.Compare(other.requests, candidate.requests))
+	return cmp.Or(
+		cmp.Compare(len(candidate.crashes.begun), len(other.crashes.begun)),
+		cmp.Compare(len(candidate.crashes.waiting), len(other.crashes.waiting)),
+		cmp.Compare(other.requests, candidate.requests),
+	)
 }
 
-// candidates returns the parts that may have caused crashes which no rule
-// explains.
-func (register *Register) candidates(now time.Duration) []candidate {
+// candidates returns the parts that may have caused the crashes.
+func (register *Register) candidates(crashes []crash) []candidate {
 	byPart := make(map[uint64]*candidate)
-	for _, crash := range register.settledCrashes(now) {
+	for _, crash := range crashes {
 		for _, suspect := range crash.suspects {
 			for _, part := range suspect.Parts {
 				if exonerates(register.lastSuccess(part), crash.at) {
@@ -118,7 +196,7 @@
 				}
 				found.requests++
 				found.companions = intersect(found.companions, suspect.Parts)
-				found.crashes = appendCrash(found.crashes, crash.at)
+				found.crashes = found.crashes.with(crash)
 			}
 		}
 	}
@@ -175,6 +253,7 @@
 			continue
 		}
 		if slices.ContainsFunc(found.suspects, func(suspect Suspect) bool { return suspect.Begun }) {
+			found.begun = true
 			found.suspects = slices.DeleteFunc(found.suspects, func(suspect Suspect) bool { return !suspect.Begun })
 		}
 		crashes = append(crashes, *found)
@@ -206,7 +285,7 @@
 // covers, and reports whether it was added.
 func (register *Register) addRule(rule Rule, now time.Duration) bool {
 	isUsable := len(rule.Parts) > 0 && len(rule.Parts) <= maxReportedParts && !rule.isOld(now)
-	if !isUsable || register.disproved(rule) || register.matchingRule(rule.Parts) != nil {
+	if !isUsable || register.disproved(rule) || register.blocksMost(rule) || register.matchingRule(rule.Parts) != nil {
 		return false
 	}
 	slices.Sort(rule.Parts)
@@ -244,18 +323,28 @@
 	}
 }
 
-// necessaryParts returns the parts of the rule that can't be left out.
+// necessaryParts returns the parts of the rule that can't be left out. One crash
+// without a part is not enough to leave it out, as its cause may be unknown.
 func (register *Register) necessaryParts(rule Rule, crashes []crash) []uint64 {
 	parts := slices.DeleteFunc(slices.Clone(rule.Parts), func(part uint64) bool { return register.lastSuccess(part) > rule.Since })
+	without := make(map[uint64]evidence)
 	for _, crash := range crashes {
-		if crash.at <= rule.Since || len(crash.suspects) != 1 || !crash.suspects[0].Begun {
+		if crash.at <= rule.Since || len(crash.suspects) != 1 || !crash.begun {
 			continue
 		}
 		if common := intersect(parts, crash.suspects[0].Parts); len(common) > 0 {
-			parts = common
+			for _, part := range parts {
+				if !slices.Contains(common, part) {
+					without[part] = without[part].with(crash)
+				}
+			}
 		}
 	}
-	return parts
+	necessary := slices.DeleteFunc(slices.Clone(parts), func(part uint64) bool { return without[part].count() >= minCrashes-1 })
+	if len(necessary) == 0 {
+		return parts
+	}
+	return necessary
 }
 
 func intersect(a, b []uint64) []uint64 {
--- a/pkg/quarantine/register_test.go
+++ b/pkg/quarantine/register_test.go
@@ -1,13 +1,17 @@
 package quarantine
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
 )
 
 // maxRowBytes is the size that the users' store allows for a row.
@@ -117,6 +121,95 @@
 	require.False(t, clock.Blocks([]uint64{common, 10, 1002}))
 }
 
+// TestCulpritIsFoundAfterRestarts guards against the opposite of the test above, a
+// deadly part that is taken for innocent because a common one was in more crashes.
+func TestCulpritIsFoundAfterRestarts(t *testing.T) {
+	const common, deadly = 7, 8
+	clock := newManualClock()
+	clock.now = time.Minute
+	for number := range minCrashes {
+		clock.Crashed(fmt.Sprintf("engine/of a culprit that nobody reported/%d", number), []uint64{common, 9, 1001}, false)
+		clock.crash(1, common, deadly, 1000)
+	}
+	require.True(t, clock.Blocks([]uint64{common, deadly, 1002}))
+	require.False(t, clock.Blocks([]uint64{common, 10, 1002}))
+}
+
+// TestCrashesAtOnceCountOnce guards against a part that is blocked because many engines
+// lost their power at the same moments, while requests with it had begun at some and
+// waited at others.
+func TestCrashesAtOnceCountOnce(t *testing.T) {
+	clock := newManualClock()
+	clock.now = time.Minute
+	for moment := range minCrashes - 1 {
+		for engine := range 6 {
+			clock.now += crashGap / 10
+			clock.Crashed(fmt.Sprintf("engine/%d/%d", moment, engine), []uint64{7, 1000}, engine%2 == 0)
+		}
+		clock.now += time.Second
+	}
+	require.False(t, clock.Blocks([]uint64{7, 1001}))
+}
+
+// TestOneCrashDoesNotWidenRule guards against a rule for a deadly part and a common one
+// that blocks all prompts with the common one, after one engine has crashed by itself.
+func TestOneCrashDoesNotWidenRule(t *testing.T) {
+	const common, deadly = 7, 8
+	clock := newManualClock()
+	clock.now = time.Minute
+	clock.crash(minCrashes, common, deadly, 1000)
+	require.True(t, clock.Blocks([]uint64{common, deadly, 1001}))
+	clock.crash(1, common, 9, 1002)
+	require.False(t, clock.Blocks([]uint64{common, 10, 1003}))
+	require.True(t, clock.Blocks([]uint64{common, deadly, 1004}))
+}
+
+// TestSeriesOfCrashesWidensRule guards against a deadly part that crashes engines for
+// good in prompts without the other part of its rule.
+func TestSeriesOfCrashesWidensRule(t *testing.T) {
+	const other, deadly = 7, 8
+	clock := newManualClock()
+	clock.now = time.Minute
+	clock.crash(minCrashes, other, deadly, 1000)
+	clock.Blocks([]uint64{1})
+	clock.crash(minCrashes-1, 9, deadly, 1001)
+	require.True(t, clock.Blocks([]uint64{10, deadly, 1002}))
+}
+
+// TestPartOfMostPromptsIsNotBlocked guards against all requests being refused for
+// minutes, because engines crashed by themselves while no success was known.
+func TestPartOfMostPromptsIsNotBlocked(t *testing.T) {
+	const common, deadly = 7, 8
+	clock := newManualClock()
+	clock.now = time.Minute
+	for number := range uint64(minPrompts) {
+		clock.Blocks([]uint64{common, 100 + number, 1000 + number})
+		clock.Blocks([]uint64{deadly, 2000}) // one request that is tried again and again
+	}
+	for number := range uint64(minCrashes) {
+		clock.crash(1, common, 200+number, 3000+number)
+	}
+	require.False(t, clock.Blocks([]uint64{common, 300, 4000}))
+	clock.Merge(map[string]Report{"another": {Rules: []Rule{{Parts: []uint64{common}, Since: clock.now}}}})
+	require.False(t, clock.Blocks([]uint64{common, 301, 4001}))
+	clock.crash(minCrashes, common, deadly, 5000)
+	require.True(t, clock.Blocks([]uint64{common, deadly, 4002}))
+	require.False(t, clock.Blocks([]uint64{common, 302, 4003}))
+}
+
+// TestReportedRuleForMostPromptsIsDropped guards against a router that starts, reads
+// the rule of another for a part of all prompts, and refuses them all.
+func TestReportedRuleForMostPromptsIsDropped(t *testing.T) {
+	const common = 7
+	clock := newManualClock()
+	clock.now = time.Minute
+	clock.Merge(map[string]Report{"another": {Rules: []Rule{{Parts: []uint64{common}, Since: clock.now}}}})
+	for number := range uint64(minPrompts) - 1 {
+		require.True(t, clock.Blocks([]uint64{common, 100 + number, 1000 + number}))
+	}
+	require.False(t, clock.Blocks([]uint64{common, 300, 4000}))
+}
+
 // TestReportFitsInARow guards against reports that the store refuses for their size,
 // so that a router that sees crashes under long prompts tells nobody.
 func TestReportFitsInARow(t *testing.T) {
@@ -236,3 +329,29 @@
 	clock.now += time.Second
 	require.False(t, clock.Blocks([]uint64{7, 1001}), "the older report has the rule, and not the success")
 }
+
+// TestOddReportsBlockNothing guards against reports of another writer that block sound
+// prompts, are kept for good, or end the router.
+func TestOddReportsBlockNothing(t *testing.T) {
+	for _, odd := range []string{
+		"", "?", "null", "[]", strings.Repeat("[", 20_000), `{"suspects":7}`, `{"suspects":[null]}`, `{"rules":[{}]}`, `{"rules":[null]}`,
+		`{"rules":[{"parts":[7],"since":1e300}]}`, `{"rules":[{"parts":[-7],"since":0}]}`,
+		`{"rules":[{"parts":[7],"since":9223372036854775807}]}`, `{"rules":[{"parts":[7],"since":-9223372036854775808}]}`,
+		`{"successes":{"7":-9223372036854775808}}`, `{"successes":{"seven":1}}`,
+		`{"suspects":[{"upstream":"a","at":-9223372036854775808,"begun":true,"parts":[7]},` +
+			`{"upstream":"b","at":-9223372036000000000,"begun":true,"parts":[7]},{"upstream":"c","at":-9223372035000000000,"begun":true,"parts":[7]}]}`,
+		`{"suspects":[{"upstream":"a","at":9223372036854775807,"begun":true,"parts":[7]}]}`,
+	} {
+		clock := newManualClock()
+		clock.now = time.Hour
+		exchange := NewExchange(ExchangeConfig{Router: "self", Now: func() time.Duration { return clock.now }, Commit: func(context.Context, platform.Transaction) error { return nil }})
+		exchange.ReadAll([]platform.Item{{Key: platform.Key{Sort: "another"}, Value: []byte(odd), Version: 1}})
+		exchange.Close()
+		clock.now += time.Second
+		require.False(t, exchange.Register().Blocks([]uint64{7, 1000}), odd)
+		exchange.Register().Report()
+		exchange.Register().mutex.Lock()
+		require.Empty(t, exchange.Register().reports, odd)
+		exchange.Register().mutex.Unlock()
+	}
+}
