Wait with the last attempt at a plain service until its deadline

Callers of plain services got outcome_unknown for an idempotent request whose service answered within the deadline, but later than half of it.

Cause: an attempt ended when the service had sent nothing for half of the remaining time, and only then was it decided whether there may be another one. It now ends only if another attempt is allowed, which is taken from the retry budget at that moment; the last one waits until the deadline, at most PlainTimeout.

TestLastAttemptWaitsForSilentService failed before with "the answer was interrupted and could not be recovered" for an answer after 0.8 of 1.5 s.

--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -55,6 +55,9 @@
 	// unknownToEngine is set when the engine reports that it has no record of the
 	// attempt.
 	unknownToEngine bool
+	// retryWithdrawn is set when the attempt was given up for a retry that the retry
+	// budget has already allowed.
+	retryWithdrawn bool
 	// status is the HTTP status of the answer; zero means that none was accepted for
 	// delivery.
 	status int
@@ -102,6 +105,7 @@
 	}
 	if !work.ModelEngine {
 		request.InactivityTimeout = attempt.plainTimeout()
+		request.OnSilence = attempt.giveUp
 	}
 	return attempt.member.Client().Send(ctx, request)
 }
@@ -118,6 +122,18 @@
 	return min(timeout, max(time.Until(work.Deadline)/2, minPlainTimeout))
 }
 
+// giveUp reports whether to end the attempt at a plain service that is silent: it may
+// go on, so only if another attempt is allowed or PlainTimeout has passed.
+func (attempt *attempt) giveUp(context.Context) bool {
+	run := attempt.run
+	if !run.work.Idempotent || time.Since(attempt.startedAt) >= run.dispatcher.config.PlainTimeout {
+		return true
+	}
+	isLast := len(run.result.Attempts)+1 >= run.dispatcher.config.Retry.MaxAttempts
+	attempt.retryWithdrawn = !isLast && run.service.retryBudget.withdraw()
+	return attempt.retryWithdrawn
+}
+
 // deliverWithRecovery delivers the answer. After an error it resumes or resends
 // the attempt at the same upstream as long as the recovery rules allow.
 func (attempt *attempt) deliverWithRecovery(ctx context.Context, answer *exchange.Answer, err error) error {
--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -120,7 +120,7 @@
 	decision := decideRetry(retryConditions)
 	if decision == retryElsewhere {
 		run.reservation.addUsage(record.Usage)
-		retryConditions.Exhausted = !run.service.retryBudget.withdraw()
+		retryConditions.Exhausted = !attempt.retryWithdrawn && !run.service.retryBudget.withdraw()
 		retryConditions.Affordable = !retryConditions.Exhausted && run.reservation.reserveNextAttempt(ctx)
 		decision = decideRetry(retryConditions)
 		run.addWaste(record.Usage, decision)
