Look up the claim of a booking that a router does not admit

What callers saw: a booking ran at one router, and a later try under its key was answered "not_run" by a router that was shutting down or had no configuration yet, which had not looked at the claim. Seen in 1 of 3 runs of TestGuaranteesUnderFailures with the race detector beside three busy processes, for two bookings ("violations map[ran_though_told_not_run:2]", last try: "this router has no confirmed configuration yet").

Cause: refusals at the door spoke of one try, while "not_run" is a promise on the request.

Change: a refusal of a non-idempotent request with a key of the caller's has the outcome that its claim allows. A router without a configuration can't know the caller, and says that the outcome is unknown. An unknown token or an invalid key can't have a claim; these refusals stay as they were.

Evidence: TestBookingRefusedByALeavingRouterIsNotReportedAsNotRun got not_run for a booking that had run, on the code before. A booking whose key is new is still refused as not run.

--- a/pkg/router/bill_test.go
+++ b/pkg/router/bill_test.go
@@ -120,3 +120,32 @@
 	outcome, body = fleet.sendBooking(call{routerIndex: 1, key: key, body: "ring", header: deadline})
 	require.Equal(t, fault.OutcomeUnknown, outcome, body)
 }
+
+// Guards against telling a caller that a booking has not run because its retry reaches a
+// router that shuts down, although the first try has run.
+func TestBookingRefusedByALeavingRouterIsNotReportedAsNotRun(t *testing.T) {
+	const longTokens = 400 // until the caller closes the stream
+	fleet := startFleet(t, ampleTokens, standin.EngineConfig{Slots: 16, TokenInterval: 100 * time.Millisecond})
+	key := claim.NewRequestID()
+	outcome, body := fleet.sendBooking(call{key: key, body: "ring"})
+	require.Equal(t, fault.Answered, outcome, body)
+	stream := fleet.openStream(call{routerIndex: 1, key: "k1"}, prompt, longTokens)
+	stream.readEvents(1) // holds the shutdown up
+	shutDown := make(chan error, 1)
+	go func() {
+		_, err := fleet.Routers[1].Shutdown(fleet.ctx)
+		shutDown <- err
+	}()
+	isRefused := func(key string) func() bool {
+		return func() bool {
+			outcome, body = fleet.sendBooking(call{routerIndex: 1, key: key, body: "ring"})
+			return strings.Contains(body, string(fault.Draining))
+		}
+	}
+	require.Eventually(t, isRefused(claim.NewRequestID()), testTimeout, time.Millisecond)
+	require.Equal(t, fault.NotRun, outcome, "a first try that is refused has not run: %s", body)
+	require.True(t, isRefused(key)())
+	require.Equal(t, fault.OutcomeUnknown, outcome, body)
+	require.NoError(t, stream.response.Body.Close())
+	require.NoError(t, <-shutDown)
+}
--- a/pkg/router/handlers.go
+++ b/pkg/router/handlers.go
@@ -170,12 +170,12 @@
 func (router *Router) serveService(writer http.ResponseWriter, request *http.Request) {
 	admitted, err := router.admit(request.Context(), request)
 	if err != nil {
-		router.refuse(writer, err)
+		router.refuse(writer, router.withOutcomeOfKey(request, err))
 		return
 	}
 	admitted, work, err := router.newServiceWork(admitted, request)
 	if err != nil {
-		router.refuse(writer, err)
+		router.refuse(writer, router.withOutcomeOfKey(request, err))
 		return
 	}
 	sink := &plainSink{sinkBase: router.newSinkBase(writer, admitted), maxBytes: router.handlerConfig.MaxAnswerBytes}
--- a/pkg/router/pipeline.go
+++ b/pkg/router/pipeline.go
@@ -47,7 +47,10 @@
 		Deadline:  admitted.deadline,
 	})
 	if err != nil {
-		return router.finishAnswer(sink, router.withEarlierOutcome(ctx, admitted, work, err))
+		if !admitted.idempotent {
+			err = router.withEarlierOutcome(ctx, newClaimRequest(admitted, work), err)
+		}
+		return router.finishAnswer(sink, err)
 	}
 	if !admitted.idempotent {
 		return router.runClaimed(ctx, admitted, reservation, work, sink)
--- a/pkg/router/storedresult.go
+++ b/pkg/router/storedresult.go
@@ -5,10 +5,11 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
+	"time"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/budget"
 	"gitlab.com/wisterialb/wisterialb/pkg/claim"
-	"gitlab.com/wisterialb/wisterialb/pkg/dispatch"
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 )
 
@@ -39,22 +40,48 @@
 	}
 }
 
+// claimLookupTimeout limits the lookup of a claim whose request is refused.
+const claimLookupTimeout = time.Second
+
 // withEarlierOutcome returns the error of a request that was refused before it was
 // claimed. An earlier try of a non-idempotent request may have run, so that its outcome
 // is unknown unless the table shows that there is no claim, or a withdrawn one.
-func (router *Router) withEarlierOutcome(ctx context.Context, admitted admittedRequest, work dispatch.Work, refusal error) error {
-	if admitted.idempotent || fault.OutcomeOf(refusal) != fault.NotRun {
+func (router *Router) withEarlierOutcome(ctx context.Context, request claim.Request, refusal error) error {
+	if fault.OutcomeOf(refusal) != fault.NotRun {
 		return refusal
 	}
-	ctx, cancel := router.settleContext(ctx, admitted)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimLookupTimeout)
 	defer cancel()
-	decision, err := router.claims.Lookup(ctx, newClaimRequest(admitted, work))
+	decision, err := router.claims.Lookup(ctx, request)
+	if fault.Is(err, fault.Invalid) {
+		return refusal // nothing was ever claimed under such a key
+	}
 	if err == nil && (decision.State == claim.Unclaimed || decision.State == claim.Withdrawn) {
 		return refusal
 	}
 	return fault.WithOutcome(refusal, fault.OutcomeUnknown)
 }
 
+// withOutcomeOfKey returns the error of a request to a plain service that was not
+// admitted, with the outcome of all tries under its key.
+func (router *Router) withOutcomeOfKey(request *http.Request, refusal error) error {
+	key := headerText(request, headerIdempotencyKey)
+	isSafeMethod := request.Method == http.MethodGet || request.Method == http.MethodHead
+	admitted, err := admittedRequest{}.withIdempotent(request, isSafeMethod)
+	if key == "" || err != nil || admitted.idempotent {
+		return refusal
+	}
+	caller, err := router.authenticate(request)
+	switch {
+	case err == nil:
+		return router.withEarlierOutcome(request.Context(), claim.Request{Scope: caller.Name, RequestID: key}, refusal)
+	case router.follower.Ready():
+		return refusal // no caller has this token, so there is no claim
+	default:
+		return fault.WithOutcome(refusal, fault.OutcomeUnknown)
+	}
+}
+
 // billStoredResult settles the bill that is stored with a result. A bill that the
 // router of the run has settled charges nothing more, as both name the same attempt.
 func (router *Router) billStoredResult(ctx context.Context, admitted admittedRequest, reservation budget.Reservation, lines []budget.Line) error {
