--- a/pkg/testbed/disturbance.go
+++ b/pkg/testbed/disturbance.go
@@ -31,6 +31,9 @@
 	// InjectStreamFaults injects each kind of stream fault into some streams of an
 	// engine.
 	InjectStreamFaults DisturbanceKind = "break_streams"
+	// RepeatRefusals lets an engine answer some completions that it runs with an earlier
+	// refusal.
+	RepeatRefusals DisturbanceKind = "repeat_refusals"
 	// DropBookingConnections closes the connections of some bookings after they
 	// ran, without a response.
 	DropBookingConnections DisturbanceKind = "drop_bookings"
@@ -40,6 +43,7 @@
 const (
 	lostResponses             = 5
 	streamsPerFault           = 2
+	repeatedRefusals          = 5
 	droppedBookingConnections = 2
 )
 
@@ -76,6 +80,9 @@
 		}
 		return randomElement(random, testbed.Fleet.Engines).SetFaults(standin.EngineFaults{Streams: streams})
 	},
+	RepeatRefusals: func(testbed *Testbed, random *rand.Rand) error {
+		return randomElement(random, testbed.Fleet.Engines).SetFaults(standin.EngineFaults{RepeatRefusals: repeatedRefusals})
+	},
 	DropBookingConnections: func(testbed *Testbed, random *rand.Rand) error {
 		return randomElement(random, testbed.Fleet.Services).SetFaults(standin.ServiceFaults{DropNext: droppedBookingConnections})
 	},
