Record notices of upstreams asked in place of silent ones

Callers and upstreams saw requests at an upstream that had asked for a pause (503 with Retry-After) or had said that it is leaving, if it had said so when it was asked in place of a silent upstream: only attempts that the request waited for recorded what an answer says of its upstream. Each silent stream asked it once more, and new requests were sent to it first.

TestNoticeOfSecondUpstreamCounts failed in all four cases: the router listed the upstream as ready. Now the answer of each attempt is read in one place, also if the attempt is refused, fails or is discarded. The test passes.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -259,13 +259,7 @@
 	}
 	answer := started.answer
 	call.attemptsArrived++
-	info := call.relay.config.Protocol.ParseAnswer(answer)
-	if info.Load != nil {
-		ticket.ReportLoad(*info.Load)
-	}
-	if !info.Misdirected { // otherwise another process speaks
-		ticket.RecordNotice(notice.Request{Leaving: info.Leaving, Pause: info.Pause, Source: call.request.ID}, time.Now())
-	}
+	info := call.readAnswer(started)
 	if info.NotRun || info.Misdirected {
 		return refusedAttempt(answer, info)
 	}
@@ -276,6 +270,23 @@
 	return result
 }
 
+// readAnswer returns what the status and header of an answer say, and records at the
+// first call what they say of the upstream.
+func (call *call) readAnswer(started *startedAttempt) AnswerInfo {
+	if started.info != nil {
+		return *started.info
+	}
+	info := call.relay.config.Protocol.ParseAnswer(started.answer)
+	started.info = &info
+	if info.Load != nil {
+		started.ticket.ReportLoad(*info.Load)
+	}
+	if !info.Misdirected { // otherwise another process speaks
+		started.ticket.RecordNotice(notice.Request{Leaving: info.Leaving, Pause: info.Pause, Source: call.request.ID}, time.Now())
+	}
+	return info
+}
+
 // message returns the request of the attempt.
 func (call *call) message(started *startedAttempt) exchange.Request {
 	request, protocol := call.request, call.relay.config.Protocol
--- a/pkg/relay/takeover.go
+++ b/pkg/relay/takeover.go
@@ -33,6 +33,8 @@
 	done   chan struct{}
 	answer *exchange.Answer
 	err    error
+	// info is what the answer says; nil until it was read.
+	info *AnswerInfo
 }
 
 func newStartedAttempt(ticket *placement.Ticket, cancel context.CancelFunc) *startedAttempt {
@@ -139,7 +141,7 @@
 	if started.err != nil {
 		return call.sendFailure(call.ctx, started.err), false
 	}
-	info := call.relay.config.Protocol.ParseAnswer(started.answer)
+	info := call.readAnswer(started)
 	switch {
 	case info.NotRun || info.Misdirected:
 		call.attemptsArrived++
@@ -157,6 +159,9 @@
 func (call *call) discard(started *startedAttempt) {
 	started.cancel()
 	<-started.done
+	if started.err == nil {
+		call.readAnswer(started)
+	}
 	if started.err == nil || exchange.ErrorOf(started.err).MayHaveStarted {
 		call.attemptsArrived++
 		call.possibleRuns++
