Ask a second upstream only if it can go on

Callers of a resumable route saw a stream whose events have no IDs cut off after a second of silence, though its upstream went on: a second upstream was asked, the first was given up for it, and only then the router found that nothing says where to go on. Whether the request may run twice at all wasn't looked at either; only the order of two timers at the deadline kept what may run once from a second upstream.

TestStreamWithoutIDsSurvivesSilentUpstream failed with an unexpected EOF, and TestOnlyRepeatableRequestsAreTakenOver for streams that may not be resumed. mayTakeOver now looks at both. Both tests pass.

--- a/pkg/relay/takeover.go
+++ b/pkg/relay/takeover.go
@@ -68,8 +68,10 @@
 	return false
 }
 
+// mayTakeOver reports whether another upstream may be asked, and can go on with what
+// was delivered.
 func (call *call) mayTakeOver(ctx context.Context) bool {
-	return ctx.Err() == nil && call.attemptsNotRun <= maxNotRunRetries &&
+	return ctx.Err() == nil && call.request.Route.Repeatable() && call.delivery.mayResume() && call.attemptsNotRun <= maxNotRunRetries &&
 		call.possibleRuns+call.undecidedRuns < call.request.Route.MaxAttempts && call.relay.CheckPrompt(call.request) == nil
 }
 
--- a/pkg/relay/takeover_test.go
+++ b/pkg/relay/takeover_test.go
@@ -25,3 +25,12 @@
 	firstByte, _ := call.inactivityTimeouts(ticket)
 	require.Greater(t, firstByte, ticket.ExpectedTimeToFirstEvent())
 }
+
+// TestOnlyRepeatableRequestsAreTakenOver guards against a request that may run once and
+// is sent to a second upstream, as the wait for the first ends with the deadline.
+func TestOnlyRepeatableRequestsAreTakenOver(t *testing.T) {
+	for kind, may := range map[catalog.Kind]bool{catalog.Safe: true, catalog.Unsafe: false, catalog.Streaming: false} {
+		call := &call{request: Request{Route: catalog.Route{Kind: kind, MaxAttempts: 2}}, delivery: &delivery{}, undecidedRuns: 1}
+		require.Equal(t, may, call.mayTakeOver(t.Context()), kind)
+	}
+}
