Drop a part that arrives as its answer is given up

A resumed stream could break off just because both upstreams went on at the same moment: the second had been asked to continue after event N and the first was given up, but event N+1 of the first had arrived and was delivered all the same. The second then began with N+1, which is out of order, and the request had no attempt left. Events that had come with the head of a given-up answer were delivered, too.

TestNoPartAfterGivingUp failed in both cases: Next returned the part. Next now ends such an answer as stalled. The test passes, also 20 times in a row.

--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -171,9 +171,18 @@
 	answer.stallDetector.startWait(answer.nextPartTimeout())
 	part, err := answer.readPart()
 	answer.stallDetector.endWait(err == nil || errors.Is(err, io.EOF))
+	if err == nil && answer.isGivenUp() {
+		return Part{}, answer.fail(errStalled, ReasonStalled)
+	}
 	return part, err
 }
 
+// isGivenUp reports whether OnSilence ended the exchange. Parts that arrived meanwhile
+// don't count, since another attempt has been asked for them.
+func (answer *Answer) isGivenUp() bool {
+	return answer.options.onSilence != nil && errors.Is(context.Cause(answer.ctx), errStalled)
+}
+
 func (answer *Answer) readPart() (Part, error) {
 	switch {
 	case answer.Stream && answer.options.passThrough:
--- a/pkg/exchange/stale_test.go
+++ b/pkg/exchange/stale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -245,3 +247,42 @@
 		require.Equal(t, attemptID, <-requests, "the server reads one request of each connection")
 	}
 }
+
+// TestNoPartAfterGivingUp guards against a part that arrives just as the answer is given
+// up for another one, which has been asked for the same part.
+func TestNoPartAfterGivingUp(t *testing.T) {
+	for name, headFirst := range map[string]bool{"with the head": false, "after the head": true} {
+		t.Run(name, func(t *testing.T) {
+			silent := make(chan struct{})
+			client, _ := startServer(t, func(writer http.ResponseWriter, request *http.Request) {
+				writeStreamHead(writer, request)
+				if headFirst {
+					_ = http.NewResponseController(writer).Flush()
+				}
+				<-silent
+				_, _ = io.WriteString(writer, "id: 1\ndata: x\n\nid: 2\ndata: y\n\n")
+				_ = http.NewResponseController(writer).Flush()
+				<-request.Context().Done()
+			})
+			var headArrived atomic.Bool
+			request := modelRequest("a")
+			request.ModelEngine, request.PassThrough, request.Header = false, true, http.Header{HeaderAttempt: {"a"}}
+			request.InactivityTimeout = 10 * time.Millisecond
+			request.OnSilence = func(ctx context.Context) bool {
+				if headArrived.Load() != headFirst {
+					return false
+				}
+				close(silent)
+				<-ctx.Done() // the part has arrived
+				return true
+			}
+			answer, err := client.Send(t.Context(), request)
+			require.NoError(t, err)
+			defer answer.Close()
+			headArrived.Store(true)
+			_, err = answer.Next()
+			require.Error(t, err)
+			require.Equal(t, ReasonStalled, ErrorOf(err).Reason)
+		})
+	}
+}
