Keep a crash apart from the silence before it

If an upstream was silent and crashed while another one was asked in its place, the failure was recorded as a stall: the answer was only classified after the wait for the other upstream, which had ended the exchange by then. The crash was not reported to the quarantine, so a deadly prompt went on to the other engine and the parts of its prompt were not suspected.

TestBrokenConnectionDuringSilence failed with the reason stalled. The error is now classified before that wait. The test passes, and fails if the broken connection calls off the other upstream, which goes on as before.

--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -339,12 +339,13 @@
 	httpRequest = httpRequest.WithContext(httptrace.WithClientTrace(answer.ctx, trace)) //nolint:contextcheck // answer.ctx is derived from ctx
 	httpRequest.Body = nonReplayableBody{bytes.NewReader(options.body)}
 	response, err := client.transport(client.needsNewConnection(options)).RoundTrip(httpRequest) //nolint:bodyclose // Answer.Close closes it
-	answer.stallDetector.endWait(err == nil)
 	if err != nil {
-		failure := answer.fail(err, ReasonClosed)
+		failure := answer.fail(err, ReasonClosed) // before a running OnSilence ends the exchange, too
+		answer.stallDetector.endWait(false)
 		answer.Close()
 		return answer, failure
 	}
+	answer.stallDetector.endWait(true)
 	answer.readHead(response)
 	if answer.echoedAttemptID() == "" {
 		client.omitsAttemptIDs.Store(true)
--- a/pkg/exchange/stale_test.go
+++ b/pkg/exchange/stale_test.go
@@ -286,3 +286,24 @@
 		})
 	}
 }
+
+// TestBrokenConnectionDuringSilence guards against a crash that counts as silence, since
+// it came while another upstream was asked, and against calling that off.
+func TestBrokenConnectionDuringSilence(t *testing.T) {
+	silent, calledOff := make(chan struct{}), false
+	_, client := startRawServer(t, func(_, _ int, _ *http.Request) string {
+		<-silent
+		return ""
+	})
+	request := passedThrough("a")
+	request.InactivityTimeout = time.Millisecond
+	request.OnSilence = func(ctx context.Context) bool {
+		close(silent)
+		time.Sleep(100 * time.Millisecond)
+		calledOff = ctx.Err() != nil
+		return !calledOff
+	}
+	_, err := client.Send(t.Context(), request)
+	require.Equal(t, ReasonClosed, ErrorOf(err).Reason)
+	require.False(t, calledOff)
+}
