Keep a pause when a probe finds that an upstream stays

An upstream that had asked for a pause while a probe was on its way got requests again at once, if the probe found that the process at its address is not leaving: the notice was forgotten as a whole. TestProbeKeepsPause failed with no pause left instead of a minute. The probe now changes nothing during a pause, and the next one after it tells. The test passes.

--- a/pkg/upstream/notice.go
+++ b/pkg/upstream/notice.go
@@ -62,12 +62,12 @@
 
 // forgetLeaving forgets that the upstream at the member's address was leaving, if a
 // probe that was sent later found it healthy and it didn't say so: another process has
-// the address now.
+// the address now. During a pause it changes nothing; a later probe will tell.
 func (pool *Pool) forgetLeaving(member *Member, probedAt time.Time) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	notice := pool.noticeOf(member.address)
-	if notice.IsLeaving() && notice.LeavingSince.Before(probedAt) {
+	if notice.IsLeaving() && notice.LeavingSince.Before(probedAt) && !notice.IsPaused(pool.config.Now()) {
 		pool.notices.Forget(member.address)
 		pool.rebuild()
 	}
--- a/pkg/upstream/notice_test.go
+++ b/pkg/upstream/notice_test.go
@@ -88,3 +88,19 @@
 		return err == nil
 	}, time.Minute, 5*time.Millisecond)
 }
+
+// Guards against a pause that ends early, as a probe finds that the upstream at the
+// address is not leaving.
+func TestProbeKeepsPause(t *testing.T) {
+	pool, clock := newTestPool(t, Config{}, testUpstreams(1))
+	member := mustAcquire(t, pool, Criteria{})
+	pool.recordNotice(member.address, notice.Request{Leaving: true})
+	clock.now = clock.now.Add(time.Second)
+	probedAt := clock.now
+	pool.recordNotice(member.address, notice.Request{Pause: time.Minute})
+	pool.forgetLeaving(member, probedAt)
+	require.Equal(t, time.Minute, pool.PauseOf(member))
+	clock.now = clock.now.Add(time.Minute)
+	pool.forgetLeaving(member, clock.now)
+	require.False(t, pool.noticeOf(member.address).IsLeaving())
+}
