Keep what a holder remembers when a conflict shows the copy

Callers could spend more than a team had paid for: 587,000 of 500,000 tokens in TestConflictAfterRestoreKeepsMemory, which failed before.

Cause: the first call after a restore is often an exchange. It conflicts, and the rows returned with the conflict, those of the copy, replaced the holder's slices before it noted the later era. What it remembered of the lost seconds was gone, and the time up to which the slice counted as known was that of the last answer, so nearly nothing was kept back for a holder that was cut off.

Change: if a conflict states a later era, its rows are not used. The next step reads them in that era and completes them by what is remembered.

--- /dev/null
+++ b/pkg/allowance/restore_memory_test.go
@@ -0,0 +1,39 @@
+package allowance
+
+// What a holder remembers, and what a successor finds, when the table is restored.
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestConflictAfterRestoreKeepsMemory guards against taking the copy's older slice,
+// returned with a conflict, for what the holder knew before the restore, so that
+// what a cut-off router took in the lost seconds is granted again.
+func TestConflictAfterRestoreKeepsMemory(t *testing.T) {
+	const prepaid = 500_000
+	fleet := newFleet(2, 8, map[string]int64{"cooks": prepaid})
+	fleet.reconnectAll()
+	copied := fleet.table.copy()
+	fleet.advance(100 * time.Millisecond)
+	first, cutOff := fleet.vms[0], fleet.vms[1]
+	require.True(t, cutOff.reserveWithExchange("cooks", 250_000))
+	fleet.advance(time.Second)
+	for _, vm := range fleet.vms {
+		vm.step()
+	}
+	cutOff.tableClient.mode = modeNoAnswer
+	fleet.table.restore(copied)
+	first.keeper.nextExchangeAt = time.Time{}
+	first.step() // its exchange conflicts with the rows of the copy
+	for range 20 {
+		first.step()
+		fleet.advance(defaultExchangeInterval)
+	}
+	for first.reserveWithExchange("cooks", 1_000) {
+		fleet.advance(10 * time.Millisecond)
+	}
+	require.LessOrEqual(t, fleet.spentOrReserved("cooks"), int64(prepaid))
+}
--- a/pkg/allowance/table.go
+++ b/pkg/allowance/table.go
@@ -132,6 +132,10 @@
 		return nil
 	case fault.KindOf(err) == fault.Conflict:
 		keeper.holder.discardDraft(row.Sequence)
+		if keeper.restored() {
+			keeper.outcomeUnknown = true // the rows of the conflict are those of the copy
+			return err
+		}
 		keeper.handleConflict(err)
 		return err
 	case fault.KindOf(err) == fault.Overloaded:
