Keep what a holder remembers over a second restore

Cause: at each restore the slices that were last read took the place of the remembered ones. If the holder had only read the copy in between, it remembered the copy, and as up to date. If it had written its grants, its memory was of a later era than that of the second copy and was not used at all.

Change: a slice takes the place of the remembered one only if it was written in the era in which it was read, and one of a later era than the copy completes the copy, too. With either half taken out its case fails again.

--- a/pkg/allowance/era.go
+++ b/pkg/allowance/era.go
@@ -122,7 +122,7 @@
 	}
 	keeper.undeclared, keeper.nextExchangeAt = true, time.Time{}
 	if keeper.pool != nil {
-		keeper.rememberedPool = keeper.pool
+		keeper.rememberedPool = keeper.pool.orRemembered(keeper.rememberedPool)
 	}
 	keeper.pool, keeper.sliceCount = nil, 0
 	_ = keeper.config.Logger.Log("event", "budget_table_restored", "holder", keeper.config.Name, "era", keeper.era, "previous", previous)
--- a/pkg/allowance/restore_memory_test.go
+++ b/pkg/allowance/restore_memory_test.go
@@ -37,3 +37,41 @@
 	}
 	require.LessOrEqual(t, fleet.spentOrReserved("cooks"), int64(prepaid))
 }
+
+// TestSecondRestoreKeepsMemory guards against losing what a holder remembers of a
+// cut-off one by a second restore to the same copy: after the holder has read the
+// copy and written nothing, and after it has written its grants again.
+func TestSecondRestoreKeepsMemory(t *testing.T) {
+	const prepaid = 500_000
+	for _, wroteBetween := range []bool{false, true} {
+		fleet := newFleet(2, 8, map[string]int64{"cooks": prepaid})
+		fleet.reconnectAll()
+		copied := fleet.table.copy()
+		fleet.advance(100 * time.Millisecond)
+		first, cutOff := fleet.vms[0], fleet.vms[1]
+		require.True(t, cutOff.reserveWithExchange("cooks", 250_000))
+		fleet.advance(time.Second)
+		for _, vm := range fleet.vms {
+			vm.step()
+		}
+		cutOff.tableClient.mode = modeNoAnswer
+		fleet.table.restore(copied)
+		first.step() // learns of the restore
+		if !wroteBetween {
+			first.tableClient.beforeCommit = func() { first.tableClient.mode = modeNoAnswer }
+		}
+		first.step()
+		first.tableClient.mode, first.tableClient.beforeCommit = modeAnswer, nil
+		require.Equal(t, fleet.table.era, first.keeper.era)
+		fleet.advance(100 * time.Millisecond)
+		fleet.table.restore(copied)
+		for range 20 {
+			first.step()
+			fleet.advance(defaultExchangeInterval)
+		}
+		for first.reserveWithExchange("cooks", 1_000) {
+			fleet.advance(10 * time.Millisecond)
+		}
+		require.LessOrEqual(t, fleet.spentOrReserved("cooks"), int64(prepaid), "wrote between: %v", wroteBetween)
+	}
+}
--- a/pkg/allowance/share.go
+++ b/pkg/allowance/share.go
@@ -79,9 +79,10 @@
 }
 
 // complete replaces the shares of holders that have not declared theirs by the
-// remembered ones if these are newer.
+// remembered ones if these are newer. The slice was remembered in the era of the copy,
+// or in a later one that is undone as a whole.
 func (slice *Slice) complete(era uint64, remembered *rememberedSlice) {
-	if remembered == nil || remembered.era != slice.CopiedEra || remembered.knownAt <= slice.KnownUntil {
+	if remembered == nil || remembered.era < slice.CopiedEra || remembered.knownAt <= slice.KnownUntil {
 		return
 	}
 	for name, share := range remembered.Holders {
@@ -89,8 +90,15 @@
 			slice.setShare(name, share)
 		}
 	}
-	slice.UnknownFor = max(slice.UnknownFor-(remembered.knownAt-slice.KnownUntil), 0)
-	slice.KnownUntil = remembered.knownAt
+	if remembered.era > slice.CopiedEra {
+		slice.UnknownFor = max(slice.ContinuedAt-remembered.knownAt, 0)
+		if remembered.hasUndeclared(remembered.era) {
+			slice.UnknownFor += remembered.UnknownFor
+		}
+	} else {
+		slice.UnknownFor = max(slice.UnknownFor-(remembered.knownAt-slice.KnownUntil), 0)
+	}
+	slice.CopiedEra, slice.KnownUntil = remembered.era, remembered.knownAt
 }
 
 // setShare replaces a holder's share and changes the sums accordingly.
--- a/pkg/allowance/slice.go
+++ b/pkg/allowance/slice.go
@@ -172,6 +172,22 @@
 	}
 }
 
+// orRemembered returns the pool with the remembered slices in place of those that
+// were read, but not written, in the pool's era: they are those of a copy.
+func (pool *pool) orRemembered(remembered *pool) *pool {
+	if remembered == nil || len(remembered.items) != len(pool.items) {
+		return pool
+	}
+	merged := *pool
+	merged.items, merged.knownAt = slices.Clone(pool.items), slices.Clone(pool.knownAt)
+	for number := range merged.items {
+		if merged.items[number].Key != sliceKey(number, pool.era) {
+			merged.items[number], merged.knownAt[number] = remembered.items[number], remembered.knownAt[number]
+		}
+	}
+	return &merged
+}
+
 // remember returns a slice of a pool of an earlier era, nil if there is none.
 func (pool *pool) remember(number int) *rememberedSlice {
 	if pool == nil || number >= len(pool.items) || pool.items[number].Version == 0 {
