Charge a new router whose only rows were undone by its share

Callers could spend again what a router had spent that had started in the lost seconds and died: its successor found no row, took itself for new and replaced the share, which the others had completed, by nothing.

Change: a process that finds no row of its name takes over the share of a preceding process, as one that finds an older row does.

--- a/pkg/allowance/exchange.go
+++ b/pkg/allowance/exchange.go
@@ -155,9 +155,10 @@
 // correctPredecessor estimates the charges of a preceding process whose last rows
 // a restore has undone by its share, if that is more recent than the row.
 func (keeper *Keeper) correctPredecessor(share HolderShare, now time.Time) {
-	if !keeper.undonePredecessor || share.Era == keeper.era {
+	if !keeper.undonePredecessor || share.Era == keeper.era || share.Stamp == 0 {
 		return
 	}
+	keeper.undeclared = true
 	startedAt := keeper.tableTimeAt(now) - now.Sub(keeper.config.StartedAt)
 	keeper.holder.takeOverShare(share, startedAt-share.Stamp)
 }
--- a/pkg/allowance/holder.go
+++ b/pkg/allowance/holder.go
@@ -248,6 +248,9 @@
 
 func (holder *Holder) setUndone(team string, charged int64) {
 	holder.account(team).spent = charged
+	if holder.committedTerms == nil {
+		holder.committedTerms = make(map[string]Terms)
+	}
 	holder.committedTerms[team] = Terms{Granted: charged, Charged: charged, Reported: charged}
 }
 
--- a/pkg/allowance/restore_memory_test.go
+++ b/pkg/allowance/restore_memory_test.go
@@ -75,3 +75,38 @@
 		require.LessOrEqual(t, fleet.spentOrReserved("cooks"), int64(prepaid), "wrote between: %v", wroteBetween)
 	}
 }
+
+// TestBudgetIsKeptWhenNewRouterDiesDuringRestore guards against counting nothing of a
+// router whose first row was undone, though its slice states its share.
+func TestBudgetIsKeptWhenNewRouterDiesDuringRestore(t *testing.T) {
+	const prepaid = 500_000
+	fleet := newFleet(3, 8, map[string]int64{"cooks": prepaid})
+	started, others := fleet.vms[0], fleet.vms[1:]
+	for range 6 {
+		for _, vm := range others {
+			vm.step()
+		}
+		fleet.advance(defaultExchangeInterval)
+	}
+	copied := fleet.table.copy()
+	fleet.advance(100 * time.Millisecond)
+	for range 2 {
+		started.step()
+		fleet.advance(defaultExchangeInterval)
+	}
+	require.True(t, started.reserveWithExchange("cooks", 150_000))
+	fleet.advance(defaultExchangeInterval)
+	for _, vm := range append([]*vm{started}, others...) {
+		vm.step()
+	}
+	fleet.startProcess(started)
+	fleet.table.restore(copied)
+	for range 2 {
+		for _, vm := range others {
+			vm.step()
+		}
+	}
+	fleet.reconnectAll()
+	require.GreaterOrEqual(t, fleet.table.totalOfSlices("cooks").Charged, int64(150_000))
+	require.LessOrEqual(t, fleet.exhaust("cooks", 1_000), int64(prepaid))
+}
--- a/pkg/allowance/table.go
+++ b/pkg/allowance/table.go
@@ -31,6 +31,9 @@
 		keeper.holder.keepLowestGrants()
 		return nil
 	}
+	if item.Version == 0 && !keeper.holder.HasPublished() {
+		keeper.undonePredecessor = true // a restore may have undone its only rows
+	}
 	if item.Key == keeper.ownRow.Key && item.Version == keeper.ownRow.Version {
 		return nil // a pending row may still be applied later, so it stays pending
 	}
