Keep what a starting router has read of its predecessor over a restore

A router that had read its predecessor's row, and had written nothing yet when the store came back from a copy, replaced it by the copy's older row and an estimate. Callers could spend again what the predecessor had spent in the lost seconds.

Change: what was taken over is declared, as grants of a running process are.

--- a/pkg/allowance/restore_memory_test.go
+++ b/pkg/allowance/restore_memory_test.go
@@ -110,3 +110,29 @@
 	require.GreaterOrEqual(t, fleet.table.totalOfSlices("cooks").Charged, int64(150_000))
 	require.LessOrEqual(t, fleet.exhaust("cooks", 1_000), int64(prepaid))
 }
+
+// TestStartingRouterKeepsWhatItReadBeforeRestore guards against replacing the row of
+// the predecessor by the copy's older one if the store is restored before the first
+// write.
+func TestStartingRouterKeepsWhatItReadBeforeRestore(t *testing.T) {
+	const prepaid = 500_000
+	fleet := newFleet(1, 8, map[string]int64{"cooks": prepaid})
+	fleet.reconnectAll()
+	copied := fleet.table.copy()
+	fleet.advance(100 * time.Millisecond)
+	restarted := fleet.vms[0]
+	require.True(t, restarted.reserveWithExchange("cooks", 200_000))
+	restarted.keeper.nextExchangeAt = time.Time{}
+	restarted.step()
+	fleet.startProcess(restarted)
+	members := restarted.keeper.config.Holders
+	restarted.keeper.config.Holders = func() (int, bool) { return 0, true } // not known yet
+	restarted.tableClient.beforeCommit = func() {
+		restarted.tableClient.beforeCommit = nil
+		fleet.table.restore(copied)
+	}
+	restarted.step()
+	restarted.keeper.config.Holders = members
+	fleet.reconnectAll()
+	require.GreaterOrEqual(t, fleet.table.totalOfSlices("cooks").Charged, int64(200_000))
+}
--- a/pkg/allowance/table.go
+++ b/pkg/allowance/table.go
@@ -26,7 +26,7 @@
 	keeper.outcomeUnknown = false
 	isRestored := keeper.enterEra()
 	isCurrent := item.Version == 0 || item.Key == holderKey(keeper.config.Name, keeper.era)
-	if keeper.holder.HasPublished() && isRestored && (!isCurrent || item.Version == 0 || row.Process == keeper.config.Process) {
+	if (keeper.holder.HasPublished() || keeper.ownRow.Version > 0) && isRestored && (!isCurrent || item.Version == 0 || row.Process == keeper.config.Process) {
 		keeper.ownRow = item
 		keeper.holder.keepLowestGrants()
 		return nil
