Let no replaced process take its budget row back after a restore

A process that was cut off or frozen, and had been replaced under its name meanwhile, took the row back when the store was restored: any older row counted as its own undone one. Its successor was then shut out, and what that had charged was replaced in the slice. A process that had found itself replaced also went on writing at its next step.

Change: a row of another process that is later than the holder's own is that of a successor, in any era; and a replaced keeper writes nothing more.

--- a/pkg/allowance/holder.go
+++ b/pkg/allowance/holder.go
@@ -187,6 +187,14 @@
 	return holder.committedRow != nil
 }
 
+// publishedBefore reports whether the holder's first row was in the table before the
+// time of the table's clock.
+func (holder *Holder) publishedBefore(stamp time.Duration) bool {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	return holder.committedRow != nil && holder.committedRow.row.Stamp < stamp
+}
+
 // Holding is the state of one team in a holder. Amounts are tokens, Demand is
 // in tokens a second, and Refusals counts failed reservations.
 type Holding struct {
--- a/pkg/allowance/keeper.go
+++ b/pkg/allowance/keeper.go
@@ -106,6 +106,9 @@
 	// undonePredecessor is set when a restore undid the last rows of the preceding
 	// process, and the holder has not exchanged yet.
 	undonePredecessor bool
+	// replaced is set when another process has written the holder's row. The keeper
+	// writes nothing more.
+	replaced bool
 	// outcomeUnknown is set when a commit got no answer.
 	outcomeUnknown bool
 	// nextExchangeAt is when the next exchange is due.
@@ -237,6 +240,9 @@
 // try, it writes the holder's row alone, so that the table shows what was spent
 // even when the pool is contended.
 func (keeper *Keeper) publish(ctx context.Context, prepaid map[string]int64) error {
+	if keeper.replaced {
+		return errReplaced
+	}
 	if !keeper.holder.HasPublished() && keeper.ownRow.Version == 0 || keeper.outcomeUnknown || keeper.restored() {
 		if err := keeper.readOwnRow(ctx); err != nil {
 			return err
--- a/pkg/allowance/restore_memory_test.go
+++ b/pkg/allowance/restore_memory_test.go
@@ -136,3 +136,31 @@
 	fleet.reconnectAll()
 	require.GreaterOrEqual(t, fleet.table.totalOfSlices("cooks").Charged, int64(200_000))
 }
+
+// TestReplacedProcessDoesNotTakeRowBack guards against a process that was replaced
+// while it was cut off, and that takes its row back after a restore.
+func TestReplacedProcessDoesNotTakeRowBack(t *testing.T) {
+	const prepaid = 500_000
+	fleet := newFleet(3, 8, map[string]int64{"cooks": prepaid})
+	fleet.table.era = 1
+	fleet.reconnectAll()
+	vm := fleet.vms[0]
+	replaced := vm.keeper
+	fleet.advance(time.Second)
+	fleet.startProcess(vm)
+	for range 3 {
+		vm.step()
+		fleet.advance(defaultExchangeInterval)
+	}
+	require.True(t, vm.reserveWithExchange("cooks", 50_000))
+	vm.step()
+	copied := fleet.table.copy()
+	fleet.advance(100 * time.Millisecond)
+	fleet.table.restore(copied)
+	for range 4 {
+		replaced.step(t.Context())
+	}
+	vm.step()
+	require.False(t, replaced.holder.HasPublished(), "the replaced process goes on")
+	require.True(t, vm.keeper.holder.HasPublished(), "the new process was fenced")
+}
--- a/pkg/allowance/table.go
+++ b/pkg/allowance/table.go
@@ -26,7 +26,8 @@
 	keeper.outcomeUnknown = false
 	isRestored := keeper.enterEra()
 	isCurrent := item.Version == 0 || item.Key == holderKey(keeper.config.Name, keeper.era)
-	if (keeper.holder.HasPublished() || keeper.ownRow.Version > 0) && isRestored && (!isCurrent || item.Version == 0 || row.Process == keeper.config.Process) {
+	isSuccessor := row.Process != keeper.config.Process && (isCurrent || keeper.holder.publishedBefore(row.Stamp))
+	if (keeper.holder.HasPublished() || keeper.ownRow.Version > 0) && isRestored && (item.Version == 0 || !isSuccessor) {
 		keeper.ownRow = item
 		keeper.holder.keepLowestGrants()
 		return nil
@@ -44,11 +45,8 @@
 	}
 	if keeper.holder.HasPublished() {
 		keeper.holder.fence()
-		return fault.New(fault.Config{
-			Kind:    fault.Internal,
-			Message: "another process writes to the budget row of this router",
-			Remedy:  "give each router its own node name",
-		})
+		keeper.replaced = true
+		return errReplaced
 	}
 	uptime := keeper.config.Now().Sub(keeper.config.StartedAt)
 	elapsed := keeper.tableTime - uptime - row.Stamp
@@ -63,6 +61,13 @@
 	return nil
 }
 
+// errReplaced means that the holder's row is that of another process.
+var errReplaced = fault.New(fault.Config{
+	Kind:    fault.Internal,
+	Message: "another process writes to the budget row of this router",
+	Remedy:  "give each router its own node name",
+})
+
 func (keeper *Keeper) logTakeover(row HolderRow, elapsed time.Duration) {
 	for team, terms := range row.Teams {
 		_ = keeper.config.Logger.Log("event", "budget_adopted", "team", team, "predecessor", row.Process, "undone", keeper.undonePredecessor,
