Limit the estimate of a stopped router by what it may have been granted

The charges of a preceding process were estimated from its last row, with 2.5 times its demand for all the time since, also when it had been stopped or cut off long before the restore.

Change: the estimate is at most the grant that its share states, and what the share may lack: the same that other holders keep back for it.

--- a/pkg/allowance/exchange.go
+++ b/pkg/allowance/exchange.go
@@ -25,7 +25,7 @@
 	waitingByTeam := keeper.copyWaitingByTeam()
 	pool.enterEra(keeper.eraEnteredAt, keeper.rememberedPool, keeper.undeclared)
 	waitsForOthers := pool.awaitsDeclarations(keeper.tableTimeAt(now))
-	keeper.correctPredecessor(pool.slices[pool.ownNumber].Holders[keeper.config.Name], now)
+	keeper.correctPredecessor(&pool.slices[pool.ownNumber], now)
 	var writes []platform.Write
 	if !keeper.closing && !waitsForOthers {
 		writes = pool.rebalance(prepaid, waitingByTeam, maxDonors)
@@ -153,12 +153,15 @@
 }
 
 // correctPredecessor estimates the charges of a preceding process whose last rows
-// a restore has undone by its share, if that is more recent than the row.
-func (keeper *Keeper) correctPredecessor(share HolderShare, now time.Time) {
+// a restore has undone by its share, if that is more recent than the row. It can't have
+// charged more than it was granted, and may have been granted, while its share is known
+// only in part.
+func (keeper *Keeper) correctPredecessor(slice *Slice, now time.Time) {
+	share := slice.Holders[keeper.config.Name]
 	if !keeper.undonePredecessor || share.Era == keeper.era || share.Stamp == 0 {
 		return
 	}
 	keeper.undeclared = true
 	startedAt := keeper.tableTimeAt(now) - now.Sub(keeper.config.StartedAt)
-	keeper.holder.takeOverShare(share, startedAt-share.Stamp)
+	keeper.holder.takeOverShare(share, startedAt-share.Stamp, slice.UnknownFor)
 }
--- a/pkg/allowance/holder.go
+++ b/pkg/allowance/holder.go
@@ -242,15 +242,17 @@
 }
 
 // takeOverShare replaces the estimates of takeOverUndone by those from the preceding
-// process's share in its slice, if that is more recent.
-func (holder *Holder) takeOverShare(share HolderShare, elapsed time.Duration) {
+// process's share in its slice, if that is more recent, and limits them by what it
+// may have been granted. The share isn't known for the duration unknownFor.
+func (holder *Holder) takeOverShare(share HolderShare, elapsed, unknownFor time.Duration) {
 	holder.mutex.Lock()
 	defer holder.mutex.Unlock()
-	if share.Stamp <= holder.undoneStamp {
-		return
-	}
 	for team, account := range share.Teams {
-		holder.setUndone(team, account.maxCharged(elapsed))
+		charged := holder.account(team).spent
+		if share.Stamp > holder.undoneStamp {
+			charged = account.maxCharged(elapsed)
+		}
+		holder.setUndone(team, min(charged, account.Granted+account.mayHaveTaken(unknownFor)))
 	}
 }
 
--- a/pkg/allowance/restore_memory_test.go
+++ b/pkg/allowance/restore_memory_test.go
@@ -164,3 +164,31 @@
 	require.False(t, replaced.holder.HasPublished(), "the replaced process goes on")
 	require.True(t, vm.keeper.holder.HasPublished(), "the new process was fenced")
 }
+
+// TestEstimateOfRouterStoppedBeforeRestoreIsBounded guards against charging a router
+// for the whole time that it was stopped, when only seconds were undone.
+func TestEstimateOfRouterStoppedBeforeRestoreIsBounded(t *testing.T) {
+	const prepaid, requestTokens = 1_000_000, 1_000
+	fleet := newFleet(6, 8, map[string]int64{"cooks": prepaid})
+	fleet.reconnectAll()
+	fleet.serve(20, "cooks", requestTokens)
+	stopped := fleet.vms[0]
+	held := stopped.keeper.holder.Holdings(stopped.localTime)["cooks"]
+	spentBefore := fleet.spentOrReserved("cooks")
+	stopped.frozen = true
+	for range 60 {
+		fleet.advance(time.Second)
+		for _, vm := range fleet.vms {
+			vm.step()
+		}
+	}
+	stopped.localTime = fleet.vms[1].localTime
+	copied := fleet.table.copy()
+	fleet.advance(100 * time.Millisecond)
+	fleet.advance(time.Second)
+	fleet.table.restore(copied)
+	fleet.startProcess(stopped)
+	fleet.reconnectAll()
+	charged := fleet.table.totalOfSlices("cooks").Charged
+	require.LessOrEqual(t, charged, spentBefore+held.Granted-held.Spent+prepaid/20)
+}
