Continue slices without holders in the era after a restore

Tokens were held back for good, and more of them for each later router, when a slice had no holder left at a restore: nobody wrote it in the new era, and each process that started later took the whole time since its last exchange for time that may be missing (2.5 times the demand of its former holders).

Change: the holders of the preceding slice write it in the era, with what they remember; and a copy is taken to be as recent as the last exchange in any of its slices, not only in the slice itself.

--- a/pkg/allowance/exchange.go
+++ b/pkg/allowance/exchange.go
@@ -29,6 +29,9 @@
 	var writes []platform.Write
 	if !keeper.closing && !waitsForOthers {
 		writes = pool.rebalance(prepaid, waitingByTeam, maxDonors)
+		if maxDonors > 0 {
+			writes = append(writes, pool.continueNext(writes)...)
+		}
 	}
 	defer func() { keeper.exchangedAt = keeper.config.Now() }()
 	keeper.holder.addAccounts(prepaid)
--- a/pkg/allowance/restore_memory_test.go
+++ b/pkg/allowance/restore_memory_test.go
@@ -192,3 +192,35 @@
 	charged := fleet.table.totalOfSlices("cooks").Charged
 	require.LessOrEqual(t, charged, spentBefore+held.Granted-held.Spent+prepaid/20)
 }
+
+// TestReservesEndForSlicesWithoutHolders guards against a reserve that grows with the
+// time since the last exchange of a slice whose holders are gone, and against an
+// estimate that does so for a router that was stopped long before a restore.
+func TestReservesEndForSlicesWithoutHolders(t *testing.T) {
+	const prepaid, requestTokens = 1_000_000, 1_000
+	fleet := newFleet(6, 2, map[string]int64{"cooks": prepaid})
+	fleet.reconnectAll()
+	fleet.serve(20, "cooks", requestTokens)
+	gone := fleet.vms[2]
+	require.Zero(t, gone.keeper.pool.ownNumber, "the only holder of a slice")
+	held := gone.keeper.holder.Holdings(gone.localTime)["cooks"]
+	fleet.vms = append(fleet.vms[:2], fleet.vms[3:]...)
+	copied := fleet.table.copy()
+	fleet.advance(100 * time.Millisecond)
+	fleet.advance(time.Second)
+	fleet.table.restore(copied)
+	fleet.reconnectAll()
+	for range 100 {
+		fleet.advance(6 * time.Second)
+		for _, vm := range fleet.vms {
+			vm.step()
+		}
+	}
+	for _, vm := range fleet.vms {
+		fleet.startProcess(vm)
+	}
+	fleet.reconnectAll()
+	spent := fleet.exhaust("cooks", requestTokens)
+
+	require.Greater(t, spent, int64(prepaid)-held.Granted-prepaid/10)
+}
--- a/pkg/allowance/share.go
+++ b/pkg/allowance/share.go
@@ -55,11 +55,11 @@
 
 // continueIn makes a slice of the era copiedEra one of the present era. Holders may
 // have changed their grants between the last known exchange and enteredAt, the time
-// of the table's clock at which the restore was known.
-func (slice *Slice) continueIn(copiedEra uint64, enteredAt time.Duration) {
-	lastExchange, carriedOver := time.Duration(0), time.Duration(0)
+// of the table's clock at which the restore was known. The last exchange in any slice
+// of the copy shows how old the copy is at most.
+func (slice *Slice) continueIn(copiedEra uint64, lastExchange, enteredAt time.Duration) {
+	carriedOver := time.Duration(0)
 	for _, share := range slice.Holders {
-		lastExchange = max(lastExchange, share.Stamp)
 		if share.Era < copiedEra {
 			carriedOver = slice.UnknownFor
 		}
@@ -78,6 +78,16 @@
 	return false
 }
 
+// hasDeclared reports whether a holder has declared its grants in the era.
+func (slice *Slice) hasDeclared(era uint64) bool {
+	for _, share := range slice.Holders {
+		if share.Era == era {
+			return true
+		}
+	}
+	return false
+}
+
 // complete replaces the shares of holders that have not declared theirs by the
 // remembered ones if these are newer. The slice was remembered in the era of the copy,
 // or in a later one that is undone as a whole.
--- a/pkg/allowance/slice.go
+++ b/pkg/allowance/slice.go
@@ -155,10 +155,43 @@
 	return pool.items[number].Version == 0 || pool.items[number].Key == sliceKey(number, pool.era)
 }
 
+// lastCopiedExchange returns the time of the last exchange in the slices that no
+// holder has written in the pool's era.
+func (pool *pool) lastCopiedExchange() time.Duration {
+	latest := time.Duration(0)
+	for number := range pool.slices {
+		if pool.isCurrent(number) {
+			continue
+		}
+		for _, share := range pool.slices[number].Holders {
+			latest = max(latest, share.Stamp)
+		}
+	}
+	return latest
+}
+
+// continueNext returns the writes that continue a slice in the pool's era if none of
+// its own holders does so: processes that start later don't know for how long its
+// exchanges may be missing. The holders of the preceding slice do this for it.
+func (pool *pool) continueNext(written []platform.Write) []platform.Write {
+	for offset := 1; offset < len(pool.slices); offset++ {
+		number := (pool.ownNumber + offset) % len(pool.slices)
+		isWritten := slices.ContainsFunc(written, func(write platform.Write) bool { return write.Key == sliceKey(number, pool.era) })
+		if !pool.isCurrent(number) && !isWritten {
+			return pool.sliceWrites(number)
+		}
+		if pool.slices[number].hasDeclared(pool.era) {
+			return nil
+		}
+	}
+	return nil
+}
+
 // enterEra makes the slices of earlier eras slices of the pool's. It completes them,
 // and the holder's own slice while its grants are not declared, by what the holder
 // remembers of them.
 func (pool *pool) enterEra(enteredAt time.Duration, remembered *pool, undeclared bool) {
+	lastExchange := pool.lastCopiedExchange()
 	for number := range pool.slices {
 		isCurrent := pool.isCurrent(number)
 		if isCurrent && (number != pool.ownNumber || !undeclared) {
@@ -166,7 +199,7 @@
 		}
 		slice := &pool.slices[number]
 		if copiedEra, ok := eraOf(sliceSortKey, pool.items[number].Key.Sort); ok && !isCurrent {
-			slice.continueIn(copiedEra, enteredAt)
+			slice.continueIn(copiedEra, lastExchange, enteredAt)
 		}
 		slice.complete(pool.era, remembered.remember(number))
 	}
