Take over a preceding process in its own function

The case of a router that finds no row is decided at the start of the keeper, so that a restore after its first read doesn't replace what it took over by an estimate.

--- a/pkg/allowance/keeper.go
+++ b/pkg/allowance/keeper.go
@@ -103,8 +103,8 @@
 	eraEnteredAt time.Duration
 	// rememberedPool holds the slices as they were before the last restore.
 	rememberedPool *pool
-	// undonePredecessor is set when a restore undid the last rows of the preceding
-	// process, and the holder has not exchanged yet.
+	// undonePredecessor is set while a restore may have undone the last rows of the
+	// preceding process, and the holder has not exchanged yet.
 	undonePredecessor bool
 	// replaced is set when another process has written the holder's row. The keeper
 	// writes nothing more.
@@ -182,12 +182,14 @@
 		config.Now = time.Now
 	}
 	return &Keeper{
-		config:        config,
-		holder:        NewHolder(),
-		done:          make(chan struct{}),
-		urgentStep:    make(chan struct{}, 1),
-		waitingByTeam: make(map[string]int64),
-		exchangeDone:  make(chan struct{}),
+		config: config,
+		// A restore may have undone the only rows of the preceding process.
+		undonePredecessor: true,
+		holder:            NewHolder(),
+		done:              make(chan struct{}),
+		urgentStep:        make(chan struct{}, 1),
+		waitingByTeam:     make(map[string]int64),
+		exchangeDone:      make(chan struct{}),
 	}
 }
 
--- a/pkg/allowance/table.go
+++ b/pkg/allowance/table.go
@@ -32,9 +32,6 @@
 		keeper.holder.keepLowestGrants()
 		return nil
 	}
-	if item.Version == 0 && !keeper.holder.HasPublished() {
-		keeper.undonePredecessor = true // a restore may have undone its only rows
-	}
 	if item.Key == keeper.ownRow.Key && item.Version == keeper.ownRow.Version {
 		return nil // a pending row may still be applied later, so it stays pending
 	}
@@ -48,6 +45,13 @@
 		keeper.replaced = true
 		return errReplaced
 	}
+	keeper.takeOver(row, isCurrent)
+	return nil
+}
+
+// takeOver applies the row of the preceding process, which may not be its last one if
+// it isn't current.
+func (keeper *Keeper) takeOver(row HolderRow, isCurrent bool) {
 	uptime := keeper.config.Now().Sub(keeper.config.StartedAt)
 	elapsed := keeper.tableTime - uptime - row.Stamp
 	keeper.undonePredecessor = !isCurrent
@@ -58,7 +62,6 @@
 		keeper.holder.takeOver(row, elapsed)
 	}
 	keeper.logTakeover(row, elapsed)
-	return nil
 }
 
 // errReplaced means that the holder's row is that of another process.
