--- a/pkg/allowance/holder.go
+++ b/pkg/allowance/holder.go
@@ -187,6 +187,14 @@
 	return holder.committedRow != nil
 }
 
+// publishedBefore reports whether the holder's first row was in the table before the
+// time of the table's clock.
+func (holder *Holder) publishedBefore(stamp time.Duration) bool {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	return holder.committedRow != nil && holder.committedRow.row.Stamp < stamp
+}
+
 // Holding is the state of one team in a holder. Amounts are tokens, Demand is
 // in tokens a second, and Refusals counts failed reservations.
 type Holding struct {
@@ -234,20 +242,25 @@
 }
 
 // takeOverShare replaces the estimates of takeOverUndone by those from the preceding
-// process's share in its slice, if that is more recent.
-func (holder *Holder) takeOverShare(share HolderShare, elapsed time.Duration) {
+// process's share in its slice, if that is more recent, and limits them by what it
+// may have been granted. The share isn't known for the duration unknownFor.
+func (holder *Holder) takeOverShare(share HolderShare, elapsed, unknownFor time.Duration) {
 	holder.mutex.Lock()
 	defer holder.mutex.Unlock()
-	if share.Stamp <= holder.undoneStamp {
-		return
-	}
 	for team, account := range share.Teams {
-		holder.setUndone(team, account.maxCharged(elapsed))
+		charged := holder.account(team).spent
+		if share.Stamp > holder.undoneStamp {
+			charged = account.maxCharged(elapsed)
+		}
+		holder.setUndone(team, min(charged, account.Granted+account.mayHaveTaken(unknownFor)))
 	}
 }
 
 func (holder *Holder) setUndone(team string, charged int64) {
 	holder.account(team).spent = charged
+	if holder.committedTerms == nil {
+		holder.committedTerms = make(map[string]Terms)
+	}
 	holder.committedTerms[team] = Terms{Granted: charged, Charged: charged, Reported: charged}
 }
 
--- a/pkg/allowance/keeper.go
+++ b/pkg/allowance/keeper.go
@@ -103,9 +103,12 @@
 	eraEnteredAt time.Duration
 	// rememberedPool holds the slices as they were before the last restore.
 	rememberedPool *pool
-	// undonePredecessor is set when a restore undid the last rows of the preceding
-	// process, and the holder has not exchanged yet.
+	// undonePredecessor is set while a restore may have undone the last rows of the
+	// preceding process, and the holder has not exchanged yet.
 	undonePredecessor bool
+	// replaced is set when another process has written the holder's row. The keeper
+	// writes nothing more.
+	replaced bool
 	// outcomeUnknown is set when a commit got no answer.
 	outcomeUnknown bool
 	// nextExchangeAt is when the next exchange is due.
@@ -179,12 +182,14 @@
 		config.Now = time.Now
 	}
 	return &Keeper{
-		config:        config,
-		holder:        NewHolder(),
-		done:          make(chan struct{}),
-		urgentStep:    make(chan struct{}, 1),
-		waitingByTeam: make(map[string]int64),
-		exchangeDone:  make(chan struct{}),
+		config: config,
+		// A restore may have undone the only rows of the preceding process.
+		undonePredecessor: true,
+		holder:            NewHolder(),
+		done:              make(chan struct{}),
+		urgentStep:        make(chan struct{}, 1),
+		waitingByTeam:     make(map[string]int64),
+		exchangeDone:      make(chan struct{}),
 	}
 }
 
@@ -237,6 +242,9 @@
 // try, it writes the holder's row alone, so that the table shows what was spent
 // even when the pool is contended.
 func (keeper *Keeper) publish(ctx context.Context, prepaid map[string]int64) error {
+	if keeper.replaced {
+		return errReplaced
+	}
 	if !keeper.holder.HasPublished() && keeper.ownRow.Version == 0 || keeper.outcomeUnknown || keeper.restored() {
 		if err := keeper.readOwnRow(ctx); err != nil {
 			return err
--- a/pkg/allowance/share.go
+++ b/pkg/allowance/share.go
@@ -55,11 +55,11 @@
 
 // continueIn makes a slice of the era copiedEra one of the present era. Holders may
 // have changed their grants between the last known exchange and enteredAt, the time
-// of the table's clock at which the restore was known.
-func (slice *Slice) continueIn(copiedEra uint64, enteredAt time.Duration) {
-	lastExchange, carriedOver := time.Duration(0), time.Duration(0)
+// of the table's clock at which the restore was known. The last exchange in any slice
+// of the copy shows how old the copy is at most.
+func (slice *Slice) continueIn(copiedEra uint64, lastExchange, enteredAt time.Duration) {
+	carriedOver := time.Duration(0)
 	for _, share := range slice.Holders {
-		lastExchange = max(lastExchange, share.Stamp)
 		if share.Era < copiedEra {
 			carriedOver = slice.UnknownFor
 		}
@@ -78,10 +78,21 @@
 	return false
 }
 
+// hasDeclared reports whether a holder has declared its grants in the era.
+func (slice *Slice) hasDeclared(era uint64) bool {
+	for _, share := range slice.Holders {
+		if share.Era == era {
+			return true
+		}
+	}
+	return false
+}
+
 // complete replaces the shares of holders that have not declared theirs by the
-// remembered ones if these are newer.
+// remembered ones if these are newer. The slice was remembered in the era of the copy,
+// or in a later one that is undone as a whole.
 func (slice *Slice) complete(era uint64, remembered *rememberedSlice) {
-	if remembered == nil || remembered.era != slice.CopiedEra || remembered.knownAt <= slice.KnownUntil {
+	if remembered == nil || remembered.era < slice.CopiedEra || remembered.knownAt <= slice.KnownUntil {
 		return
 	}
 	for name, share := range remembered.Holders {
@@ -89,8 +100,15 @@
 			slice.setShare(name, share)
 		}
 	}
-	slice.UnknownFor = max(slice.UnknownFor-(remembered.knownAt-slice.KnownUntil), 0)
-	slice.KnownUntil = remembered.knownAt
+	if remembered.era > slice.CopiedEra {
+		slice.UnknownFor = max(slice.ContinuedAt-remembered.knownAt, 0)
+		if remembered.hasUndeclared(remembered.era) {
+			slice.UnknownFor += remembered.UnknownFor
+		}
+	} else {
+		slice.UnknownFor = max(slice.UnknownFor-(remembered.knownAt-slice.KnownUntil), 0)
+	}
+	slice.CopiedEra, slice.KnownUntil = remembered.era, remembered.knownAt
 }
 
 // setShare replaces a holder's share and changes the sums accordingly.
--- a/pkg/allowance/slice.go
+++ b/pkg/allowance/slice.go
@@ -155,21 +155,73 @@
 	return pool.items[number].Version == 0 || pool.items[number].Key == sliceKey(number, pool.era)
 }
 
+// lastCopiedExchange returns the time of the last exchange in the slices that no
+// holder has written in the pool's era.
+func (pool *pool) lastCopiedExchange() time.Duration {
+	latest := time.Duration(0)
+	for number := range pool.slices {
+		if pool.isCurrent(number) {
+			continue
+		}
+		for _, share := range pool.slices[number].Holders {
+			latest = max(latest, share.Stamp)
+		}
+	}
+	return latest
+}
+
+// continueNext returns the writes that continue a slice in the pool's era if none of
+// its own holders does so: processes that start later don't know for how long its
+// exchanges may be missing. The holders of the preceding slice do this for it.
+func (pool *pool) continueNext(written []platform.Write) []platform.Write {
+	for offset := 1; offset < len(pool.slices); offset++ {
+		number := (pool.ownNumber + offset) % len(pool.slices)
+		isWritten := slices.ContainsFunc(written, func(write platform.Write) bool { return write.Key == sliceKey(number, pool.era) })
+		isUndone := pool.items[number].Version == 0 && pool.slices[number].ContinuedAt > 0
+		if (isUndone || !pool.isCurrent(number)) && !isWritten {
+			return pool.sliceWrites(number)
+		}
+		if pool.slices[number].hasDeclared(pool.era) {
+			return nil
+		}
+	}
+	return nil
+}
+
 // enterEra makes the slices of earlier eras slices of the pool's. It completes them,
 // and the holder's own slice while its grants are not declared, by what the holder
 // remembers of them.
 func (pool *pool) enterEra(enteredAt time.Duration, remembered *pool, undeclared bool) {
+	lastExchange := pool.lastCopiedExchange()
 	for number := range pool.slices {
-		isCurrent := pool.isCurrent(number)
-		if isCurrent && (number != pool.ownNumber || !undeclared) {
+		isAbsent, isCurrent := pool.items[number].Version == 0, pool.isCurrent(number)
+		if isCurrent && !isAbsent && (number != pool.ownNumber || !undeclared) {
 			continue
 		}
-		slice := &pool.slices[number]
+		slice, rememberedSlice := &pool.slices[number], remembered.remember(number)
 		if copiedEra, ok := eraOf(sliceSortKey, pool.items[number].Key.Sort); ok && !isCurrent {
-			slice.continueIn(copiedEra, enteredAt)
+			slice.continueIn(copiedEra, lastExchange, enteredAt)
+		} else if isAbsent && rememberedSlice != nil {
+			slice.continueIn(rememberedSlice.era, lastExchange, enteredAt) // a restore undid all its exchanges
+		}
+		slice.complete(pool.era, rememberedSlice)
+	}
+}
+
+// orRemembered returns the pool with the remembered slices in place of those that
+// were read, but not written, in the pool's era: they are those of a copy.
+func (pool *pool) orRemembered(remembered *pool) *pool {
+	if remembered == nil || len(remembered.items) != len(pool.items) {
+		return pool
+	}
+	merged := *pool
+	merged.items, merged.knownAt = slices.Clone(pool.items), slices.Clone(pool.knownAt)
+	for number := range merged.items {
+		if merged.items[number].Key != sliceKey(number, pool.era) {
+			merged.items[number], merged.knownAt[number] = remembered.items[number], remembered.knownAt[number]
 		}
-		slice.complete(pool.era, remembered.remember(number))
 	}
+	return &merged
 }
 
 // remember returns a slice of a pool of an earlier era, nil if there is none.
--- a/pkg/allowance/table.go
+++ b/pkg/allowance/table.go
@@ -26,7 +26,8 @@
 	keeper.outcomeUnknown = false
 	isRestored := keeper.enterEra()
 	isCurrent := item.Version == 0 || item.Key == holderKey(keeper.config.Name, keeper.era)
-	if keeper.holder.HasPublished() && isRestored && (!isCurrent || item.Version == 0 || row.Process == keeper.config.Process) {
+	isSuccessor := row.Process != keeper.config.Process && (isCurrent || keeper.holder.publishedBefore(row.Stamp))
+	if (keeper.holder.HasPublished() || keeper.ownRow.Version > 0) && isRestored && (item.Version == 0 || !isSuccessor) {
 		keeper.ownRow = item
 		keeper.holder.keepLowestGrants()
 		return nil
@@ -41,12 +42,16 @@
 	}
 	if keeper.holder.HasPublished() {
 		keeper.holder.fence()
-		return fault.New(fault.Config{
-			Kind:    fault.Internal,
-			Message: "another process writes to the budget row of this router",
-			Remedy:  "give each router its own node name",
-		})
+		keeper.replaced = true
+		return errReplaced
 	}
+	keeper.takeOver(row, isCurrent)
+	return nil
+}
+
+// takeOver applies the row of the preceding process, which may not be its last one if
+// it isn't current.
+func (keeper *Keeper) takeOver(row HolderRow, isCurrent bool) {
 	uptime := keeper.config.Now().Sub(keeper.config.StartedAt)
 	elapsed := keeper.tableTime - uptime - row.Stamp
 	keeper.undonePredecessor = !isCurrent
@@ -57,9 +62,15 @@
 		keeper.holder.takeOver(row, elapsed)
 	}
 	keeper.logTakeover(row, elapsed)
-	return nil
 }
 
+// errReplaced means that the holder's row is that of another process.
+var errReplaced = fault.New(fault.Config{
+	Kind:    fault.Internal,
+	Message: "another process writes to the budget row of this router",
+	Remedy:  "give each router its own node name",
+})
+
 func (keeper *Keeper) logTakeover(row HolderRow, elapsed time.Duration) {
 	for team, terms := range row.Teams {
 		_ = keeper.config.Logger.Log("event", "budget_adopted", "team", team, "predecessor", row.Process, "undone", keeper.undonePredecessor,
@@ -132,6 +143,10 @@
 		return nil
 	case fault.KindOf(err) == fault.Conflict:
 		keeper.holder.discardDraft(row.Sequence)
+		if keeper.restored() {
+			keeper.outcomeUnknown = true // the rows of the conflict are those of the copy
+			return err
+		}
 		keeper.handleConflict(err)
 		return err
 	case fault.KindOf(err) == fault.Overloaded:
