Test that an answer needs the ID on a new connection, too

No test of pkg/exchange or platform failed with the rule taken out by hand that answers to passed-through requests must repeat the attempt ID: all others use a kept connection. TestPassedThroughAnswerNeedsID fails then, and passes now.

--- a/pkg/exchange/stale_test.go
+++ b/pkg/exchange/stale_test.go
@@ -248,6 +248,17 @@
 	}
 }
 
+// TestPassedThroughAnswerNeedsID guards against an answer without the ID of the attempt on
+// a new connection: somebody else than the upstream may have sent it.
+func TestPassedThroughAnswerNeedsID(t *testing.T) {
+	_, client := startRawServer(t, func(_, _ int, _ *http.Request) string {
+		return rawAnswer(http.StatusServiceUnavailable, "", "")
+	})
+	_, _, err := exchangeAll(t, client, passedThrough("a"))
+	require.Equal(t, ReasonForeign, ErrorOf(err).Reason)
+	require.True(t, ErrorOf(err).MayHaveStarted)
+}
+
 // TestNoPartAfterGivingUp guards against a part that arrives just as the answer is given
 // up for another one, which has been asked for the same part.
 func TestNoPartAfterGivingUp(t *testing.T) {
