--- a/pkg/relay/takeover_test.go
+++ b/pkg/relay/takeover_test.go
@@ -34,3 +34,13 @@
 		require.Equal(t, may, call.mayTakeOver(t.Context()), kind)
 	}
 }
+
+// TestUndecidedAttemptCountsAsRun guards against a request that runs at more upstreams
+// than its route allows, as the silent one may still run it.
+func TestUndecidedAttemptCountsAsRun(t *testing.T) {
+	call := &call{request: Request{Route: catalog.Route{Kind: catalog.Safe, MaxAttempts: 2}}, delivery: &delivery{}}
+	call.setCurrent(&startedAttempt{})
+	require.True(t, call.mayTakeOver(t.Context()))
+	call.possibleRuns = 1
+	require.False(t, call.mayTakeOver(t.Context()))
+}
