Consider the share after a successor that died before its exchange

When the successor of a router whose last rows were undone died, too, after writing its row alone (conflicts, or members not known yet), the next process took that row for a sound one and replaced the share, which others had completed, by the lower estimate.

Change: such a row says that its charges are an estimate, and from which row; the next process corrects it by the share in the same way.

--- a/pkg/allowance/holder.go
+++ b/pkg/allowance/holder.go
@@ -79,7 +79,8 @@
 	// committedTerms are the terms in the table: first those of the preceding
 	// process, then those of committedRow.
 	committedTerms map[string]Terms
-	// undoneStamp is the stamp of the row that takeOverUndone applied.
+	// undoneStamp is the stamp of the row that takeOverUndone applied. Only the keeper's
+	// goroutine uses it.
 	undoneStamp time.Duration
 }
 
@@ -235,9 +236,16 @@
 	defer holder.mutex.Unlock()
 	holder.committedTerms = make(map[string]Terms, len(row.Teams))
 	holder.undoneStamp = row.Stamp
+	if row.Estimated {
+		holder.undoneStamp = row.EstimatedFrom
+	}
 	for team, terms := range row.Teams {
 		account := HolderAccount{Charged: terms.Charged, Demand: max(terms.Demand, int64(float64(terms.Rate)/rateFactor)), Base: terms.Base}
-		holder.setUndone(team, account.maxCharged(elapsed))
+		charged := account.maxCharged(elapsed)
+		if row.Estimated {
+			charged = terms.Charged // its process had no tokens left to spend
+		}
+		holder.setUndone(team, charged)
 	}
 }
 
--- a/pkg/allowance/keeper.go
+++ b/pkg/allowance/keeper.go
@@ -291,7 +291,9 @@
 // writeOwnRow writes the holder's row and leaves all grants as they are.
 func (keeper *Keeper) writeOwnRow(ctx context.Context) error {
 	now := keeper.config.Now()
-	if err := keeper.commit(ctx, keeper.holder.draft(keeper.newRow(now), keeper.keepGrants(), now)); err != nil {
+	row := keeper.newRow(now)
+	row.Estimated, row.EstimatedFrom = keeper.undonePredecessor, keeper.holder.undoneStamp
+	if err := keeper.commit(ctx, keeper.holder.draft(row, keeper.keepGrants(), now)); err != nil {
 		return err
 	}
 	if !keeper.waitingExceedsUnspent() {
--- a/pkg/allowance/restore_memory_test.go
+++ b/pkg/allowance/restore_memory_test.go
@@ -253,3 +253,31 @@
 		}
 	}
 }
+
+// TestSuccessorKilledBeforeItsExchangeLosesNoCharges guards against forgetting what a
+// router had spent in the lost seconds when its successor dies, too, after it has
+// written an estimate and before it has seen the share.
+func TestSuccessorKilledBeforeItsExchangeLosesNoCharges(t *testing.T) {
+	fleet := newFleet(3, 8, map[string]int64{"cooks": 500_000})
+	fleet.reconnectAll()
+	copied := fleet.table.copy()
+	fleet.advance(100 * time.Millisecond)
+	killed := fleet.vms[0]
+	require.True(t, killed.reserveWithExchange("cooks", 200_000))
+	fleet.advance(defaultExchangeInterval)
+	for _, vm := range fleet.vms {
+		vm.step()
+	}
+	fleet.startProcess(killed)
+	fleet.table.restore(copied)
+	for range 3 {
+		for _, vm := range fleet.vms[1:] {
+			vm.step()
+		}
+	}
+	killed.keeper.config.Holders = func() (int, bool) { return 0, true }
+	killed.step() // writes its row alone
+	fleet.startProcess(killed)
+	fleet.reconnectAll()
+	require.GreaterOrEqual(t, fleet.table.totalOfSlices("cooks").Charged, int64(200_000))
+}
--- a/pkg/allowance/row.go
+++ b/pkg/allowance/row.go
@@ -59,6 +59,10 @@
 	// EarlyFraction of the rate may be spent.
 	EarlyPeriod   time.Duration `json:"early"`
 	EarlyFraction float64       `json:"early_part"`
+	// Estimated is set while the charges of the preceding process are estimated from
+	// its row of the stamp EstimatedFrom, and its share is not yet considered.
+	Estimated     bool          `json:"estimated,omitempty"`
+	EstimatedFrom time.Duration `json:"estimated_from,omitempty"`
 	// Teams maps team names to terms.
 	Teams map[string]Terms `json:"teams"`
 }
--- a/pkg/allowance/table.go
+++ b/pkg/allowance/table.go
@@ -54,7 +54,7 @@
 func (keeper *Keeper) takeOver(row HolderRow, isCurrent bool) {
 	uptime := keeper.config.Now().Sub(keeper.config.StartedAt)
 	elapsed := keeper.tableTime - uptime - row.Stamp
-	keeper.undonePredecessor = !isCurrent
+	keeper.undonePredecessor = !isCurrent || row.Estimated
 	if keeper.undonePredecessor {
 		keeper.undeclared = true
 		keeper.holder.takeOverUndone(row, elapsed)
