Bound the number of slices that the budget table states

Numbers that no fleet has are an error with a remedy now, and the router follows the row once it is right.

TestOddSliceCountEndsNoRouter panics without the check.

--- a/pkg/allowance/patterns_test.go
+++ b/pkg/allowance/patterns_test.go
@@ -299,3 +299,18 @@
 	fleet.reconnectAll()
 	require.True(t, vm.keeper.Ready())
 }
+
+// TestOddSliceCountEndsNoRouter guards against a router that ends at each start because
+// another writer left an impossible number of slices.
+func TestOddSliceCountEndsNoRouter(t *testing.T) {
+	for _, odd := range []string{`{"slices":-1}`, `{"slices":1000000000000}`, `{"slices":1e300}`, `[`} {
+		fleet := newFleet(1, 8, map[string]int64{"cooks": 10_000})
+		key := countKey()
+		fleet.table.items[key] = platform.Item{Key: key, Value: []byte(odd), Version: 1}
+		require.NotPanics(t, fleet.reconnectAll, odd)
+		require.False(t, fleet.vms[0].reserve("cooks", 1), odd)
+		delete(fleet.table.items, key)
+		fleet.reconnectAll()
+		require.True(t, fleet.vms[0].reserveWithExchange("cooks", 1), odd)
+	}
+}
--- a/pkg/allowance/slice.go
+++ b/pkg/allowance/slice.go
@@ -31,6 +31,8 @@
 	// defaultHoldersPerSlice is how many holders share a slice in larger
 	// fleets. With more, a holder on a slow link would lose every conflict.
 	defaultHoldersPerSlice = 3
+	// maxSlices limits the number of slices.
+	maxSlices = 1024
 	// defaultSplitDelay is how long after its start a holder waits before it
 	// splits a new pool, so that the size of the fleet is known.
 	defaultSplitDelay = 2 * time.Second
@@ -422,6 +424,13 @@
 	if err != nil {
 		return err
 	}
+	if count.Slices < 0 || count.Slices > maxSlices {
+		return fault.New(fault.Config{
+			Kind:    fault.Internal,
+			Message: fmt.Sprintf("the pool can't have %d slices", count.Slices),
+			Remedy:  "remove the row that another program wrote to the budget table",
+		})
+	}
 	keeper.sliceCount = count.Slices
 	if count.Slices > 0 || keeper.config.Now().Sub(keeper.config.StartedAt) < keeper.config.SplitDelay {
 		return nil
@@ -445,7 +454,7 @@
 func (keeper *Keeper) splitPool(ctx context.Context) error {
 	holders, _ := keeper.config.Holders()
 	holdersPerSlice := keeper.holdersPerSlice(holders)
-	count := sliceCountRow{Slices: max(1, (holders+holdersPerSlice/2)/holdersPerSlice)}
+	count := sliceCountRow{Slices: min(max(1, (holders+holdersPerSlice/2)/holdersPerSlice), maxSlices)}
 	if keeper.rememberedPool != nil {
 		count.Slices = len(keeper.rememberedPool.slices) // a restore undid the split
 	}
