Wait for a silent service if no other upstream can be asked

Callers of a plain service with one upstream got outcome_unknown for an idempotent request whose upstream was silent for over half of the time, though it would have answered: the attempt was ended for another one, and there was no upstream to ask. The attempt now goes on in that case.

--- a/pkg/dispatch/attempt.go
+++ b/pkg/dispatch/attempt.go
@@ -124,13 +124,14 @@
 }
 
 // giveUp reports whether to end the attempt at a plain service that is silent: it may
-// go on, so only if another attempt is allowed or PlainTimeout has passed.
+// go on, so only if another upstream can be asked or PlainTimeout has passed.
 func (attempt *attempt) giveUp(context.Context) bool {
 	run := attempt.run
 	if !run.work.Idempotent || time.Since(attempt.startedAt) >= run.dispatcher.config.PlainTimeout {
 		return true
 	}
 	isLast := len(run.result.Attempts)+1 >= run.dispatcher.config.Retry.MaxAttempts
+	isLast = isLast || !run.service.pool.HasOther(attempt.member.Address())
 	attempt.retryWithdrawn = !isLast && run.service.retryBudget.withdraw()
 	return attempt.retryWithdrawn
 }
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -13,6 +13,7 @@
 	"errors"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -182,6 +183,16 @@
 	pool.memberSet.update(member, member.lastUsedAt)
 }
 
+// HasOther reports whether another upstream than the one with the address is available
+// for an attempt.
+func (pool *Pool) HasOther(address string) bool {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.syncMembers()
+	pool.endPauses()
+	return slices.ContainsFunc(pool.memberSet.available, func(member *Member) bool { return member.address != address })
+}
+
 // AcquireAddress returns the member with the address for an attempt that already
 // runs there, and increments its attempts in flight. The member may be draining or
 // at its limit. The result is nil when the configuration lists no such upstream.
