Go on with a stream at an upstream that was asked before

Callers' streams ended with a closed connection when their upstream broke off after a silence: a second upstream had been asked meanwhile and was not needed, and it counted as one of the route's attempts, so nothing was tried any more.

Cause: attempts that may have run were counted, not the upstreams. maxAttempts limits the upstreams at which a request may run, and going on where it was asked before adds none. Now the upstreams are remembered; once there are as many as allowed, only those that were asked and have not failed may be asked again.

--- a/pkg/placement/upstream.go
+++ b/pkg/placement/upstream.go
@@ -10,6 +10,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/notice"
@@ -49,6 +50,9 @@
 	Parts []PromptPart
 	// ExcludedIDs are the IDs of upstreams that already failed this request.
 	ExcludedIDs []string
+	// AllowedIDs are the IDs of the only upstreams that may get the request; nil allows
+	// all.
+	AllowedIDs []string
 	// Zone is the router's own availability zone.
 	Zone string
 }
@@ -62,12 +66,7 @@
 }
 
 func (criteria Criteria) excludes(id string) bool {
-	for _, excludedID := range criteria.ExcludedIDs {
-		if excludedID == id {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(criteria.ExcludedIDs, id) || criteria.AllowedIDs != nil && !slices.Contains(criteria.AllowedIDs, id)
 }
 
 // member is an upstream of a pool with its measured state.
--- a/pkg/relay/delivery.go
+++ b/pkg/relay/delivery.go
@@ -147,7 +147,7 @@
 // another upstream.
 func (call *call) mayRetryFailure(ticket *placement.Ticket) bool {
 	route := call.request.Route
-	if !route.Repeatable() || call.possibleRuns >= route.MaxAttempts {
+	if !route.Repeatable() || !call.mayRunElsewhere(ticket.Upstream.ID) {
 		return false
 	}
 	return call.pool.CanServe(call.criteria(ticket.Upstream.ID), time.Now())
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -78,12 +78,11 @@
 	triedIDs []string
 	// attemptsArrived counts the attempts that may have reached an upstream.
 	attemptsArrived int
-	// possibleRuns counts the attempts in which the upstream may have run the
-	// request.
-	possibleRuns int
-	// undecidedRuns is 1 while the answer of the current attempt has not begun, so
-	// that possibleRuns doesn't count it.
-	undecidedRuns int
+	// runIDs are the IDs of the upstreams that may have run the request, each once.
+	runIDs []string
+	// undecidedID is the upstream of the current attempt while its answer has not
+	// begun, so that it may still refuse the request; otherwise it is empty.
+	undecidedID string
 	// current is the attempt that the request waits for.
 	current atomic.Pointer[startedAttempt]
 	// takeover is the attempt for which the current one was given up.
@@ -108,7 +107,7 @@
 	call.result.Events = call.delivery.eventCount
 	call.result.TimeToFirstByte = call.delivery.timeToFirstByte
 	call.result.Delivered = err == nil
-	call.result.MayHaveRun = call.possibleRuns > 0
+	call.result.MayHaveRun = call.mayHaveRun()
 	return call.result, err
 }
 
@@ -184,21 +183,62 @@
 
 // setCurrent makes the attempt the one that the request waits for.
 func (call *call) setCurrent(started *startedAttempt) {
-	call.undecidedRuns = 1
+	call.undecidedID = started.ticket.Upstream.ID
 	call.current.Store(started)
 }
 
+// recordRun records that the upstream may have run the request.
+func (call *call) recordRun(upstreamID string) {
+	if !slices.Contains(call.runIDs, upstreamID) {
+		call.runIDs = append(call.runIDs, upstreamID)
+	}
+}
+
+func (call *call) mayHaveRun() bool { return len(call.runIDs) > 0 }
+
+// runLimitReached reports whether the request may have run at as many upstreams as its
+// route allows, if it is also sent to those given.
+func (call *call) runLimitReached(upstreamIDs ...string) bool {
+	upstreams := make(map[string]struct{}, len(call.runIDs)+len(upstreamIDs)+1)
+	for _, id := range slices.Concat(call.runIDs, upstreamIDs, []string{call.undecidedID}) {
+		if id != "" {
+			upstreams[id] = struct{}{}
+		}
+	}
+	return len(upstreams) >= call.request.Route.MaxAttempts
+}
+
+// mayRunElsewhere reports whether the request may be sent to an upstream other than
+// those given: to any if the limit of runs is not reached, or to one that was asked
+// before and has not failed, as that is no further upstream.
+func (call *call) mayRunElsewhere(upstreamIDs ...string) bool {
+	return !call.runLimitReached(upstreamIDs...) || len(call.askedBefore(upstreamIDs...)) > 0
+}
+
+// askedBefore returns the upstreams that may have run the request and have not failed,
+// without those given.
+func (call *call) askedBefore(upstreamIDs ...string) []string {
+	return slices.DeleteFunc(slices.Clone(call.runIDs), func(id string) bool {
+		return slices.Contains(call.triedIDs, id) || slices.Contains(upstreamIDs, id)
+	})
+}
+
 // choose chooses an upstream that is not among the tried ones and the others given.
 func (call *call) choose(excludedIDs ...string) *placement.Ticket {
 	return call.pool.Choose(call.criteria(excludedIDs...), time.Now())
 }
 
 // criteria returns those of the next attempt, which excludes the upstreams tried
-// before and the given ones.
+// before and the given ones. Once the limit of runs is reached, only upstreams that
+// were asked before are allowed.
 func (call *call) criteria(excludedIDs ...string) placement.Criteria {
-	return placement.Criteria{
+	criteria := placement.Criteria{
 		Parts: call.request.PromptParts, ExcludedIDs: slices.Concat(call.triedIDs, excludedIDs), Zone: call.relay.config.Zone,
 	}
+	if call.mayHaveRun() && call.runLimitReached() {
+		criteria.AllowedIDs = call.askedBefore(excludedIDs...)
+	}
+	return criteria
 }
 
 // endAttempt records the end of an attempt. It returns the result with what is known
@@ -250,12 +290,12 @@
 func (call *call) attempt(ctx context.Context, started *startedAttempt) attemptResult {
 	call.setCurrent(started)
 	<-started.done
-	call.undecidedRuns = 0
+	call.undecidedID = ""
 	defer started.close()
 	ticket := started.ticket
 	call.result.ExpectedTimeToFirstByte, call.result.UncachedTokens = ticket.ExpectedTimeToFirstEvent(), ticket.UncachedTokens()
 	if started.err != nil {
-		return call.sendFailure(ctx, started.err)
+		return call.sendFailure(ctx, started)
 	}
 	answer := started.answer
 	call.attemptsArrived++
@@ -263,7 +303,7 @@
 	if info.NotRun || info.Misdirected {
 		return refusedAttempt(answer, info)
 	}
-	call.possibleRuns++
+	call.recordRun(ticket.Upstream.ID)
 	eventsBefore := call.delivery.eventCount
 	result := call.deliver(ctx, ticket, answer, info)
 	result.begun, result.events = true, call.delivery.eventCount-eventsBefore
@@ -314,7 +354,7 @@
 func (call *call) inactivityTimeouts(ticket *placement.Ticket) (firstByte, betweenEvents time.Duration) {
 	route := call.request.Route
 	remaining := time.Until(call.request.Deadline)
-	if !route.Repeatable() || call.possibleRuns+call.undecidedRuns+1 >= route.MaxAttempts {
+	if !route.Repeatable() || !call.mayRunElsewhere(ticket.Upstream.ID) {
 		return remaining, remaining
 	}
 	expected := ticket.ExpectedTimeToFirstEvent() + route.LatencyTarget
@@ -326,7 +366,8 @@
 }
 
 // sendFailure returns the result of an attempt that got no answer.
-func (call *call) sendFailure(ctx context.Context, err error) attemptResult {
+func (call *call) sendFailure(ctx context.Context, started *startedAttempt) attemptResult {
+	err := started.err
 	failure := exchange.ErrorOf(err)
 	if !failure.MayHaveStarted {
 		upstreamResult := placement.Unreachable
@@ -336,7 +377,7 @@
 		return attemptResult{err: err, upstreamResult: upstreamResult}
 	}
 	call.attemptsArrived++
-	call.possibleRuns++
+	call.recordRun(started.ticket.Upstream.ID)
 	return attemptResult{err: err, upstreamResult: failureResult(ctx), mayHaveRun: true}
 }
 
@@ -361,16 +402,16 @@
 	case call.takeover != nil:
 		return true
 	case !result.mayHaveRun:
-		return call.attemptsNotRun <= maxNotRunRetries && (call.possibleRuns == 0 || call.request.Route.Repeatable())
+		return call.attemptsNotRun <= maxNotRunRetries && (!call.mayHaveRun() || call.request.Route.Repeatable())
 	default:
-		return call.request.Route.Repeatable() && call.possibleRuns < call.request.Route.MaxAttempts
+		return call.request.Route.Repeatable() && call.mayRunElsewhere()
 	}
 }
 
 // noUpstreamError returns the error of a request for which no further upstream
 // may be tried.
 func (call *call) noUpstreamError(cause error) error {
-	if call.possibleRuns > 0 {
+	if call.mayHaveRun() {
 		return responseLostError(cause)
 	}
 	message, retryAfter := "no upstream of the service accepts the request", unavailableRetryAfter
@@ -390,7 +431,7 @@
 // quarantineError returns the error of a request whose prompt is in quarantine. The
 // refusal promises that the request has not run.
 func (call *call) quarantineError(refusal error) error {
-	if call.possibleRuns > 0 {
+	if call.mayHaveRun() {
 		return responseLostError(refusal)
 	}
 	return refusal
@@ -415,7 +456,7 @@
 			Outcome: call.outcome(),
 			Cause:   err,
 		})
-	case call.possibleRuns > 0:
+	case call.mayHaveRun():
 		return responseLostError(err)
 	default:
 		return call.noUpstreamError(err)
@@ -423,7 +464,7 @@
 }
 
 func (call *call) outcome() fault.Outcome {
-	if call.possibleRuns > 0 {
+	if call.mayHaveRun() {
 		return fault.OutcomeUnknown
 	}
 	return fault.NotRun
--- a/pkg/relay/takeover.go
+++ b/pkg/relay/takeover.go
@@ -52,7 +52,7 @@
 		return false // this attempt is itself to take over from another
 	}
 	silent.ticket.Silent(time.Now())
-	for call.mayTakeOver(ctx) {
+	for call.mayTakeOver(ctx, silent) {
 		ticket, err := call.chooseTakeover(silent)
 		if err != nil {
 			_ = call.relay.config.Logger.Log("event", "upstream_silent", "request_id", call.request.ID,
@@ -70,9 +70,9 @@
 
 // mayTakeOver reports whether another upstream may be asked, and can go on with what
 // was delivered.
-func (call *call) mayTakeOver(ctx context.Context) bool {
+func (call *call) mayTakeOver(ctx context.Context, silent *startedAttempt) bool {
 	return ctx.Err() == nil && call.request.Route.Repeatable() && call.delivery.mayResume() && call.attemptsNotRun <= maxNotRunRetries &&
-		call.possibleRuns+call.undecidedRuns < call.request.Route.MaxAttempts && call.relay.CheckPrompt(call.request) == nil
+		call.mayRunElsewhere(silent.ticket.Upstream.ID) && call.relay.CheckPrompt(call.request) == nil
 }
 
 // chooseTakeover chooses another upstream than the silent one.
@@ -141,7 +141,7 @@
 // otherwise returns the result of the attempt.
 func (call *call) takeoverResult(started *startedAttempt) (attemptResult, bool) {
 	if started.err != nil {
-		return call.sendFailure(call.ctx, started.err), false
+		return call.sendFailure(call.ctx, started), false
 	}
 	info := call.readAnswer(started)
 	switch {
@@ -150,7 +150,7 @@
 		return refusedAttempt(started.answer, info), false
 	case info.Encoded || !info.Signed || !isSuccess(started.answer) || call.delivery.headerSent.Load() && !started.answer.Stream:
 		call.attemptsArrived++
-		call.possibleRuns++
+		call.recordRun(started.ticket.Upstream.ID)
 		return attemptResult{err: errUpstreamFailed, upstreamResult: placement.Failure, mayHaveRun: true}, false
 	default:
 		return attemptResult{}, true
@@ -166,7 +166,7 @@
 	}
 	if started.err == nil || exchange.ErrorOf(started.err).MayHaveStarted {
 		call.attemptsArrived++
-		call.possibleRuns++
+		call.recordRun(started.ticket.Upstream.ID)
 	}
 	started.close()
 	started.ticket.End(placement.Neutral, time.Now())
--- a/pkg/relay/takeover_test.go
+++ b/pkg/relay/takeover_test.go
@@ -30,8 +30,10 @@
 // is sent to a second upstream, as the wait for the first ends with the deadline.
 func TestOnlyRepeatableRequestsAreTakenOver(t *testing.T) {
 	for kind, may := range map[catalog.Kind]bool{catalog.Safe: true, catalog.Unsafe: false, catalog.Streaming: false} {
-		call := &call{request: Request{Route: catalog.Route{Kind: kind, MaxAttempts: 2}}, delivery: &delivery{}, undecidedRuns: 1}
-		require.Equal(t, may, call.mayTakeOver(t.Context()), kind)
+		call := &call{request: Request{Route: catalog.Route{Kind: kind, MaxAttempts: 2}}, delivery: &delivery{}}
+		silent := attemptAt("llm-1")
+		call.setCurrent(silent)
+		require.Equal(t, may, call.mayTakeOver(t.Context(), silent), kind)
 	}
 }
 
@@ -39,8 +41,36 @@
 // than its route allows, as the silent one may still run it.
 func TestUndecidedAttemptCountsAsRun(t *testing.T) {
 	call := &call{request: Request{Route: catalog.Route{Kind: catalog.Safe, MaxAttempts: 2}}, delivery: &delivery{}}
-	call.setCurrent(&startedAttempt{})
-	require.True(t, call.mayTakeOver(t.Context()))
-	call.possibleRuns = 1
-	require.False(t, call.mayTakeOver(t.Context()))
+	silent := attemptAt("llm-1")
+	call.setCurrent(silent)
+	require.True(t, call.mayTakeOver(t.Context(), silent))
+	call.recordRun("llm-2")
+	call.triedIDs = []string{"llm-2"}
+	require.False(t, call.mayTakeOver(t.Context(), silent))
+}
+
+// TestUpstreamAskedBeforeIsNoFurtherRun guards against a request that runs at more
+// upstreams than its route allows because one of them was asked twice, and against one
+// that is lost although an upstream that was asked before has not failed.
+func TestUpstreamAskedBeforeIsNoFurtherRun(t *testing.T) {
+	call := &call{
+		relay: New(Config{}), delivery: &delivery{},
+		request: Request{Route: catalog.Route{Kind: catalog.Safe, MaxAttempts: 2}},
+	}
+	call.recordRun("llm-1")
+	call.recordRun("llm-2")
+	call.recordRun("llm-2")
+	call.triedIDs = []string{"llm-1"}
+	require.True(t, call.mayRunElsewhere())
+	require.Equal(t, []string{"llm-2"}, call.criteria().AllowedIDs)
+	require.False(t, call.mayRunElsewhere("llm-2"))
+	require.Empty(t, call.criteria("llm-2").AllowedIDs)
+	require.NotNil(t, call.criteria("llm-2").AllowedIDs)
+	call.triedIDs = append(call.triedIDs, "llm-2")
+	require.False(t, call.mayRunElsewhere())
+}
+
+// attemptAt returns an attempt at the upstream that has no answer yet.
+func attemptAt(upstreamID string) *startedAttempt {
+	return newStartedAttempt(&placement.Ticket{Upstream: placement.Upstream{ID: upstreamID}}, func() {})
 }
