Keep the rows of the pool below the size that the store takes

Seen live on the large site, whose 295 VMs share eight slices.

Cause: a slice states the share of every holder it ever had, with the names of all teams, also those of which there is nothing to say. The rows are CBOR now, teams without tokens are left out, and above 48 KB the shares of holders that have not exchanged for a minute are folded into the sums. A holder that returns knows from its own row what the sums include of it, also after a restore: a row that is written before the grants are declared carries what the slice states.

--- a/pkg/allowance/exchange.go
+++ b/pkg/allowance/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strings"
 	"time"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
@@ -38,11 +39,11 @@
 	row, share := keeper.newRow(now), keeper.newShare(now)
 	undone := make(map[string]HolderAccount)
 	row = keeper.holder.draft(row, keeper.planGrants(prepaid, waitingByTeam, pool, share, undone, waitsForOthers), now)
-	for team, account := range share.Teams {
-		account.Base = row.Teams[team].Base
-		share.Teams[team] = account
+	slice := &pool.slices[pool.ownNumber]
+	slice.replaceShare(keeper.config.Name, keeper.statedShare(slice), share.withBases(row))
+	if folded := slice.fold(keeper.config.Name, keeper.era, keeper.tableTimeAt(now), keeper.config.MaxSliceBytes); len(folded) > 0 {
+		_ = keeper.config.Logger.Log("event", "budget_shares_folded", "slice", pool.ownNumber, "holders", strings.Join(folded, ","))
 	}
-	pool.slices[pool.ownNumber].setShare(keeper.config.Name, share)
 	writes = append(writes, pool.sliceWrites(pool.ownNumber)...)
 	keeper.pool, pool.upToDate = pool, false
 	if err := keeper.commit(ctx, row, writes...); err != nil {
@@ -53,7 +54,7 @@
 	if keeper.undeclared {
 		keeper.logDeclared(undone)
 	}
-	keeper.undonePredecessor = false
+	keeper.undonePredecessor, keeper.statedTerms = false, nil
 	if len(pool.slices) == 1 {
 		pool.readAt = now // the commit's condition confirmed that its row was up to date
 	}
@@ -123,7 +124,7 @@
 	prepaid, waitingByTeam map[string]int64, pool *pool, share HolderShare, undone map[string]HolderAccount, waitsForOthers bool,
 ) planFunc {
 	slice := &pool.slices[pool.ownNumber]
-	previousShare := slice.Holders[keeper.config.Name]
+	previousShare := keeper.statedShare(slice)
 	servingHolders, serving := keeper.config.Holders()
 	holders := max(1, servingHolders/len(pool.slices))
 	return func(team string, usage Usage) GrantPlan {
@@ -150,6 +151,23 @@
 	}
 }
 
+// statedShare returns what the sums of the slice include of the holder. If its share
+// was folded, that is what its own row states: both are written in one transaction.
+func (keeper *Keeper) statedShare(slice *Slice) HolderShare {
+	if share, ok := slice.Holders[keeper.config.Name]; ok || !slice.Folded {
+		return share
+	}
+	terms := keeper.holder.terms()
+	if keeper.statedTerms != nil {
+		terms = keeper.statedTerms
+	}
+	share := HolderShare{Teams: make(map[string]HolderAccount, len(terms))}
+	for team, terms := range terms {
+		share.Teams[team] = HolderAccount{Granted: terms.Granted, Charged: terms.Reported, Demand: terms.Demand}
+	}
+	return share
+}
+
 // newShare returns an empty share of the holder.
 func (keeper *Keeper) newShare(now time.Time) HolderShare {
 	return HolderShare{Era: keeper.era, Stamp: keeper.tableTimeAt(now), Teams: make(map[string]HolderAccount)}
--- a/pkg/allowance/fleet_test.go
+++ b/pkg/allowance/fleet_test.go
@@ -204,10 +204,20 @@
 	spent   map[string]int64
 	// holdersPerSlice is the number of holders of one slice of the pool.
 	holdersPerSlice int
+	// maxSliceBytes is the size above which slices leave out shares; zero means the
+	// default.
+	maxSliceBytes int
 }
 
 func newFleet(size, holdersPerSlice int, prepaid map[string]int64) *fleet {
-	fleet := &fleet{table: newMemoryTable(), prepaid: prepaid, spent: make(map[string]int64), holdersPerSlice: holdersPerSlice}
+	return newFoldingFleet(size, holdersPerSlice, 0, prepaid)
+}
+
+// newFoldingFleet returns a fleet whose slices leave out shares above maxSliceBytes.
+func newFoldingFleet(size, holdersPerSlice, maxSliceBytes int, prepaid map[string]int64) *fleet {
+	fleet := &fleet{
+		table: newMemoryTable(), prepaid: prepaid, spent: make(map[string]int64), holdersPerSlice: holdersPerSlice, maxSliceBytes: maxSliceBytes,
+	}
 	fleet.table.now = time.Hour
 	for i := range size {
 		vm := &vm{name: fmt.Sprintf("vm-%d", i), tableClient: &tableClient{table: fleet.table, mode: modeAnswer}, localTime: time.Unix(0, 0).Add(time.Hour)}
@@ -231,7 +241,7 @@
 		Prepaid: func() map[string]int64 { return fleet.prepaid },
 		Holders: func() (int, bool) { return len(fleet.vms), true },
 		Logger:  log.NewNopLogger(), StartedAt: vm.localTime, Now: func() time.Time { return vm.localTime },
-		HoldersPerSlice: fleet.holdersPerSlice, SplitDelay: time.Nanosecond,
+		HoldersPerSlice: fleet.holdersPerSlice, SplitDelay: time.Nanosecond, MaxSliceBytes: fleet.maxSliceBytes,
 	})
 }
 
--- a/pkg/allowance/holder.go
+++ b/pkg/allowance/holder.go
@@ -188,6 +188,13 @@
 	return holder.committedRow != nil
 }
 
+// terms returns the committed terms. They must not be changed.
+func (holder *Holder) terms() map[string]Terms {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
+	return holder.committedTerms
+}
+
 // publishedBefore reports whether the holder's first row was in the table before the
 // time of the table's clock.
 func (holder *Holder) publishedBefore(stamp time.Duration) bool {
@@ -357,7 +364,9 @@
 		if !grantPlan.StopSpending {
 			terms.Base, terms.Rate = spendRate(account, terms.Unspent(), grantPlan.WaitingTokens)
 		}
-		row.Teams[team] = terms
+		if terms != (Terms{}) {
+			row.Teams[team] = terms
+		}
 	}
 	holder.pendingRows = append(holder.pendingRows, publishedRow{row: row, stampedAt: now})
 	return row
--- a/pkg/allowance/keeper.go
+++ b/pkg/allowance/keeper.go
@@ -76,6 +76,9 @@
 	// default.
 	HoldersPerSlice int
 	SplitDelay      time.Duration
+	// MaxSliceBytes is the size in bytes above which a slice's row leaves out the shares
+	// of holders that have not exchanged for long; zero means the default.
+	MaxSliceBytes int
 	// Now returns the local monotonic time; nil means time.Now.
 	Now func() time.Time
 }
@@ -98,6 +101,9 @@
 	// undeclared is set from a restore of the table until the holder has written its
 	// grants again.
 	undeclared bool
+	// statedTerms are what the sums of the slice include of the holder, from a restore
+	// until the next exchange; nil means the committed terms.
+	statedTerms map[string]Terms
 	// eraEnteredAt is the time of the table's clock at which the holder learned of the
 	// last restore.
 	eraEnteredAt time.Duration
@@ -178,6 +184,9 @@
 	if config.SplitDelay <= 0 {
 		config.SplitDelay = defaultSplitDelay
 	}
+	if config.MaxSliceBytes <= 0 {
+		config.MaxSliceBytes = defaultMaxSliceBytes
+	}
 	if config.Now == nil {
 		config.Now = time.Now
 	}
@@ -293,6 +302,7 @@
 	now := keeper.config.Now()
 	row := keeper.newRow(now)
 	row.Estimated, row.EstimatedFrom = keeper.undonePredecessor, keeper.holder.undoneStamp
+	row.Undeclared, row.Stated = keeper.statedTerms != nil, keeper.statedTerms
 	if err := keeper.commit(ctx, keeper.holder.draft(row, keeper.keepGrants(), now)); err != nil {
 		return err
 	}
--- a/pkg/allowance/restore_random_test.go
+++ b/pkg/allowance/restore_random_test.go
@@ -43,7 +43,10 @@
 // against tokens that leak, when routers are killed, paused or cut off at any moment.
 func TestRandomFaultsAroundRestoresStayInBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		fleet := newFleet(4, rapid.SampledFrom([]int{2, 8}).Draw(t, "holders per slice"), map[string]int64{"cooks": 40_000, "shops": 9_000})
+		maxSliceBytes := rapid.SampledFrom([]int{0, 1}).Draw(t, "max slice bytes")
+		fleet := newFoldingFleet(
+			4, rapid.SampledFrom([]int{2, 8}).Draw(t, "holders per slice"), maxSliceBytes, map[string]int64{"cooks": 40_000, "shops": 9_000},
+		)
 		fleet.table.era = uint64(rapid.IntRange(0, 1).Draw(t, "first era"))
 		team := rapid.SampledFrom([]string{"cooks", "shops"})
 		pick := func() *vm { return rapid.SampledFrom(fleet.vms).Draw(t, "vm") }
@@ -58,6 +61,7 @@
 			},
 			"step":   func() { pick().step() },
 			"pass":   func() { fleet.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond) },
+			"idle":   func() { fleet.advance(foldAge) },
 			"mode":   func() { pick().tableClient.mode = rapid.SampledFrom(randomModes).Draw(t, "mode") },
 			"mend":   func() { pick().tableClient.mode = modeAnswer },
 			"late":   func() { fleet.table.applyDelayed() },
--- a/pkg/allowance/row.go
+++ b/pkg/allowance/row.go
@@ -17,16 +17,12 @@
 // the amounts computed by plan.go. Requests call Reserve (reserve.go).
 package allowance
 
-import (
-	"encoding/json"
-	"time"
-
-	"gitlab.com/wisterialb/wisterialb/pkg/fault"
-)
+import "time"
 
 // Terms are the limits that a holder has published for one team. Amounts are
 // tokens, counted over all processes that ran under the holder's name.
 type Terms struct {
+	_ struct{} `cbor:",toarray"`
 	// Granted is what was taken from the pool and not returned.
 	Granted int64 `json:"g"`
 	// Charged is what was spent or reserved at the stamp.
@@ -63,6 +59,10 @@
 	// its row of the stamp EstimatedFrom, and its share is not yet considered.
 	Estimated     bool          `json:"estimated,omitempty"`
 	EstimatedFrom time.Duration `json:"estimated_from,omitempty"`
+	// Undeclared is set while the sums of the slice include Stated, as a restore of the
+	// table brought it back, and not what Teams says.
+	Undeclared bool             `json:"undeclared,omitempty"`
+	Stated     map[string]Terms `json:"stated,omitempty"`
 	// Teams maps team names to terms.
 	Teams map[string]Terms `json:"teams"`
 }
@@ -75,27 +75,3 @@
 	fullRateSeconds := earlyElapsed.Seconds()*row.EarlyFraction + (max(elapsed, 0) - earlyElapsed).Seconds()
 	return min(terms.Granted, terms.Charged+terms.Base+int64(float64(terms.Rate)*fullRateSeconds))
 }
-
-func decode[T any](value []byte) (T, error) {
-	var decoded T
-	if len(value) == 0 {
-		return decoded, nil
-	}
-	if err := json.Unmarshal(value, &decoded); err != nil {
-		return decoded, fault.New(fault.Config{
-			Kind:    fault.Internal,
-			Message: "a row of the budget table is not valid JSON",
-			Remedy:  "remove the row that another program wrote to the budget table",
-			Cause:   err,
-		})
-	}
-	return decoded, nil
-}
-
-func encode(row any) []byte {
-	value, err := json.Marshal(row)
-	if err != nil {
-		panic(err) // rows hold only numbers and strings, which can be encoded
-	}
-	return value
-}
--- a/pkg/allowance/share.go
+++ b/pkg/allowance/share.go
@@ -1,13 +1,29 @@
 package allowance
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// defaultMaxSliceBytes is the size above which a slice's row leaves out shares. The
+	// table takes rows of 64 KB.
+	defaultMaxSliceBytes = 48 << 10
+	// foldAge is how long a holder must not have exchanged before its share is left
+	// out: several times as long as a copy of the table may be old.
+	foldAge = time.Minute
+)
 
 // HolderAccount is what a slice states of one team at one holder. Amounts are
 // tokens, Demand is in tokens a second.
 type HolderAccount struct {
-	Granted int64 `json:"g"`
-	Charged int64 `json:"c"`
-	Demand  int64 `json:"d,omitempty"`
+	_       struct{} `cbor:",toarray"`
+	Granted int64    `json:"g"`
+	Charged int64    `json:"c"`
+	Demand  int64    `json:"d,omitempty"`
 	// Base is the holder's Terms.Base.
 	Base int64 `json:"b,omitempty"`
 }
@@ -32,6 +48,7 @@
 
 // HolderShare is what a slice states of one holder.
 type HolderShare struct {
+	_ struct{} `cbor:",toarray"`
 	// Era is the era in which the holder wrote the share. Until it has written it in
 	// the era of the slice, the holder has not declared its grants.
 	Era uint64 `json:"era,omitempty"`
@@ -96,7 +113,11 @@
 		return
 	}
 	for name, share := range remembered.Holders {
-		if current := slice.Holders[name]; current.Era < era && share.isNewerThan(current) {
+		current, ok := slice.Holders[name]
+		if !ok && slice.Folded {
+			continue // the sums may include a part of it
+		}
+		if current.Era < era && share.isNewerThan(current) {
 			slice.setShare(name, share)
 		}
 	}
@@ -113,7 +134,11 @@
 
 // setShare replaces a holder's share and changes the sums accordingly.
 func (slice *Slice) setShare(name string, share HolderShare) {
-	previous := slice.Holders[name]
+	slice.replaceShare(name, slice.Holders[name], share)
+}
+
+// replaceShare sets a holder's share in place of previous, which the sums include.
+func (slice *Slice) replaceShare(name string, previous, share HolderShare) {
 	for team := range previous.Teams {
 		if _, ok := share.Teams[team]; !ok {
 			slice.add(team, HolderAccount{}.minus(previous.Teams[team]))
@@ -139,6 +164,49 @@
 	slice.Teams[team] = sum
 }
 
+// fold leaves the shares of holders that have not exchanged for foldAge out of
+// Holders, the oldest first, until the slice has at most maxBytes. The sums still
+// include them. It returns the names of these holders, and folds none while a holder
+// has not declared its grants after a restore.
+func (slice *Slice) fold(ownName string, era uint64, now time.Duration, maxBytes int) []string {
+	excess := len(encode(*slice)) - maxBytes
+	if excess <= 0 || slice.hasUndeclared(era) {
+		return nil
+	}
+	names := slices.SortedFunc(maps.Keys(slice.Holders), func(a, b string) int {
+		return cmp.Or(cmp.Compare(slice.Holders[a].Stamp, slice.Holders[b].Stamp), strings.Compare(a, b))
+	})
+	var folded []string
+	for _, name := range names {
+		share := slice.Holders[name]
+		if excess <= 0 || now-share.Stamp < foldAge {
+			break
+		}
+		if name == ownName {
+			continue
+		}
+		excess -= len(encode(share)) + len(name)
+		delete(slice.Holders, name)
+		slice.Folded = true
+		folded = append(folded, name)
+	}
+	return folded
+}
+
+// withBases returns the share with the bases of the holder's row, without teams of
+// which there is nothing to state.
+func (share HolderShare) withBases(row HolderRow) HolderShare {
+	teams := make(map[string]HolderAccount, len(share.Teams))
+	for team, account := range share.Teams {
+		account.Base = row.Teams[team].Base
+		if account != (HolderAccount{}) {
+			teams[team] = account
+		}
+	}
+	share.Teams = teams
+	return share
+}
+
 // reserved returns the tokens that are kept back for holders that have not declared
 // their grants in the era.
 func (slice *Slice) reserved(team string, era uint64) int64 {
--- a/pkg/allowance/slice.go
+++ b/pkg/allowance/slice.go
@@ -51,6 +51,7 @@
 // SliceAccount is the state of one team in a slice. Amounts are tokens, Demand
 // is in tokens a second.
 type SliceAccount struct {
+	_ struct{} `cbor:",toarray"`
 	// Granted is the sum of the grants of the slice's holders.
 	Granted int64 `json:"g"`
 	// Charged is the sum of the charges that these holders have reported.
@@ -78,6 +79,9 @@
 	UnknownFor time.Duration `json:"unknown_for,omitempty"`
 	// ContinuedAt is the time of the table's clock at which the restore was known.
 	ContinuedAt time.Duration `json:"continued_at,omitempty"`
+	// Folded is set once the share of a holder has been left out of Holders, so that
+	// it is only in the sums.
+	Folded bool `json:"folded,omitempty"`
 }
 
 // sliceCountRow is the row with the number of slices. It never changes.
@@ -148,7 +152,7 @@
 // declare their grants after a restore.
 func (pool *pool) awaitsDeclarations(now time.Duration) bool {
 	return slices.ContainsFunc(pool.slices, func(slice Slice) bool {
-		return now < slice.ContinuedAt+declarationTime && slice.hasUndeclared(pool.era)
+		return now < slice.ContinuedAt+declarationTime && (slice.Folded || slice.hasUndeclared(pool.era))
 	})
 }
 
--- a/pkg/allowance/table.go
+++ b/pkg/allowance/table.go
@@ -27,6 +27,14 @@
 	isRestored := keeper.enterEra()
 	isCurrent := item.Version == 0 || item.Key == holderKey(keeper.config.Name, keeper.era)
 	isSuccessor := row.Process != keeper.config.Process && (isCurrent || keeper.holder.publishedBefore(row.Stamp))
+	switch {
+	case row.Undeclared:
+		keeper.statedTerms = orEmpty(row.Stated)
+	case isRestored || !isCurrent:
+		keeper.statedTerms = orEmpty(row.Teams)
+	default:
+		keeper.statedTerms = nil
+	}
 	if (keeper.holder.HasPublished() || keeper.ownRow.Version > 0) && isRestored && (item.Version == 0 || !isSuccessor) {
 		keeper.ownRow = item
 		keeper.holder.keepLowestGrants()
@@ -49,6 +57,14 @@
 	return nil
 }
 
+// orEmpty returns the terms, or an empty map in place of nil.
+func orEmpty(terms map[string]Terms) map[string]Terms {
+	if terms == nil {
+		return make(map[string]Terms)
+	}
+	return terms
+}
+
 // takeOver applies the row of the preceding process, which may not be its last one if
 // it isn't current.
 func (keeper *Keeper) takeOver(row HolderRow, isCurrent bool) {
