Read the rows of standby routers seldom

The rows of the routers that callers are directed to are now in a partition of their own. Standby routers write every 5 s and read only that partition, every 2 s; the rows of standby routers are read every 30 s, and twice after a serving router is lost. Each router decides by itself in which partition its row belongs, from the same rows; a selection is kept up to 4.5 times the load, so that it doesn't follow each change. A standby router that is selected and doesn't take part in 6 s counts as dead.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -2,12 +2,16 @@
 // each of them writes to a shared table, and returns the addresses of the
 // routers that callers are directed to.
 //
-// The flow: one goroutine of Directory writes the router's own row and reads all
-// rows periodically. A router is declared dead when its row stays unchanged for
-// too long. Only connected time counts, which is the time in which the table
-// could be read: while it is unreachable, the last known states stay. A row that
-// changes because the table was restored from an older copy is no sign of life.
-// select.go selects the routers that callers are directed to.
+// The flow: one goroutine of Directory writes the router's own row and reads the
+// rows periodically. The rows of the routers that callers are directed to are in a
+// partition of their own, which is read often; those of the others (standby routers)
+// are written and read seldom, so that the cost of a router doesn't grow with the
+// fleet. Each router decides by itself in which of the partitions its row belongs
+// (tier.go). A router is declared dead when its row stays unchanged for too long. Only
+// connected time counts, which is the time in which the table could be read: while it
+// is unreachable, the last known states stay. A row that changes because the table was
+// restored from an older copy is no sign of life. select.go selects the routers that
+// callers are directed to.
 package directory
 
 import (
@@ -29,19 +33,19 @@
 )
 
 const (
-	// partition is the table partition with the rows of all routers.
-	partition = "routers"
+	// partition is the table partition with the rows of the routers that callers are
+	// directed to, standbyPartition that with the rows of the others.
+	partition        = "routers"
+	standbyPartition = "routers-standby"
 
 	defaultInterval = time.Second
-	// readsPerWrite is the number of reads for each periodic write of the
-	// router's own row.
-	readsPerWrite = 2
 	// maxUnchangedDuration is the connected time for which a row may stay
-	// unchanged before its router is declared dead.
+	// unchanged before its router is declared dead. The row of a standby router that
+	// is not selected only counts when it is read.
 	maxUnchangedDuration = 6 * time.Second
 	// maxConnectedGap is the maximum connected time between two reads: during a
 	// longer gap, the table was unreachable.
-	maxConnectedGap = 1500 * time.Millisecond
+	maxConnectedGap = 2500 * time.Millisecond
 	// callTimeout bounds one call of the table.
 	callTimeout = 900 * time.Millisecond
 	// MaxAddresses is the maximum number of addresses that Addresses returns.
@@ -76,7 +80,8 @@
 	// LoadPerSecond returns the value that is written as Member.LoadPerSecond; nil
 	// means that Self.LoadPerSecond is written.
 	LoadPerSecond func() float64
-	// Interval is the time between two reads; zero means one second.
+	// Interval is the time between two reads of the routers that callers are directed
+	// to, if this router is one of them; zero means one second.
 	Interval time.Duration
 	// Now is the monotonic clock; nil means time.Now.
 	Now func() time.Time
@@ -89,9 +94,14 @@
 	// versionUndone is set when the table was restored since the row was read, so that
 	// the row may be an older one.
 	versionUndone bool
-	// unchangedFor is the connected time since the row last changed.
-	unchangedFor time.Duration
-	alive        bool
+	// changedAt is the connected time at which the row last changed.
+	changedAt time.Duration
+	alive     bool
+	// standby is set while the row is in the partition of standby routers. If callers
+	// are directed to the router all the same, selectedAt is the connected time since
+	// when; otherwise it is zero.
+	standby    bool
+	selectedAt time.Duration
 }
 
 // Directory is one router's view of the fleet. It is safe for concurrent use.
@@ -110,6 +120,18 @@
 	unreadable map[string]uint64
 	// lastReadAt is when the rows were last read; zero before the first read.
 	lastReadAt time.Time
+	// connectedTime is the time in which the table could be read, since the start.
+	connectedTime time.Duration
+	// standby is set while the own row belongs into the partition of standby routers,
+	// and stale while it may be in the other partition, too.
+	standby, stale bool
+	// standbyWanted is the number of reads of the standby routers that are to be made
+	// out of turn, because some may take the places of others.
+	standbyWanted int
+	// selected are the routers that callers are directed to, and isSelected is set if
+	// this router is one of them.
+	selected   []Member
+	isSelected bool
 	// era is that of the last read.
 	era uint64
 }
@@ -133,28 +155,12 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
-	return &Directory{
+	directory := &Directory{
 		config: config, self: config.Self, others: make(map[string]*routerState), unreadable: make(map[string]uint64),
 		done: make(chan struct{}), writeNow: make(chan struct{}, 1),
 	}
-}
-
-func (directory *Directory) run(ctx context.Context) {
-	ticker := time.NewTicker(directory.config.Interval)
-	defer ticker.Stop()
-	for iteration := 0; ; iteration++ {
-		if iteration%readsPerWrite == 0 {
-			directory.logError("directory_write_failed", directory.write(ctx))
-		}
-		directory.logError("directory_read_failed", directory.read(ctx))
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-directory.writeNow:
-			iteration = -1 // the next iteration is 0, which writes the row
-		}
-	}
+	directory.updateSelection()
+	return directory
 }
 
 func (directory *Directory) logError(event string, err error) {
@@ -172,19 +178,30 @@
 		directory.self.LoadPerSecond = math.Round(directory.config.LoadPerSecond())
 	}
 	value, err := json.Marshal(directory.self)
+	own, other := partition, standbyPartition
+	if directory.standby {
+		own, other = other, own
+	}
+	writes := []platform.Write{{Key: platform.Key{Partition: own, Sort: directory.config.Name}, Value: value}}
+	if directory.stale {
+		writes = append(writes, platform.Write{Key: platform.Key{Partition: other, Sort: directory.config.Name}, Action: platform.Delete})
+	}
+	wasStandby := directory.standby
 	directory.mutex.Unlock()
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err = directory.config.Table.Commit(ctx, platform.Transaction{Writes: []platform.Write{{
-		Key: platform.Key{Partition: partition, Sort: directory.config.Name}, Value: value,
-	}}})
+	_, err = directory.config.Table.Commit(ctx, platform.Transaction{Writes: writes})
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	directory.stale = directory.stale && (err != nil || directory.standby != wasStandby)
 	return err
 }
 
-func (directory *Directory) read(ctx context.Context) error {
+// read reads the rows of one partition.
+func (directory *Directory) read(ctx context.Context, partition string, apply func(items []platform.Item, now time.Time)) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	items, receipt, err := directory.config.Table.Read(ctx, platform.Query{Partition: partition})
@@ -192,7 +209,7 @@
 		return err
 	}
 	if directory.enterEra(receipt.Era) {
-		directory.applyRows(items, directory.config.Now())
+		apply(items, directory.config.Now())
 	}
 	return nil
 }
@@ -218,46 +235,59 @@
 	return true
 }
 
-// applyRows updates the states of the other routers from the rows.
+// applyRows updates the states of the other routers from the rows of those that
+// callers are directed to.
 func (directory *Directory) applyRows(items []platform.Item, now time.Time) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	connectedTime := time.Duration(0)
 	if !directory.lastReadAt.IsZero() {
-		connectedTime = min(now.Sub(directory.lastReadAt), maxConnectedGap)
+		directory.connectedTime += min(now.Sub(directory.lastReadAt), maxConnectedGap)
 	}
 	directory.lastReadAt = now
+	listed := directory.applyItems(items, false)
+	for name, state := range directory.others {
+		switch {
+		case state.standby:
+			directory.checkTakesPart(name, state)
+			continue
+		case listed[name]:
+		case state.versionUndone || state.version == 0:
+			state.version, state.versionUndone = 0, false // it will write its row again
+		default:
+			state.standby, state.changedAt = true, directory.connectedTime
+		}
+		directory.checkAlive(name, state)
+	}
+	directory.updateSelection()
+}
+
+// applyItems updates the states of the other routers from the rows of a partition, and
+// returns the names of the rows.
+func (directory *Directory) applyItems(items []platform.Item, standby bool) map[string]bool {
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
 		listed[item.Key.Sort] = true
 		if item.Key.Sort != directory.config.Name {
-			directory.applyRow(item, connectedTime)
-		}
-	}
-	for name, state := range directory.others {
-		if !listed[name] {
-			state.version, state.versionUndone = 0, false
-			directory.countUnchanged(name, state, connectedTime)
+			directory.applyRow(item, standby)
+		} else if standby != directory.standby {
+			directory.stale = true
 		}
 	}
+	return listed
 }
 
-func (directory *Directory) applyRow(item platform.Item, connectedTime time.Duration) {
+func (directory *Directory) applyRow(item platform.Item, standby bool) {
 	name := item.Key.Sort
 	state, ok := directory.others[name]
 	if ok && state.versionUndone {
-		state.version, state.versionUndone = item.Version, false
+		state.version, state.versionUndone, state.standby = item.Version, false, standby
 	}
-	if ok && item.Version == state.version {
-		directory.countUnchanged(name, state, connectedTime)
-		return
+	if ok && item.Version <= state.version {
+		return // unchanged, or left behind in the other partition
 	}
 	member, err := decodeMember(item.Value)
 	if err != nil {
 		directory.logUnreadable(item, err)
-		if ok {
-			directory.countUnchanged(name, state, connectedTime)
-		}
 		return
 	}
 	if !ok {
@@ -267,16 +297,20 @@
 	if !state.alive || state.member.Leaving != member.Leaving {
 		_ = directory.config.Logger.Log("event", "router_seen", "router", name, "address", member.Address, "leaving", member.Leaving)
 	}
-	*state = routerState{member: member, version: item.Version, alive: true}
+	*state = routerState{member: member, version: item.Version, alive: true, changedAt: directory.connectedTime, standby: standby}
 }
 
-// countUnchanged adds to the time for which a router hasn't written its row.
-func (directory *Directory) countUnchanged(name string, state *routerState, connectedTime time.Duration) {
-	state.unchangedFor += connectedTime
-	if state.alive && state.unchangedFor > maxUnchangedDuration {
-		state.alive = false
-		_ = directory.config.Logger.Log("event", "router_gone", "router", name, "unchanged", state.unchangedFor)
+// checkAlive declares a router dead that hasn't written its row for too long.
+func (directory *Directory) checkAlive(name string, state *routerState) {
+	unchanged := directory.connectedTime - state.changedAt
+	if !state.alive || unchanged <= maxUnchangedDuration {
+		return
+	}
+	state.alive = false
+	if !state.standby {
+		directory.standbyWanted = listsAfterLoss
 	}
+	_ = directory.config.Logger.Log("event", "router_gone", "router", name, "unchanged", unchanged, "standby", state.standby)
 }
 
 // logUnreadable logs once that a version of a row can't be used.
@@ -312,6 +346,7 @@
 func (directory *Directory) Leave() {
 	directory.mutex.Lock()
 	directory.self.Leaving = true
+	directory.updateSelection()
 	directory.mutex.Unlock()
 	directory.requestWrite()
 }
@@ -345,14 +380,12 @@
 // whether this router is one of them. Until the rows have been read once, it
 // returns zero and true.
 func (directory *Directory) ServingCount() (count int, isServing bool) {
-	if directory.AliveCount() == 0 {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	if directory.lastReadAt.IsZero() {
 		return 0, true
 	}
-	selected := selectMembers(directory.acceptingMembers())
-	for _, member := range selected {
-		isServing = isServing || member.Address == directory.config.Self.Address
-	}
-	return len(selected), isServing
+	return len(directory.selected), directory.isSelected
 }
 
 // KnownCount returns the number of routers, alive or not, whose row was read
@@ -367,7 +400,9 @@
 // first those in the zone, then those in the region, then the others. There is
 // always at least one, and at most MaxAddresses.
 func (directory *Directory) Addresses(region, zone string) []string {
-	members := selectMembers(directory.acceptingMembers())
+	directory.mutex.Lock()
+	members := slices.Clone(directory.selected)
+	directory.mutex.Unlock()
 	slices.SortFunc(members, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(zoneDistance(a, region, zone), zoneDistance(b, region, zone)), strings.Compare(a.Address, b.Address))
 	})
@@ -378,26 +413,6 @@
 	return addresses
 }
 
-// acceptingMembers returns the live routers that aren't leaving. If there are
-// none, it returns this router, so that callers always get an address.
-func (directory *Directory) acceptingMembers() []Member {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	members := make([]Member, 0, len(directory.others)+1)
-	if !directory.self.Leaving {
-		members = append(members, directory.self)
-	}
-	for _, other := range directory.others {
-		if other.alive && !other.member.Leaving {
-			members = append(members, other.member)
-		}
-	}
-	if len(members) == 0 {
-		members = append(members, directory.self)
-	}
-	return members
-}
-
 func zoneDistance(member Member, region, zone string) int {
 	switch {
 	case member.Zone == zone:
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -93,21 +94,23 @@
 // large ones while these carry the load with headroom, and otherwise to only
 // as many more as needed.
 func TestLargeFleetDirectsCallersToLargeRouters(t *testing.T) {
-	var members []Member
+	var candidates []candidate
 	for _, zone := range []string{"a", "b", "c"} {
 		for i := range 20 {
 			capacity := 90.0
 			if i < 2 {
 				capacity = 400
 			}
-			members = append(members, Member{Address: zone + string(rune('a'+i)), Zone: zone, CapacityPerSecond: capacity, LoadPerSecond: 5})
+			candidates = append(candidates, candidate{serving: true, Member: Member{
+				Address: zone + string(rune('a'+i)), Zone: zone, CapacityPerSecond: capacity, LoadPerSecond: 5,
+			}})
 		}
 	}
-	require.Len(t, selectMembers(members), 6)
-	for i := range members {
-		members[i].LoadPerSecond = 20
+	require.Len(t, selectMembers(slices.Clone(candidates)), 6)
+	for i := range candidates {
+		candidates[i].LoadPerSecond = 20
 	}
-	selected := selectMembers(members)
+	selected := selectMembers(slices.Clone(candidates))
 	require.Greater(t, len(selected), 6)
 	selectedCapacity := 0.0
 	for _, member := range selected {
--- a/pkg/directory/select.go
+++ b/pkg/directory/select.go
@@ -18,34 +18,63 @@
 	// the current load of the fleet: a team may send several times its usual
 	// load, and several routers may fail at the same time.
 	headroomFactor = 3
+	// keepFactor is that ratio up to which a router stays selected, so that the
+	// selection doesn't follow each change of the load.
+	keepFactor = 4.5
 )
 
+// candidate is a router that callers may be directed to. It is serving if its row says
+// so.
+type candidate struct {
+	Member
+	serving bool
+}
+
 // selectMembers returns the routers that callers are directed to. From a large
 // fleet it selects the routers with the highest capacity, and only as many as
 // carry the load with headroom: during a network partition, a prepaid budget
 // that is split between few routers lasts longer than one split between many.
-func selectMembers(members []Member) []Member {
-	if len(members) <= smallFleetSize {
-		return members
-	}
-	fleetLoad := 0.0
-	for _, member := range members {
-		fleetLoad += member.LoadPerSecond
+func selectMembers(candidates []candidate) []Member {
+	if len(candidates) <= smallFleetSize {
+		return members(candidates)
 	}
-	slices.SortFunc(members, func(a, b Member) int {
+	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.CapacityPerSecond, a.CapacityPerSecond), strings.Compare(a.Address, b.Address))
 	})
-	var selected []Member
+	required, kept := strongest(candidates, headroomFactor), strongest(candidates, keepFactor)
+	return members(slices.DeleteFunc(candidates, func(candidate candidate) bool {
+		return !required[candidate.Address] && !(candidate.serving && kept[candidate.Address])
+	}))
+}
+
+// strongest returns the addresses of the first candidates that carry the load with the
+// given headroom.
+func strongest(candidates []candidate, headroom float64) map[string]bool {
+	fleetLoad := 0.0
+	for _, candidate := range candidates {
+		if candidate.serving { // what is known of the others differs between routers
+			fleetLoad += candidate.LoadPerSecond
+		}
+	}
+	selected := make(map[string]bool)
 	selectedInZone := make(map[string]int)
 	selectedCapacity := 0.0
-	for _, member := range members {
-		enough := len(selected) >= minSelected && selectedCapacity >= headroomFactor*fleetLoad
-		if enough && selectedInZone[member.Zone] >= minSelectedPerZone {
+	for _, candidate := range candidates {
+		enough := len(selected) >= minSelected && selectedCapacity >= headroom*fleetLoad
+		if enough && selectedInZone[candidate.Zone] >= minSelectedPerZone {
 			continue
 		}
-		selected = append(selected, member)
-		selectedInZone[member.Zone]++
-		selectedCapacity += member.CapacityPerSecond
+		selected[candidate.Address] = true
+		selectedInZone[candidate.Zone]++
+		selectedCapacity += candidate.CapacityPerSecond
 	}
 	return selected
 }
+
+func members(candidates []candidate) []Member {
+	members := make([]Member, 0, len(candidates))
+	for _, candidate := range candidates {
+		members = append(members, candidate.Member)
+	}
+	return members
+}
--- /dev/null
+++ b/pkg/directory/tier.go
@@ -0,0 +1,177 @@
+package directory
+
+// The two tiers of a fleet: the routers that callers are directed to, and those on
+// standby, which take their place when the load grows or some of them are gone.
+//
+// All routers select from the same rows, so they agree without messages, but for the
+// time until they have read a change. A router whose own selection includes itself
+// moves its row into the partition of the serving routers, at first as a statement and
+// not as a request: callers may be directed to it before.
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/platform"
+)
+
+const (
+	// intervalsPerWrite is the number of intervals between two periodic writes of the
+	// row of a serving router, standbyIntervalsPerWrite that for a standby router.
+	intervalsPerWrite        = 2
+	standbyIntervalsPerWrite = 5
+	// standbyIntervalsPerRead is the number of intervals between two reads of the
+	// serving routers by a standby router.
+	standbyIntervalsPerRead = 2
+	// intervalsPerStandbyList is the number of intervals between two reads of the
+	// standby routers.
+	intervalsPerStandbyList = 30
+	// listsAfterLoss is the number of reads of the standby routers after the loss of a
+	// serving one, and intervalsPerLossList that of the intervals between them: long
+	// enough that each router which is alive has written its row.
+	listsAfterLoss       = 2
+	intervalsPerLossList = 9
+	// maxListDelay is the longest random delay of a read of the standby routers that
+	// many routers make for the same reason.
+	maxListDelay = 500 * time.Millisecond
+)
+
+// run writes the own row and reads those of the others until the context ends. Whether
+// callers are directed to this router decides how often.
+func (directory *Directory) run(ctx context.Context) {
+	ticker := time.NewTicker(directory.config.Interval)
+	defer ticker.Stop()
+	// The intervals since the last read and write; the first list of standby routers is
+	// followed by one after a random time, which spreads the regular ones.
+	sinceRead, sinceWrite, sinceList := intervalsPerWrite, standbyIntervalsPerWrite, intervalsPerStandbyList
+	afterList := rand.IntN(intervalsPerStandbyList)
+	for {
+		readPeriod, writePeriod := 1, intervalsPerWrite
+		if directory.isStandby() {
+			readPeriod, writePeriod = standbyIntervalsPerRead, standbyIntervalsPerWrite
+		}
+		if sinceRead >= readPeriod {
+			directory.logError("directory_read_failed", directory.read(ctx, partition, directory.applyRows))
+			sinceRead = 0
+		}
+		if sinceList >= intervalsPerStandbyList || directory.takeStandbyWanted(ctx, sinceList) {
+			directory.logError("directory_read_failed", directory.read(ctx, standbyPartition, directory.applyStandbyRows))
+			sinceList, afterList = afterList, 0
+		}
+		if directory.changeTier() || sinceWrite >= writePeriod {
+			err := directory.write(ctx)
+			directory.logError("directory_write_failed", err)
+			sinceWrite = 0
+			if err != nil {
+				sinceWrite = writePeriod // again in the next interval
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			sinceRead++
+			sinceWrite++
+			sinceList++
+		case <-directory.writeNow:
+			sinceRead, sinceWrite = readPeriod, standbyIntervalsPerWrite
+		}
+	}
+}
+
+func (directory *Directory) isStandby() bool {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	return directory.standby
+}
+
+// takeStandbyWanted reports whether the standby routers are to be read out of turn, and
+// waits for a random time if so, as all routers read them for the same reason.
+func (directory *Directory) takeStandbyWanted(ctx context.Context, sinceList int) bool {
+	directory.mutex.Lock()
+	isDue := directory.standbyWanted == listsAfterLoss || directory.standbyWanted > 0 && sinceList >= intervalsPerLossList
+	if isDue {
+		directory.standbyWanted--
+	}
+	directory.mutex.Unlock()
+	if !isDue {
+		return false
+	}
+	timer := time.NewTimer(rand.N(min(maxListDelay, directory.config.Interval/2)))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return true
+}
+
+// changeTier moves the own row to the other partition with the next write, if the
+// selection says so. It reports whether it does.
+func (directory *Directory) changeTier() bool {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	standby := !directory.isSelected
+	if directory.lastReadAt.IsZero() || standby == directory.standby || directory.self.Leaving {
+		return false
+	}
+	directory.standby, directory.stale = standby, true
+	_ = directory.config.Logger.Log("event", "tier_changed", "standby", standby, "serving", len(directory.selected), "known", len(directory.others)+1)
+	return true
+}
+
+// applyStandbyRows updates the states of the other routers from the rows of standby
+// routers.
+func (directory *Directory) applyStandbyRows(items []platform.Item, _ time.Time) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	listed := directory.applyItems(items, true)
+	for name, state := range directory.others {
+		if state.standby && (listed[name] || state.version == 0) {
+			directory.checkAlive(name, state)
+		}
+	}
+	directory.updateSelection()
+}
+
+// checkTakesPart declares a standby router dead if callers are directed to it and its
+// row has not become that of a serving router in time.
+func (directory *Directory) checkTakesPart(name string, state *routerState) {
+	if state.alive && state.selectedAt > 0 && directory.connectedTime-state.selectedAt > maxUnchangedDuration {
+		state.alive = false
+		_ = directory.config.Logger.Log("event", "router_gone", "router", name, "selected", directory.connectedTime-state.selectedAt, "standby", true)
+	}
+}
+
+// updateSelection selects the routers that callers are directed to among those that are
+// alive and not leaving. If there are none, it is this router, so that callers always
+// get an address.
+func (directory *Directory) updateSelection() {
+	candidates := make([]candidate, 0, len(directory.others)+1)
+	if !directory.self.Leaving {
+		candidates = append(candidates, candidate{Member: directory.self, serving: !directory.standby})
+	}
+	for _, other := range directory.others {
+		if other.alive && !other.member.Leaving {
+			candidates = append(candidates, candidate{Member: other.member, serving: !other.standby})
+		}
+	}
+	if len(candidates) == 0 {
+		candidates = append(candidates, candidate{Member: directory.self})
+	}
+	directory.selected = selectMembers(candidates)
+	addresses := make(map[string]bool, len(directory.selected))
+	for _, member := range directory.selected {
+		addresses[member.Address] = true
+	}
+	directory.isSelected = addresses[directory.config.Self.Address]
+	for _, other := range directory.others {
+		switch {
+		case !other.standby || !addresses[other.member.Address]:
+			other.selectedAt = 0
+		case other.selectedAt == 0:
+			other.selectedAt = max(directory.connectedTime, 1)
+		}
+	}
+}
