Ask the store less often where nothing changes

Half of what is left of the calls of a standby router were long polls that end after a second, and its row of the budgets, written each second though it holds nothing. A holder without tokens whose row says so is written every 3 s. It counts as connected in between: before, one that wrote each second was taken for cut off just before each write, and refused.

TestStandbyHolderStaysConnected: under 30 commits in a minute, connected at each of 50 moments, tokens for a request at once.

--- a/pkg/allowance/keeper.go
+++ b/pkg/allowance/keeper.go
@@ -36,7 +36,7 @@
 	// holdingsLogInterval is the time between two logs of the holdings.
 	holdingsLogInterval = 2 * time.Second
 	// maxTableAge is the time since the table's last answer up to which a keeper
-	// counts as connected.
+	// counts as connected, in addition to the time until it asks again.
 	maxTableAge = time.Second
 )
 
@@ -149,6 +149,9 @@
 	// chargedByTeam are the tokens charged by all holders, as of poolReadAt.
 	chargedByTeam map[string]int64
 	poolReadAt    time.Time
+	// pause is the time until the next regular step of a holder that callers are not
+	// directed to; zero for the others.
+	pause time.Duration
 	// exchangedOnce is set when the first exchange has succeeded.
 	exchangedOnce bool
 	// tableTime is the time of the table's monotonic clock in its last answer,
@@ -208,7 +211,9 @@
 func (keeper *Keeper) run(ctx context.Context) {
 	for {
 		keeper.step(ctx)
-		timer := time.NewTimer(keeper.delayUntilNextStep())
+		delay := keeper.delayUntilNextStep()
+		keeper.recordPause(delay)
+		timer := time.NewTimer(delay)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -225,6 +230,17 @@
 	}
 }
 
+// recordPause records the delay until the next step, if callers are not directed to
+// this router.
+func (keeper *Keeper) recordPause(delay time.Duration) {
+	if _, serving := keeper.config.Holders(); serving {
+		delay = 0
+	}
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	keeper.pause = delay
+}
+
 // Leave returns the tokens that the router will not need before it stops.
 func (keeper *Keeper) Leave() {
 	keeper.leaving.Store(true)
--- a/pkg/allowance/patterns_test.go
+++ b/pkg/allowance/patterns_test.go
@@ -4,9 +4,12 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/platform"
@@ -314,3 +317,32 @@
 		require.True(t, fleet.vms[0].reserveWithExchange("cooks", 1), odd)
 	}
 }
+
+// TestStandbyHolderStaysConnected guards against refusals for want of tokens at a router
+// that callers are not directed to and that writes its row seldom: it is connected
+// between two writes, and takes tokens for a request at once.
+func TestStandbyHolderStaysConnected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &tableClient{table: newMemoryTable(), mode: modeAnswer}
+		table.table.now = time.Hour
+		table.table.items[countKey()] = platform.Item{Key: countKey(), Value: encode(sliceCountRow{Slices: 8}), Version: 1}
+		var commits atomic.Int64
+		table.beforeCommit = func() { commits.Add(1) }
+		keeper := NewKeeper(KeeperConfig{
+			Table: table, Name: "standby", Process: "standby-1", Logger: log.NewNopLogger(), StartedAt: time.Now(), SplitDelay: time.Nanosecond,
+			Prepaid: func() map[string]int64 { return map[string]int64{"cooks": 100_000} },
+			Holders: func() (int, bool) { return 25, false },
+		})
+		time.Sleep(time.Minute)
+		require.Less(t, commits.Load(), int64(30), "an empty row is written seldom")
+		for range 50 {
+			time.Sleep(130 * time.Millisecond)
+			require.True(t, keeper.connected())
+		}
+		reservation, shortage := keeper.Reserve(t.Context(), "cooks", 1_000)
+		require.Empty(t, shortage)
+		keeper.Holder().Settle(reservation, 900)
+		time.Sleep(10 * time.Second)
+		require.NoError(t, keeper.Close(t.Context()))
+	})
+}
--- a/pkg/allowance/reserve.go
+++ b/pkg/allowance/reserve.go
@@ -115,7 +115,7 @@
 func (keeper *Keeper) connected() bool {
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
-	return keeper.config.Now().Sub(keeper.tableTimeReceivedAt) < maxTableAge
+	return keeper.config.Now().Sub(keeper.tableTimeReceivedAt) < maxTableAge+keeper.pause
 }
 
 // knownExhausted reports whether the pool, as read within maxPoolAge, can't
--- a/pkg/allowance/schedule.go
+++ b/pkg/allowance/schedule.go
@@ -11,8 +11,9 @@
 	defaultWriteInterval    = 250 * time.Millisecond
 	defaultExchangeInterval = 800 * time.Millisecond
 	// idleInterval is the time between two writes of a holder that callers are
-	// not directed to.
-	idleInterval = time.Second
+	// not directed to, and emptyInterval that of one which holds no tokens either.
+	idleInterval  = time.Second
+	emptyInterval = 3 * time.Second
 	// retryInterval is the time until the next step after a failed call.
 	retryInterval = 60 * time.Millisecond
 	// minUrgentInterval is the minimum time between two exchanges of a holder
@@ -62,6 +63,9 @@
 func (keeper *Keeper) delayUntilNextStep() time.Duration {
 	holders, serving := keeper.config.Holders()
 	if !serving && !keeper.leaving.Load() {
+		if keeper.isEmpty() {
+			return emptyInterval
+		}
 		return idleInterval
 	}
 	wait := max(keeper.config.WriteInterval, writeSpacing*time.Duration(holders))
@@ -74,6 +78,12 @@
 	return wait
 }
 
+// isEmpty reports whether the holder has nothing to publish: its row in the table has
+// no unspent tokens, and no request waits for some.
+func (keeper *Keeper) isEmpty() bool {
+	return !keeper.lastStepFailed && !keeper.undeclared && keeper.exchangeUnneeded()
+}
+
 // roundDuration returns the time in which each holder of a slice has one turn.
 func (keeper *Keeper) roundDuration(turnDuration time.Duration) time.Duration {
 	holders, _ := keeper.config.Holders()
