Refuse at once for tokens that other holders are known to have

A read of the pool that is at most 0.4 s old now decides: if no slice has the tokens that the holder lacks, the request is refused as "other routers hold the tokens" without an exchange. With one slice, a conflict counts as a read.

--- a/pkg/allowance/exchange.go
+++ b/pkg/allowance/exchange.go
@@ -99,9 +99,10 @@
 	defer keeper.mutex.Unlock()
 	keeper.poolReadAt = pool.readAt
 	keeper.reservedTokens = 0
-	keeper.chargedByTeam = make(map[string]int64, len(prepaid))
-	for team := range prepaid {
+	keeper.chargedByTeam, keeper.freeByTeam = make(map[string]int64, len(prepaid)), make(map[string]int64, len(prepaid))
+	for team, budget := range prepaid {
 		keeper.chargedByTeam[team] = pool.charged(team)
+		keeper.freeByTeam[team] = pool.free(team, budget)
 		keeper.reservedTokens += pool.slices[pool.ownNumber].reserved(team, pool.era)
 	}
 }
--- a/pkg/allowance/fleet_test.go
+++ b/pkg/allowance/fleet_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -36,6 +37,8 @@
 
 // memoryTable is a table in memory with a monotonic clock.
 type memoryTable struct {
+	// mutex guards the calls of clients and their modes.
+	mutex   sync.Mutex
 	items   map[platform.Key]platform.Item
 	version uint64
 	now     time.Duration
@@ -143,6 +146,8 @@
 	if tableClient.beforeCommit != nil {
 		tableClient.beforeCommit()
 	}
+	tableClient.table.mutex.Lock()
+	defer tableClient.table.mutex.Unlock()
 	switch tableClient.mode {
 	case modePoolOverloaded:
 		for _, write := range transaction.Writes {
@@ -170,6 +175,8 @@
 
 // Read returns the items with the prefix, if the mode answers reads.
 func (tableClient *tableClient) Read(_ context.Context, query platform.Query) ([]platform.Item, platform.Receipt, error) {
+	tableClient.table.mutex.Lock()
+	defer tableClient.table.mutex.Unlock()
 	if tableClient.mode != modeAnswer && tableClient.mode != modePoolOverloaded {
 		return nil, platform.Receipt{}, errNoAnswer
 	}
@@ -183,6 +190,13 @@
 	return items, tableClient.table.receipt(), nil
 }
 
+// setMode sets the mode while calls may be made.
+func (tableClient *tableClient) setMode(mode tableMode) {
+	tableClient.table.mutex.Lock()
+	defer tableClient.table.mutex.Unlock()
+	tableClient.mode = mode
+}
+
 // vm is a VM, which runs one keeper process after the other.
 type vm struct {
 	name         string
--- a/pkg/allowance/keeper.go
+++ b/pkg/allowance/keeper.go
@@ -33,6 +33,10 @@
 	// request. Charges only grow, except when a request uses less than it
 	// reserved.
 	maxPoolAge = time.Second
+	// maxShortageAge is the age up to which a read of the pool is enough to refuse a
+	// request because other holders have the tokens. They return some with most
+	// exchanges.
+	maxShortageAge = 400 * time.Millisecond
 	// holdingsLogInterval is the time between two logs of the holdings.
 	holdingsLogInterval = 2 * time.Second
 	// maxTableAge is the time since the table's last answer up to which a keeper
@@ -146,12 +150,17 @@
 	restores                         uint64
 	redeclaredTokens, reservedTokens int64
 	estimatedTokens                  int64
-	// chargedByTeam are the tokens charged by all holders, as of poolReadAt.
-	chargedByTeam map[string]int64
-	poolReadAt    time.Time
+	// chargedByTeam are the tokens charged by all holders, and freeByTeam those that no
+	// holder has been granted, as of poolReadAt.
+	chargedByTeam, freeByTeam map[string]int64
+	poolReadAt                time.Time
 	// pause is the time until the next regular step of a holder that callers are not
 	// directed to; zero for the others.
 	pause time.Duration
+	// exchanges and conflicts count the tries of an exchange that succeeded, and that met
+	// a conflict. commitDuration is how long the last one took.
+	exchanges, conflicts uint64
+	commitDuration       time.Duration
 	// exchangedOnce is set when the first exchange has succeeded.
 	exchangedOnce bool
 	// tableTime is the time of the table's monotonic clock in its last answer,
--- a/pkg/allowance/patterns_test.go
+++ b/pkg/allowance/patterns_test.go
@@ -346,3 +346,47 @@
 		require.NoError(t, keeper.Close(t.Context()))
 	})
 }
+
+// TestKnownShortageCausesNoExchanges guards against a pool that is busy with exchanges
+// which can't help, when a team sends many requests and other holders have the rest of
+// its budget: the requests are refused at once, and those of other teams are served.
+func TestKnownShortageCausesNoExchanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemoryTable()
+		table.now = time.Hour
+		prepaid := map[string]int64{"cooks": 100_000, "shops": 100_000}
+		start := func(name string, client *tableClient) *Keeper {
+			return NewKeeper(KeeperConfig{
+				Table: client, Name: name, Process: name + "-1", Logger: log.NewNopLogger(), StartedAt: time.Now(), SplitDelay: time.Nanosecond,
+				Prepaid: func() map[string]int64 { return prepaid }, Holders: func() (int, bool) { return 2, true },
+			})
+		}
+		otherClient := &tableClient{table: table, mode: modeAnswer}
+		other := start("other", otherClient)
+		time.Sleep(2 * time.Second)
+		reservation, shortage := other.Reserve(t.Context(), "cooks", 60_000)
+		require.Empty(t, shortage)
+		other.Holder().Settle(reservation, 0)
+		otherClient.setMode(modeNoAnswer) // it is cut off, and keeps what it holds
+		var commits atomic.Int64
+		short := start("short", &tableClient{table: table, mode: modeAnswer, beforeCommit: func() { commits.Add(1) }})
+		time.Sleep(2 * time.Second)
+		commits.Store(0)
+		for range 200 {
+			startedAt := time.Now()
+			_, shortage := short.Reserve(t.Context(), "cooks", 50_000)
+			require.Equal(t, Elsewhere, shortage)
+			require.Less(t, time.Since(startedAt), maxExchangeWait)
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Less(t, commits.Load(), int64(25), "in two seconds, with the regular ones")
+		_, shortage = short.Reserve(t.Context(), "shops", 900)
+		require.Empty(t, shortage)
+		otherClient.setMode(modeAnswer)
+		time.Sleep(4 * time.Second)
+		_, shortage = short.Reserve(t.Context(), "cooks", 50_000)
+		require.Empty(t, shortage, "the other holder has returned tokens")
+		require.NoError(t, short.Close(t.Context()))
+		require.NoError(t, other.Close(t.Context()))
+	})
+}
--- a/pkg/allowance/reserve.go
+++ b/pkg/allowance/reserve.go
@@ -38,7 +38,8 @@
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
 	_ = keeper.config.Logger.Log("event", "budget_short", "team", team, "needed", tokens, "reason", shortage,
-		"room", holding.Available, "unspent", holding.Granted-holding.Spent-holding.Reserved, "remaining", remaining,
+		"room", holding.Available, "unspent", holding.Granted-holding.Spent-holding.Reserved, "remaining", remaining, "free", keeper.freeByTeam[team],
+		"exchanges", keeper.exchanges, "conflicts", keeper.conflicts, "commit", keeper.commitDuration,
 		"waited", now.Sub(startedAt), "table_age", now.Sub(keeper.tableTimeReceivedAt), "pool_age", now.Sub(keeper.poolReadAt))
 }
 
@@ -55,6 +56,9 @@
 	if keeper.knownExhausted(team, tokens) {
 		return Reservation{}, Exhausted
 	}
+	if keeper.knownElsewhere(team, tokens) {
+		return Reservation{}, Elsewhere
+	}
 	exchangeDone := keeper.requestExchange(team, tokens)
 	timer := time.NewTimer(maxExchangeWait)
 	defer timer.Stop()
@@ -127,6 +131,15 @@
 	return poolIsRecent && keeper.remaining(team) < tokens
 }
 
+// knownElsewhere reports whether other holders have so many of the tokens that an
+// exchange can't help, according to the pool as read within maxShortageAge.
+func (keeper *Keeper) knownElsewhere(team string, tokens int64) bool {
+	unspent := max(keeper.holder.unspent(team), 0)
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	return keeper.config.Now().Sub(keeper.poolReadAt) < maxShortageAge && unspent+keeper.freeByTeam[team] < tokens
+}
+
 // remaining returns the tokens of the budget that were not charged at the last
 // read of the pool.
 func (keeper *Keeper) remaining(team string) int64 {
--- a/pkg/allowance/slice.go
+++ b/pkg/allowance/slice.go
@@ -263,6 +263,15 @@
 	return pool.sliceBudget(number, team, prepaid) - pool.slices[number].Teams[team].Charged
 }
 
+// free returns the tokens of a team that all slices together can still grant.
+func (pool *pool) free(team string, prepaid int64) int64 {
+	total := int64(0)
+	for number := range pool.slices {
+		total += max(pool.grantable(number, team, prepaid), 0)
+	}
+	return total
+}
+
 // charged returns the charges of one team in all slices.
 func (pool *pool) charged(team string) int64 {
 	total := int64(0)
--- a/pkg/allowance/table.go
+++ b/pkg/allowance/table.go
@@ -145,6 +145,7 @@
 	receipt, err := keeper.config.Table.Commit(ctx, transaction)
 	if len(sliceWrites) > 0 {
 		keeper.poolCommitDuration = keeper.config.Now().Sub(startedAt)
+		keeper.countExchange(err)
 	}
 	keeper.observe(receipt)
 	switch {
@@ -174,6 +175,19 @@
 	}
 }
 
+// countExchange counts a try of an exchange.
+func (keeper *Keeper) countExchange(err error) {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	keeper.commitDuration = keeper.poolCommitDuration
+	switch {
+	case err == nil:
+		keeper.exchanges++
+	case fault.KindOf(err) == fault.Conflict:
+		keeper.conflicts++
+	}
+}
+
 // handleConflict updates the copies of the rows that were returned with a
 // conflict. If they show another version of the holder's row, an earlier commit
 // of this process may have been applied late, and the row has to be read again.
@@ -207,6 +221,9 @@
 			keeper.pool.items[number] = item
 			keeper.pool.upToDate = true
 			keeper.pool.knownAt[number] = keeper.tableTime
+			if len(keeper.pool.items) == 1 {
+				keeper.pool.readAt = keeper.config.Now()
+			}
 		}
 	}
 }
