Let standby routers start without an exchange

After a power failure each of 73 routers exchanged with the pool's row once at its start, at the moment at which those that callers are directed to needed it: commits took 350 ms, and the first of them had no exchange for seconds.

A standby router now publishes its row first, which shows whether its predecessor left tokens; only then does it exchange.

TestRestartOfStandbyRoutersLeavesThePoolAlone fails without the change.

--- a/pkg/allowance/keeper.go
+++ b/pkg/allowance/keeper.go
@@ -306,6 +306,11 @@
 	if holders == 0 || keeper.config.Now().Before(keeper.nextExchangeAt) {
 		return false
 	}
+	// A router that starts publishes its row first. Only then is it known whether
+	// its predecessor left tokens, and most of a large fleet left none.
+	if !serving && !keeper.holder.HasPublished() && len(keeper.copyWaitingByTeam()) == 0 && !keeper.undeclared {
+		return false
+	}
 	return keeper.undeclared || serving || !keeper.exchangeUnneeded()
 }
 
--- a/pkg/allowance/patterns_test.go
+++ b/pkg/allowance/patterns_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -390,3 +391,36 @@
 		require.NoError(t, other.Close(t.Context()))
 	})
 }
+
+// TestRestartOfStandbyRoutersLeavesThePoolAlone guards against a pool that is busy for
+// seconds after a power failure of a large fleet, because each router exchanges once at
+// its start, also the many that callers are not directed to and that left no tokens.
+func TestRestartOfStandbyRoutersLeavesThePoolAlone(t *testing.T) {
+	table := newMemoryTable()
+	table.now = time.Hour
+	table.items[countKey()] = platform.Item{Key: countKey(), Value: encode(sliceCountRow{Slices: 1}), Version: 1}
+	start := func(number int, serving bool) *Keeper {
+		client := &tableClient{table: table, mode: modeAnswer}
+		name := fmt.Sprintf("standby-%d", number)
+		return newKeeper(KeeperConfig{
+			Table: client, Name: name, Process: fmt.Sprintf("%s-%d", name, table.version), Logger: log.NewNopLogger(), StartedAt: time.Now(),
+			Prepaid: func() map[string]int64 { return map[string]int64{"cooks": 100_000} },
+			Holders: func() (int, bool) { return 6, serving },
+		})
+	}
+	holder := start(0, true)
+	holder.step(t.Context())
+	holder.step(t.Context())
+	require.Positive(t, holder.holder.unspent("cooks"))
+	for number := range 60 {
+		keeper := start(number, false)
+		before := table.items[sliceKey(0, 0)].Version
+		for range 3 {
+			keeper.step(t.Context())
+		}
+		require.True(t, keeper.Ready(), "%d", number)
+		require.Zero(t, keeper.holder.unspent("cooks"), "what the predecessor left goes back")
+		exchanged := table.items[sliceKey(0, 0)].Version > before
+		require.Equal(t, number == 0, exchanged, "%d", number)
+	}
+}
