Count only whole events as progress of a stream

Another operator reported streams that never ended, as their stalled upstream sent a byte now and then. Here a stream whose upstream sent only comments or empty lines was kept until its deadline and then cut off, though another upstream could go on: each comment was returned as a part and began the wait for the next event anew. Bytes inside an event or a head did not.

Comments are now passed on together with the next event, or at the end of the stream.

--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -30,7 +30,8 @@
 	// Data is the event's data; in a passed-through stream it is the event with
 	// all its fields.
 	Data []byte
-	// Comment is set if a part of a passed-through stream has only comments.
+	// Comment is set if a part of a passed-through stream has only comments, as after
+	// its last event.
 	Comment bool
 }
 
@@ -238,26 +239,45 @@
 	return answer.scanner != nil && answer.scanner.insideEvent
 }
 
-// nextRawEvent returns the next event unchanged. The stream is complete when its
-// body ends between two events. If nothing but the end of the connection marks that
-// end, and there was no event before, the upstream may have crashed instead.
+// nextRawEvent returns the next event unchanged, together with the comments before it:
+// they are no progress, so an upstream that sends nothing else counts as silent. The
+// stream is complete when its body ends between two events. If nothing but the end of
+// the connection marks that end, and there was no event before, the upstream may have
+// crashed instead.
 func (answer *Answer) nextRawEvent() (Part, error) {
-	event, err := answer.scanner.nextRaw()
-	if errors.Is(err, io.EOF) && !answer.delimited && !answer.eventRead {
-		return Part{}, answer.fail(errTruncated, ReasonTruncated)
-	}
-	if errors.Is(err, io.EOF) {
-		answer.complete = true
-		return Part{}, io.EOF
+	var data []byte
+	for {
+		event, err := answer.scanner.nextRaw()
+		if errors.Is(err, io.EOF) {
+			return answer.endOfStream(data)
+		}
+		if err != nil {
+			return Part{}, answer.fail(err, ReasonTruncated)
+		}
+		if data = append(data, event.data...); len(data) >= MaxEventBytes {
+			return Part{}, answer.fail(errOversized, ReasonOversized)
+		}
+		if event.comment {
+			continue
+		}
+		answer.eventRead = true
+		if event.id > 0 {
+			answer.position.Store(event.id)
+		}
+		return Part{Position: event.id, Data: data}, nil
 	}
-	if err != nil {
-		return Part{}, answer.fail(err, ReasonTruncated)
+}
+
+// endOfStream returns the comments after the last event, or the end of the stream.
+func (answer *Answer) endOfStream(comments []byte) (Part, error) {
+	if !answer.delimited && !answer.eventRead {
+		return Part{}, answer.fail(errTruncated, ReasonTruncated)
 	}
-	answer.eventRead = answer.eventRead || !event.comment
-	if event.id > 0 {
-		answer.position.Store(event.id)
+	answer.complete = true
+	if len(comments) > 0 {
+		return Part{Data: comments, Comment: true}, nil
 	}
-	return Part{Position: event.id, Data: event.data, Comment: event.comment}, nil
+	return Part{}, io.EOF
 }
 
 // drain reads the end of the body after the end marker, so that the connection can
