Split the reading of the own budget row

The linter counts sixteen paths in readOwnRow since rows say what is not declared. What the sums include, and whether a row is a successor's, are functions of their own.

--- a/pkg/allowance/row.go
+++ b/pkg/allowance/row.go
@@ -75,3 +75,19 @@
 	fullRateSeconds := earlyElapsed.Seconds()*row.EarlyFraction + (max(elapsed, 0) - earlyElapsed).Seconds()
 	return min(terms.Granted, terms.Charged+terms.Base+int64(float64(terms.Rate)*fullRateSeconds))
 }
+
+// statedTerms returns what the sums of the slice include of the holder that wrote the
+// row, or nil if those are its terms: it has declared them since the last restore.
+func (row HolderRow) statedTerms(isCurrent bool) map[string]Terms {
+	stated := row.Teams
+	switch {
+	case row.Undeclared:
+		stated = row.Stated
+	case isCurrent:
+		return nil
+	}
+	if stated == nil {
+		return make(map[string]Terms)
+	}
+	return stated
+}
--- a/pkg/allowance/table.go
+++ b/pkg/allowance/table.go
@@ -26,16 +26,10 @@
 	keeper.outcomeUnknown = false
 	isRestored := keeper.enterEra()
 	isCurrent := item.Version == 0 || item.Key == holderKey(keeper.config.Name, keeper.era)
-	isSuccessor := row.Process != keeper.config.Process && (isCurrent || keeper.holder.publishedBefore(row.Stamp))
-	switch {
-	case row.Undeclared:
-		keeper.statedTerms = orEmpty(row.Stated)
-	case isRestored || !isCurrent:
-		keeper.statedTerms = orEmpty(row.Teams)
-	default:
-		keeper.statedTerms = nil
-	}
-	if (keeper.holder.HasPublished() || keeper.ownRow.Version > 0) && isRestored && (item.Version == 0 || !isSuccessor) {
+	isReplaced := item.Version > 0 && keeper.isSuccessor(row, isCurrent)
+	keeper.statedTerms = row.statedTerms(isCurrent && !isRestored)
+	hadRow := keeper.holder.HasPublished() || keeper.ownRow.Version > 0
+	if hadRow && isRestored && !isReplaced {
 		keeper.ownRow = item
 		keeper.holder.keepLowestGrants()
 		return nil
@@ -57,12 +51,9 @@
 	return nil
 }
 
-// orEmpty returns the terms, or an empty map in place of nil.
-func orEmpty(terms map[string]Terms) map[string]Terms {
-	if terms == nil {
-		return make(map[string]Terms)
-	}
-	return terms
+// isSuccessor reports whether another process wrote the row after this one's.
+func (keeper *Keeper) isSuccessor(row HolderRow, isCurrent bool) bool {
+	return row.Process != keeper.config.Process && (isCurrent || keeper.holder.publishedBefore(row.Stamp))
 }
 
 // takeOver applies the row of the preceding process, which may not be its last one if
--- a/pkg/directory/select.go
+++ b/pkg/directory/select.go
@@ -43,7 +43,8 @@
 	})
 	required, kept := strongest(candidates, headroomFactor), strongest(candidates, keepFactor)
 	return members(slices.DeleteFunc(candidates, func(candidate candidate) bool {
-		return !required[candidate.Address] && !(candidate.serving && kept[candidate.Address])
+		stays := candidate.serving && kept[candidate.Address]
+		return !required[candidate.Address] && !stays
 	}))
 }
 
