Keep restarted routers on standby until they know the fleet

Found on reading the change: routers that start while the store is away, or just as it returns, read the serving routers but not those on standby, took themselves for part of a fleet of at most twelve, and served.

Causes: a failed read of the standby routers was repeated after up to half a minute; the first row was written before the fleet was known; and a process that starts counted as serving, so that the selection kept it. Now a failed call is repeated in the next interval, nothing is selected or written before both partitions have been read, and a process starts on standby unless its row says that it served.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -122,9 +122,12 @@
 	lastReadAt time.Time
 	// connectedTime is the time in which the table could be read, since the start.
 	connectedTime time.Duration
-	// standby is set while the own row belongs into the partition of standby routers,
-	// and stale while it may be in the other partition, too.
-	standby, stale bool
+	// standby is set while the own row belongs into the partition of standby routers, as
+	// it does until the router knows better, and stale while it may be in the other
+	// partition, too. written is set once the row has been written.
+	standby, stale, written bool
+	// standbyRead is set once the rows of the standby routers have been read.
+	standbyRead bool
 	// standbyWanted is the number of reads of the standby routers that are to be made
 	// out of turn, because some may take the places of others.
 	standbyWanted int
@@ -156,17 +159,19 @@
 		config.Now = time.Now
 	}
 	directory := &Directory{
-		config: config, self: config.Self, others: make(map[string]*routerState), unreadable: make(map[string]uint64),
+		config: config, self: config.Self, standby: true, others: make(map[string]*routerState), unreadable: make(map[string]uint64),
 		done: make(chan struct{}), writeNow: make(chan struct{}, 1),
 	}
 	directory.updateSelection()
 	return directory
 }
 
-func (directory *Directory) logError(event string, err error) {
+// succeeds reports whether a call succeeded, and logs its error otherwise.
+func (directory *Directory) succeeds(event string, err error) bool {
 	if err != nil {
 		_ = directory.config.Logger.Log("event", event, "err", err)
 	}
+	return err == nil
 }
 
 // write writes the router's own row. The write is unconditional, since no other
@@ -197,6 +202,7 @@
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	directory.stale = directory.stale && (err != nil || directory.standby != wasStandby)
+	directory.written = directory.written || err == nil
 	return err
 }
 
@@ -267,9 +273,12 @@
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
 		listed[item.Key.Sort] = true
-		if item.Key.Sort != directory.config.Name {
+		switch {
+		case item.Key.Sort != directory.config.Name:
 			directory.applyRow(item, standby)
-		} else if standby != directory.standby {
+		case !standby && !directory.written:
+			directory.standby = false // as the preceding process left it
+		case standby != directory.standby:
 			directory.stale = true
 		}
 	}
@@ -382,7 +391,7 @@
 func (directory *Directory) ServingCount() (count int, isServing bool) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	if directory.lastReadAt.IsZero() {
+	if !directory.hasReadAll() {
 		return 0, true
 	}
 	return len(directory.selected), directory.isSelected
--- a/pkg/directory/fleet_test.go
+++ b/pkg/directory/fleet_test.go
@@ -101,13 +101,18 @@
 }
 
 func (simulatedFleet *simulatedFleet) add() {
-	number := simulatedFleet.started
+	simulatedFleet.start(simulatedFleet.started, false)
 	simulatedFleet.started++
+}
+
+// start starts the router of that number, which is cut off from the table at first if
+// cut is set.
+func (simulatedFleet *simulatedFleet) start(number int, cut bool) {
 	capacity := 96.0
 	if number%10 < 2 {
 		capacity = 400
 	}
-	client := &client{table: simulatedFleet.table, name: fmt.Sprintf("router-%04d", number)}
+	client := &client{table: simulatedFleet.table, name: fmt.Sprintf("router-%04d", number), cut: cut}
 	var self atomic.Pointer[Directory]
 	directory := New(Config{
 		Table: client, Name: client.name, Logger: log.NewNopLogger(),
@@ -279,18 +284,10 @@
 		defer fleet.close()
 		time.Sleep(40 * time.Second)
 		before := fleet.routers[0].Addresses("r", "zone-0")
-		fleet.table.mutex.Lock()
-		for _, client := range fleet.clients {
-			client.cut = true
-		}
-		fleet.table.mutex.Unlock()
+		fleet.cutAll(true)
 		time.Sleep(time.Minute)
 		require.Equal(t, before, fleet.routers[0].Addresses("r", "zone-0"))
-		fleet.table.mutex.Lock()
-		for _, client := range fleet.clients {
-			client.cut = false
-		}
-		fleet.table.mutex.Unlock()
+		fleet.cutAll(false)
 		time.Sleep(2 * time.Second)
 		fleet.requireAgreement(t, settlingTime)
 		fleet.requireOneRowEach(t)
@@ -338,3 +335,46 @@
 		require.Equal(t, 1, rows[directory.config.Name], directory.config.Name)
 	}
 }
+
+// cutAll cuts all routers off from the table, or ends that.
+func (simulatedFleet *simulatedFleet) cutAll(cut bool) {
+	simulatedFleet.table.mutex.Lock()
+	defer simulatedFleet.table.mutex.Unlock()
+	for _, client := range simulatedFleet.clients {
+		client.cut = cut
+	}
+}
+
+// TestRoutersStartedDuringOutageStayOnStandby guards against many routers that take
+// themselves for part of a small fleet, and serve, because the rows of the standby
+// routers could not be read at their start.
+func TestRoutersStartedDuringOutageStayOnStandby(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newSimulatedFleet(60)
+		defer fleet.close()
+		time.Sleep(40 * time.Second)
+		fleet.requireAgreement(t, settlingTime)
+		before := len(fleet.serving())
+		fleet.cutAll(true)
+		standby := slices.DeleteFunc(fleet.all(), func(number int) bool { return !fleet.routers[number].isStandby() })
+		fleet.kill(standby...)
+		for _, number := range standby {
+			fleet.start(number, true)
+		}
+		time.Sleep(10 * time.Second)
+		fleet.cutAll(false)
+		for range 20 {
+			time.Sleep(time.Second)
+			serving := 0
+			fleet.table.mutex.Lock()
+			for key := range fleet.table.rows {
+				if key.Partition == partition {
+					serving++
+				}
+			}
+			fleet.table.mutex.Unlock()
+			require.LessOrEqual(t, serving, before+minSelectedPerZone)
+		}
+		fleet.requireAgreement(t, settlingTime)
+	})
+}
--- a/pkg/directory/tier.go
+++ b/pkg/directory/tier.go
@@ -51,21 +51,18 @@
 		if directory.isStandby() {
 			readPeriod, writePeriod = standbyIntervalsPerRead, standbyIntervalsPerWrite
 		}
-		if sinceRead >= readPeriod {
-			directory.logError("directory_read_failed", directory.read(ctx, partition, directory.applyRows))
+		// What fails is tried again in the next interval.
+		if sinceRead >= readPeriod && directory.succeeds("directory_read_failed", directory.read(ctx, partition, directory.applyRows)) {
 			sinceRead = 0
 		}
 		if sinceList >= intervalsPerStandbyList || directory.takeStandbyWanted(ctx, sinceList) {
-			directory.logError("directory_read_failed", directory.read(ctx, standbyPartition, directory.applyStandbyRows))
-			sinceList, afterList = afterList, 0
+			if directory.succeeds("directory_read_failed", directory.read(ctx, standbyPartition, directory.applyStandbyRows)) {
+				sinceList, afterList = afterList, 0
+			}
 		}
-		if directory.changeTier() || sinceWrite >= writePeriod {
-			err := directory.write(ctx)
-			directory.logError("directory_write_failed", err)
+		mustWrite := directory.changeTier() || sinceWrite >= writePeriod && directory.knowsFleet()
+		if mustWrite && directory.succeeds("directory_write_failed", directory.write(ctx)) {
 			sinceWrite = 0
-			if err != nil {
-				sinceWrite = writePeriod // again in the next interval
-			}
 		}
 		select {
 		case <-ctx.Done():
@@ -113,7 +110,7 @@
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	standby := !directory.isSelected
-	if directory.lastReadAt.IsZero() || standby == directory.standby || directory.self.Leaving {
+	if !directory.hasReadAll() || standby == directory.standby || directory.self.Leaving {
 		return false
 	}
 	directory.standby, directory.stale = standby, true
@@ -126,6 +123,7 @@
 func (directory *Directory) applyStandbyRows(items []platform.Item, _ time.Time) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
+	directory.standbyRead = true
 	listed := directory.applyItems(items, true)
 	for name, state := range directory.others {
 		if state.standby && (listed[name] || state.version == 0) {
@@ -135,6 +133,20 @@
 	directory.updateSelection()
 }
 
+// knowsFleet is hasReadAll for the goroutine of run. Before, the own row could get into
+// the wrong partition.
+func (directory *Directory) knowsFleet() bool {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	return directory.hasReadAll()
+}
+
+// hasReadAll reports whether the rows of both partitions have been read once. Until
+// then, most of the fleet may be unknown.
+func (directory *Directory) hasReadAll() bool {
+	return directory.standbyRead && !directory.lastReadAt.IsZero()
+}
+
 // checkTakesPart declares a standby router dead if callers are directed to it and its
 // row has not become that of a serving router in time.
 func (directory *Directory) checkTakesPart(name string, state *routerState) {
