--- a/pkg/directory/fleet_test.go
+++ b/pkg/directory/fleet_test.go
@@ -174,7 +174,7 @@
 			}
 		}
 		if len(addresses) != len(serving) {
-			return fmt.Errorf("%s lists %d routers, %d serve", directory.config.Name, len(addresses), len(serving))
+			return fmt.Errorf("%s (standby %t) lists %v, %v serve", directory.config.Name, directory.isStandby(), addresses, slices.Sorted(maps.Keys(serving)))
 		}
 	}
 	return nil
