--- a/pkg/directory/tier.go
+++ b/pkg/directory/tier.go
@@ -3,10 +3,10 @@
 // The two tiers of a fleet: the routers that callers are directed to, and those on
 // standby, which take their place when the load grows or some of them are gone.
 //
-// All routers select from the same rows, so they agree without messages, but for the
-// time until they have read a change. A router whose own selection includes itself
-// moves its row into the partition of the serving routers, at first as a statement and
-// not as a request: callers may be directed to it before.
+// All routers select from the same rows, so they agree without messages once they have
+// read a change. A router that selects itself moves its row into the partition of the
+// serving routers; one that no longer does moves it back. Others may direct callers to
+// it before they see the move, as they select it, too.
 
 import (
 	"context"
@@ -42,8 +42,8 @@
 func (directory *Directory) run(ctx context.Context) {
 	ticker := time.NewTicker(directory.config.Interval)
 	defer ticker.Stop()
-	// The intervals since the last read and write; the first list of standby routers is
-	// followed by one after a random time, which spreads the regular ones.
+	// The intervals since the last calls. The second list of standby routers follows the
+	// first after a random time, so that not all routers read it at the same time.
 	sinceRead, sinceWrite, sinceList := intervalsPerWrite, standbyIntervalsPerWrite, intervalsPerStandbyList
 	afterList := rand.IntN(intervalsPerStandbyList)
 	for {
