--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -3,6 +3,8 @@
 // stand-in of the store, runners and consumers, all on loopback addresses.
 //
 //	cases budget DIRECTORY    a store that comes back from a copy (budget.go)
+//	cases crash DIRECTORY     a runner that is killed while it answers (crash.go)
+//	cases runner ...          one runner, started by crash
 //
 // Each case writes DIRECTORY/record.txt and ends with status 1 if the rule was
 // broken, 0 if it held and 2 if the case could not run. TROUBLE=0 in the
@@ -28,15 +30,20 @@
 // report whether the rule was broken.
 var playedCases = map[string]func(record *record) (bool, error){
 	"budget": playBudget,
+	"crash":  playCrash,
 }
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == runnerCommand {
+		runRunner(os.Args[2:])
+		return
+	}
 	os.Exit(play(os.Args[1:]))
 }
 
 func play(arguments []string) int {
 	if len(arguments) != 2 || playedCases[arguments[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: cases budget DIRECTORY")
+		fmt.Fprintln(os.Stderr, "usage: cases budget|crash DIRECTORY")
 		return exitNotRun
 	}
 	record, err := newRecord(arguments[1])
--- /dev/null
+++ b/review/cases/runner.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+)
+
+// runnerCommand is the argument with which this program runs as one runner.
+const runnerCommand = "runner"
+
+// whole is the number of events of a whole answer of a runner process.
+const whole = 40
+
+// pieceGap is the time between two events.
+const pieceGap = 50 * time.Millisecond
+
+// runRunner serves requests at an address until the process is killed. Its answers
+// have no length and end with their channels. It prints what it runs.
+func runRunner(arguments []string) {
+	if len(arguments) != 2 {
+		fmt.Fprintln(os.Stderr, "usage: cases runner ID ADDRESS")
+		os.Exit(exitNotRun)
+	}
+	id, address := arguments[0], arguments[1]
+	handler := http.NewServeMux()
+	handler.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Wisterialb-Instance-Id", id)
+	})
+	handler.HandleFunc("GET /v1/report", func(writer http.ResponseWriter, _ *http.Request) {
+		report := map[string]any{
+			"stage": "unified", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}},
+			"busy": false, "seq": 1, "waiting": 0, "running": 0, "kvUsed": 0, "kvTotal": 357587, "kvHandles": 0,
+		}
+		if err := json.NewEncoder(writer).Encode(report); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	})
+	handler.HandleFunc("POST /", func(writer http.ResponseWriter, request *http.Request) { serveRequest(id, writer, request) })
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: time.Minute}
+	fmt.Fprintln(os.Stderr, server.ListenAndServe())
+	os.Exit(exitNotRun)
+}
+
+func serveRequest(id string, writer http.ResponseWriter, request *http.Request) {
+	attempt := request.Header.Get("Wisterialb-Attempt-Id")
+	if expected := request.Header.Get("Wisterialb-Expect-Instance"); expected != "" && expected != id {
+		writer.Header().Set("Wisterialb-Instance-Id", id)
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	first := 1
+	if last, err := strconv.Atoi(request.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return
+	}
+	connection, buffer, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		return
+	}
+	defer connection.Close()
+	fmt.Fprintf(os.Stdout, "%s runs %s from event %d\n", id, attempt, first)
+	writeAnswer(buffer.Writer, id, attempt, first)
+	fmt.Fprintf(os.Stdout, "%s has ended %s\n", id, attempt)
+}
+
+// writeAnswer writes a stream with the events from the first to the last.
+func writeAnswer(writer *bufio.Writer, id, attempt string, first int) {
+	fmt.Fprintf(writer, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/event-stream\r\nWisterialb-Attempt-Id: %s\r\n"+
+		"Wisterialb-Server-Seal: seal-of-%s\r\nWisterialb-Server-Load: 1,0,64\r\nWisterialb-Weight-Versions: 1\r\n\r\n", attempt, id)
+	for event := first; event <= whole; event++ {
+		fmt.Fprintf(writer, "id: %[1]d\ndata: token %[1]d to %[2]s\n\n", event, attempt)
+		if err := writer.Flush(); err != nil {
+			return
+		}
+		time.Sleep(pieceGap)
+	}
+}
