--- a/review/cases/consumer.go
+++ b/review/cases/consumer.go
@@ -39,10 +39,12 @@
 	status  int
 	sealed  bool
 	// events counts the whole events, and complete is set if the answer looks whole: it
-	// ended as HTTP says, and between two events.
+	// ended as HTTP says and, if it is a stream, between two events.
 	events   int
 	complete bool
-	err      error
+	// bytes is the length of the body.
+	bytes int
+	err   error
 }
 
 // consumers ask the registry for addresses, keep the response for its time, and send
@@ -113,8 +115,8 @@
 	} else {
 		answer.err = errors.New("no address known")
 	}
-	consumers.record.add("consumer %s %s to %s: status %d, sealed %t, events %d, looks complete %t, %v",
-		request.id, request.path, answer.address, answer.status, answer.sealed, answer.events, answer.complete, answer.err)
+	consumers.record.add("consumer %s %s to %s: status %d, sealed %t, events %d, bytes %d, looks complete %t, %v",
+		request.id, request.path, answer.address, answer.status, answer.sealed, answer.events, answer.bytes, answer.complete, answer.err)
 	return answer
 }
 
@@ -149,9 +151,10 @@
 	reader, insideEvent := bufio.NewReader(body), false
 	for {
 		line, err := reader.ReadString('\n')
+		answer.bytes += len(line)
 		switch {
 		case errors.Is(err, io.EOF):
-			answer.complete = line == "" && !insideEvent
+			answer.complete = line == "" && !insideEvent || strings.HasPrefix(answer.path, plainPrefix)
 			return
 		case err != nil:
 			answer.err = err
--- a/review/cases/crash.go
+++ b/review/cases/crash.go
@@ -1,7 +1,8 @@
 package main
 
 // A runner that is killed while it sends answers that have no length and end with their
-// channels. Between two events, the end of the channel looks like that of the answer.
+// channels. The end of the channel looks like that of the answer: of a stream between two
+// events, of any other body everywhere.
 
 import (
 	"bytes"
@@ -21,10 +22,33 @@
 	"gitlab.com/wisterialb/wisterialb/platform/standin"
 )
 
+// crashCase is one of the two cases.
+type crashCase struct {
+	service string
+	runners int
+	// paths are those of the requests.
+	paths []string
+	// isWhole reports whether an answer that looks complete is whole, and size is what
+	// it has.
+	isWhole func(answer answer) bool
+	size    func(answer answer) string
+}
+
+var streamCrash = crashCase{
+	service: "gasket-llm", runners: 9, paths: []string{"/chat/ring", "/check/ring"},
+	isWhole: func(answer answer) bool { return answer.events == whole },
+	size:    func(answer answer) string { return fmt.Sprintf("%d of %d events", answer.events, whole) },
+}
+
+var plainCrash = crashCase{
+	service: "order-desk", runners: 4, paths: []string{plainPrefix + "stock/ring", plainPrefix + "book/ring"},
+	isWhole: func(answer answer) bool { return answer.bytes == plainBytes },
+	size:    func(answer answer) string { return fmt.Sprintf("%d of %d bytes", answer.bytes, plainBytes) },
+}
+
 const (
-	crashRunnerCount = 9
 	// crashRate are the requests a second.
-	crashRate = 20
+	crashRate = 40
 	// A runner is killed at crashAt, and started again after crashDownPeriod.
 	crashAt         = 6 * time.Second
 	crashDownPeriod = 4500 * time.Millisecond
@@ -35,17 +59,22 @@
  {"name":"cook-chat","host":"` + host + `","prefix":"/chat/","routeKind":"streaming","timeoutMs":15000,"goalMs":1200,"priority":2,
   "service":"gasket-llm","maxAttempts":2,"sticky":true,"resumable":true,"gapTargetMs":250},
  {"name":"fitting-check","host":"` + host + `","prefix":"/check/","routeKind":"streaming","timeoutMs":8000,"goalMs":1000,"priority":1,
-  "service":"gasket-llm","maxAttempts":1,"sticky":true,"gapTargetMs":250}],
-"services":[{"name":"gasket-llm","healthPath":"/healthz","maxConns":370,"engine":{"slots":64,"kvCapacity":357587,"stride":3,"most":12}}],
+  "service":"gasket-llm","maxAttempts":1,"sticky":true,"gapTargetMs":250},
+ {"name":"stock-lookup","host":"` + host + `","prefix":"` + plainPrefix + `stock/","routeKind":"safe","timeoutMs":1500,"goalMs":150,"priority":2,
+  "service":"order-desk","maxAttempts":2},
+ {"name":"ship-booking","host":"` + host + `","prefix":"` + plainPrefix + `book/","routeKind":"unsafe","timeoutMs":1500,"goalMs":150,"priority":2,
+  "service":"order-desk","maxAttempts":1}],
+"services":[{"name":"gasket-llm","healthPath":"/healthz","maxConns":370,"engine":{"slots":64,"kvCapacity":357587,"stride":3,"most":12}},
+ {"name":"order-desk","healthPath":"/healthz","maxConns":110}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"` + tenant + `","apiKeys":["` + apiKey + `"],"prepaid":100000000}]}`
 
 // runnerProcess is a runner as a process of its own.
 type runnerProcess struct {
-	id, address string
-	process     *exec.Cmd
-	exited      chan struct{}
-	output      *output
+	id, service, address string
+	process              *exec.Cmd
+	exited               chan struct{}
+	output               *output
 }
 
 // output is what a process has printed. It is safe for concurrent use.
@@ -74,13 +103,15 @@
 	return strings.Count(text, "runs") - strings.Count(text, "has ended")
 }
 
-func newRunnerProcess(number int) (*runnerProcess, error) {
+func newRunnerProcess(service string, number int) (*runnerProcess, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	defer listener.Close()
-	return &runnerProcess{id: fmt.Sprintf("i-llm-%d", number), address: listener.Addr().String(), output: &output{}}, nil
+	return &runnerProcess{
+		id: fmt.Sprintf("i-%s-%d", service, number), service: service, address: listener.Addr().String(), output: &output{},
+	}, nil
 }
 
 func (runner *runnerProcess) start() error {
@@ -113,12 +144,13 @@
 // entry is what the runner writes to the store.
 func (runner *runnerProcess) entry(bornAt time.Time) map[string]any {
 	return map[string]any{
-		"born": bornAt.UnixMilli(), "service": "gasket-llm", "address": runner.address, "zone": firstZone, "version": "v1",
-		"slots": 64, "state": "ready", "coldLeftMs": 0, "seq": 1, "stage": "unified",
+		"born": bornAt.UnixMilli(), "service": runner.service, "address": runner.address, "zone": firstZone, "version": "v1",
+		"slots": 64, "state": "ready", "coldLeftMs": 0, "seq": 1,
 	}
 }
 
-func playCrash(record *record) (broken bool, err error) {
+// play plays the case.
+func (crashCase crashCase) play(record *record) (broken bool, err error) {
 	directory, err := os.MkdirTemp("", "review-crash-")
 	if err != nil {
 		return false, err
@@ -127,7 +159,7 @@
 	store := standin.NewStore()
 	defer store.Close()
 	store.Put("op", "config", []byte(crashConfiguration))
-	runners, err := startRunners(store)
+	runners, err := crashCase.startRunners(store)
 	defer func() {
 		for _, runner := range runners {
 			runner.kill()
@@ -146,17 +178,17 @@
 		return false, err
 	}
 	record.note("%d routers are ready", len(routers))
-	answers, err := sendDuringCrash(record, routers, store, runners)
+	answers, err := crashCase.send(record, routers, store, runners)
 	if err != nil {
 		return false, err
 	}
-	return judgeCrash(record, answers)
+	return crashCase.judge(record, answers)
 }
 
-func startRunners(store *standin.Store) ([]*runnerProcess, error) {
+func (crashCase crashCase) startRunners(store *standin.Store) ([]*runnerProcess, error) {
 	var runners []*runnerProcess
-	for number := range crashRunnerCount {
-		runner, err := newRunnerProcess(number)
+	for number := range crashCase.runners {
+		runner, err := newRunnerProcess(crashCase.service, number)
 		if err != nil {
 			return runners, err
 		}
@@ -169,8 +201,8 @@
 	return runners, nil
 }
 
-// sendDuringCrash sends the traffic, and kills the runner unless TROUBLE is 0.
-func sendDuringCrash(record *record, routers []*router, store *standin.Store, runners []*runnerProcess) ([]answer, error) {
+// send sends the traffic, and kills a runner unless TROUBLE is 0.
+func (crashCase crashCase) send(record *record, routers []*router, store *standin.Store, runners []*runnerProcess) ([]answer, error) {
 	consumers := newConsumers(routers, record)
 	crashed := make(chan error, 1)
 	go func() {
@@ -192,9 +224,8 @@
 	var mutex sync.Mutex
 	var answers []answer
 	var sent sync.WaitGroup
-	paths := []string{"/chat/ring", "/check/ring"}
 	for startedAt := time.Now(); time.Since(startedAt) < crashDay; {
-		path := paths[rand.IntN(len(paths))]
+		path := crashCase.paths[rand.IntN(len(crashCase.paths))]
 		sent.Go(func() {
 			answer := consumers.send(request{id: newID(), path: path, promptTokens: promptTokens, outputTokens: whole * eventTokens, timeLimit: chatTimeLimit})
 			mutex.Lock()
@@ -207,8 +238,8 @@
 	return answers, <-crashed
 }
 
-// judgeCrash reports whether a stream ended as complete before its last piece.
-func judgeCrash(record *record, answers []answer) (broken bool, err error) {
+// judge reports whether an answer ended as complete before its last piece.
+func (crashCase crashCase) judge(record *record, answers []answer) (broken bool, err error) {
 	succeeded, brokenOff := 0, 0
 	var short []string
 	for _, answer := range answers {
@@ -218,19 +249,19 @@
 			brokenOff++
 		default:
 			succeeded++
-			if answer.events != whole {
-				short = append(short, fmt.Sprintf("%s %s: %d of %d events", answer.id, answer.path, answer.events, whole))
+			if !crashCase.isWhole(answer) {
+				short = append(short, fmt.Sprintf("%s %s: %s", answer.id, answer.path, crashCase.size(answer)))
 			}
 		}
 	}
 	slices.Sort(short)
-	record.note("%d requests, %d streams ended as complete, %d of these before their last piece, %d were broken off visibly",
+	record.note("%d requests, %d answers ended as complete, %d of these before their last piece, %d were broken off visibly",
 		len(answers), succeeded, len(short), brokenOff)
-	for _, stream := range short {
-		record.note("ended as complete: %s", stream)
+	for _, line := range short {
+		record.note("ended as complete: %s", line)
 	}
 	if succeeded == 0 {
-		return false, fmt.Errorf("%w: no stream was complete", errNotRun)
+		return false, fmt.Errorf("%w: no answer was complete", errNotRun)
 	}
 	return len(short) > 0, nil
 }
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -3,8 +3,9 @@
 // stand-in of the store, runners and consumers, all on loopback addresses.
 //
 //	cases budget DIRECTORY    a store that comes back from a copy (budget.go)
-//	cases crash DIRECTORY     a runner that is killed while it answers (crash.go)
-//	cases runner ...          one runner, started by crash
+//	cases streams DIRECTORY   a runner that is killed while it sends streams (crash.go)
+//	cases bodies DIRECTORY    the same for answers that are no streams
+//	cases runner ...          one runner, started by the last two
 //
 // Each case writes DIRECTORY/record.txt and ends with status 1 if the rule was
 // broken, 0 if it held and 2 if the case could not run. TROUBLE=0 in the
@@ -29,8 +30,9 @@
 // playedCases maps the names of the cases to the functions that play them. They
 // report whether the rule was broken.
 var playedCases = map[string]func(record *record) (bool, error){
-	"budget": playBudget,
-	"crash":  playCrash,
+	"budget":  playBudget,
+	"streams": streamCrash.play,
+	"bodies":  plainCrash.play,
 }
 
 func main() {
@@ -43,7 +45,7 @@
 
 func play(arguments []string) int {
 	if len(arguments) != 2 || playedCases[arguments[0]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: cases budget|crash DIRECTORY")
+		fmt.Fprintln(os.Stderr, "usage: cases budget|streams|bodies DIRECTORY")
 		return exitNotRun
 	}
 	record, err := newRecord(arguments[1])
--- a/review/cases/runner.go
+++ b/review/cases/runner.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -20,6 +21,16 @@
 // pieceGap is the time between two events.
 const pieceGap = 50 * time.Millisecond
 
+const (
+	// plainBytes is the length of a whole answer that is no stream. It is sent in
+	// plainPieces, plainGap apart.
+	plainBytes  = 800
+	plainPieces = 4
+	plainGap    = 100 * time.Millisecond
+	// plainPrefix begins the paths of the requests whose answers are no streams.
+	plainPrefix = "/desk/"
+)
+
 // runRunner serves requests at an address until the process is killed. Its answers
 // have no length and end with their channels. It prints what it runs.
 func runRunner(arguments []string) {
@@ -67,14 +78,37 @@
 	}
 	defer connection.Close()
 	fmt.Fprintf(os.Stdout, "%s runs %s from event %d\n", id, attempt, first)
-	writeAnswer(buffer.Writer, id, attempt, first)
+	if strings.HasPrefix(request.URL.Path, plainPrefix) {
+		writePlainAnswer(buffer.Writer, id, attempt)
+	} else {
+		writeAnswer(buffer.Writer, id, attempt, first)
+	}
 	fmt.Fprintf(os.Stdout, "%s has ended %s\n", id, attempt)
 }
 
+// writeHead writes the status and header of an answer that ends with its channel.
+func writeHead(writer *bufio.Writer, id, attempt, contentType string) {
+	fmt.Fprintf(writer, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: %s\r\nWisterialb-Attempt-Id: %s\r\n"+
+		"Wisterialb-Server-Seal: seal-of-%s\r\nWisterialb-Server-Load: 1,0,64\r\n\r\n", contentType, attempt, id)
+}
+
+// writePlainAnswer writes a body of plainBytes.
+func writePlainAnswer(writer *bufio.Writer, id, attempt string) {
+	writeHead(writer, id, attempt, "text/plain")
+	for piece := range plainPieces {
+		fmt.Fprintf(writer, "%-*s\n", plainBytes/plainPieces-1, fmt.Sprintf("piece %d to %s", piece+1, attempt))
+		if err := writer.Flush(); err != nil {
+			return
+		}
+		if piece < plainPieces-1 {
+			time.Sleep(plainGap)
+		}
+	}
+}
+
 // writeAnswer writes a stream with the events from the first to the last.
 func writeAnswer(writer *bufio.Writer, id, attempt string, first int) {
-	fmt.Fprintf(writer, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/event-stream\r\nWisterialb-Attempt-Id: %s\r\n"+
-		"Wisterialb-Server-Seal: seal-of-%s\r\nWisterialb-Server-Load: 1,0,64\r\nWisterialb-Weight-Versions: 1\r\n\r\n", attempt, id)
+	writeHead(writer, id, attempt, "text/event-stream")
 	for event := first; event <= whole; event++ {
 		fmt.Fprintf(writer, "id: %[1]d\ndata: token %[1]d to %[2]s\n\n", event, attempt)
 		if err := writer.Flush(); err != nil {
