--- a/review/cases/crash.go
+++ b/review/cases/crash.go
@@ -1,7 +1,7 @@
 package main
 
 // A runner that is killed while it sends answers that have no length and end with their
-// channels. The end of the channel looks like that of the answer: of a stream between two
+// channels, as some of the runners do. The end of the channel looks like that of the answer: of a stream between two
 // events, of any other body everywhere.
 
 import (
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -26,6 +27,9 @@
 type crashCase struct {
 	service string
 	runners int
+	// unframed is how many of the runners answer without a length. The others answer in
+	// chunks.
+	unframed int
 	// paths are those of the requests.
 	paths []string
 	// isWhole reports whether an answer that looks complete is whole, and size is what
@@ -35,13 +39,13 @@
 }
 
 var streamCrash = crashCase{
-	service: "gasket-llm", runners: 9, paths: []string{"/chat/ring", "/check/ring"},
+	service: "gasket-llm", runners: 9, unframed: 3, paths: []string{"/chat/ring", "/check/ring"},
 	isWhole: func(answer answer) bool { return answer.events == whole },
 	size:    func(answer answer) string { return fmt.Sprintf("%d of %d events", answer.events, whole) },
 }
 
 var plainCrash = crashCase{
-	service: "order-desk", runners: 4, paths: []string{plainPrefix + "stock/ring", plainPrefix + "book/ring"},
+	service: "order-desk", runners: 4, unframed: 1, paths: []string{plainPrefix + "stock/ring", plainPrefix + "book/ring"},
 	isWhole: func(answer answer) bool { return answer.bytes == plainBytes },
 	size:    func(answer answer) string { return fmt.Sprintf("%d of %d bytes", answer.bytes, plainBytes) },
 }
@@ -72,6 +76,7 @@
 // runnerProcess is a runner as a process of its own.
 type runnerProcess struct {
 	id, service, address string
+	unframed             bool
 	process              *exec.Cmd
 	exited               chan struct{}
 	output               *output
@@ -119,7 +124,7 @@
 	if err != nil {
 		return err
 	}
-	process := exec.Command(program, runnerCommand, runner.id, runner.address) //nolint:gosec // this program itself
+	process := exec.Command(program, runnerCommand, runner.id, runner.address, strconv.FormatBool(runner.unframed)) //nolint:gosec // this program itself
 	process.Stdout, process.Stderr = runner.output, runner.output
 	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := process.Start(); err != nil {
@@ -192,6 +197,7 @@
 		if err != nil {
 			return runners, err
 		}
+		runner.unframed = number < crashCase.unframed
 		runners = append(runners, runner)
 		if err := runner.start(); err != nil {
 			return runners, err
@@ -211,7 +217,7 @@
 			crashed <- nil
 			return
 		}
-		victim := slices.MaxFunc(runners, func(a, b *runnerProcess) int { return cmp.Compare(a.running(), b.running()) })
+		victim := slices.MaxFunc(runners[:crashCase.unframed], func(a, b *runnerProcess) int { return cmp.Compare(a.running(), b.running()) })
 		record.note("runner %s works on %d requests", victim.id, victim.running())
 		victim.kill()
 		record.note("runner %s is killed", victim.id)
--- a/review/cases/runner.go
+++ b/review/cases/runner.go
@@ -32,13 +32,13 @@
 )
 
 // runRunner serves requests at an address until the process is killed. Its answers
-// have no length and end with their channels. It prints what it runs.
+// have no length and end with their channels, or come in chunks. It prints what it runs.
 func runRunner(arguments []string) {
-	if len(arguments) != 2 {
-		fmt.Fprintln(os.Stderr, "usage: cases runner ID ADDRESS")
+	if len(arguments) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: cases runner ID ADDRESS UNFRAMED")
 		os.Exit(exitNotRun)
 	}
-	id, address := arguments[0], arguments[1]
+	id, address, unframed := arguments[0], arguments[1], arguments[2] == "true"
 	handler := http.NewServeMux()
 	handler.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set("Wisterialb-Instance-Id", id)
@@ -52,13 +52,13 @@
 			fmt.Fprintln(os.Stderr, err)
 		}
 	})
-	handler.HandleFunc("POST /", func(writer http.ResponseWriter, request *http.Request) { serveRequest(id, writer, request) })
+	handler.HandleFunc("POST /", func(writer http.ResponseWriter, request *http.Request) { serveRequest(id, unframed, writer, request) })
 	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: time.Minute}
 	fmt.Fprintln(os.Stderr, server.ListenAndServe())
 	os.Exit(exitNotRun)
 }
 
-func serveRequest(id string, writer http.ResponseWriter, request *http.Request) {
+func serveRequest(id string, unframed bool, writer http.ResponseWriter, request *http.Request) {
 	attempt := request.Header.Get("Wisterialb-Attempt-Id")
 	if expected := request.Header.Get("Wisterialb-Expect-Instance"); expected != "" && expected != id {
 		writer.Header().Set("Wisterialb-Instance-Id", id)
@@ -72,29 +72,70 @@
 	if _, err := io.Copy(io.Discard, request.Body); err != nil {
 		return
 	}
-	connection, buffer, err := http.NewResponseController(writer).Hijack()
-	if err != nil {
-		return
-	}
-	defer connection.Close()
 	fmt.Fprintf(os.Stdout, "%s runs %s from event %d\n", id, attempt, first)
-	if strings.HasPrefix(request.URL.Path, plainPrefix) {
-		writePlainAnswer(buffer.Writer, id, attempt)
+	if unframed {
+		connection, buffer, err := http.NewResponseController(writer).Hijack()
+		if err != nil {
+			return
+		}
+		defer connection.Close()
+		writeAnswer(unframedAnswer{buffer.Writer}, request.URL.Path, id, attempt, first)
 	} else {
-		writeAnswer(buffer.Writer, id, attempt, first)
+		writeAnswer(chunkedAnswer{writer}, request.URL.Path, id, attempt, first)
 	}
 	fmt.Fprintf(os.Stdout, "%s has ended %s\n", id, attempt)
 }
 
-// writeHead writes the status and header of an answer that ends with its channel.
-func writeHead(writer *bufio.Writer, id, attempt, contentType string) {
-	fmt.Fprintf(writer, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: %s\r\nWisterialb-Attempt-Id: %s\r\n"+
-		"Wisterialb-Server-Seal: seal-of-%s\r\nWisterialb-Server-Load: 1,0,64\r\n\r\n", contentType, attempt, id)
+// answerWriter writes an answer in one of the framings.
+type answerWriter interface {
+	io.Writer
+	// head writes the status and header.
+	head(header map[string]string)
+	// Flush sends what was written.
+	Flush() error
+}
+
+// unframedAnswer has no length and ends with its channel.
+type unframedAnswer struct{ *bufio.Writer }
+
+func (answer unframedAnswer) head(header map[string]string) {
+	fmt.Fprint(answer, "HTTP/1.1 200 OK\r\n")
+	for name, value := range header {
+		fmt.Fprintf(answer, "%s: %s\r\n", name, value)
+	}
+	fmt.Fprint(answer, "\r\n")
+}
+
+// chunkedAnswer comes in chunks.
+type chunkedAnswer struct{ http.ResponseWriter }
+
+func (answer chunkedAnswer) head(header map[string]string) {
+	for name, value := range header {
+		answer.Header().Set(name, value)
+	}
+}
+
+func (answer chunkedAnswer) Flush() error {
+	return http.NewResponseController(answer.ResponseWriter).Flush()
+}
+
+// writeAnswer writes a body of plainBytes, or a stream with the events from the first to
+// the last.
+func writeAnswer(writer answerWriter, path, id, attempt string, first int) {
+	header := map[string]string{
+		"Content-Type": "text/plain", "Wisterialb-Attempt-Id": attempt, "Wisterialb-Server-Seal": "seal-of-" + id, "Wisterialb-Server-Load": "1,0,64",
+	}
+	if strings.HasPrefix(path, plainPrefix) {
+		writer.head(header)
+		writeBody(writer, attempt)
+		return
+	}
+	header["Content-Type"] = "text/event-stream"
+	writer.head(header)
+	writeEvents(writer, attempt, first)
 }
 
-// writePlainAnswer writes a body of plainBytes.
-func writePlainAnswer(writer *bufio.Writer, id, attempt string) {
-	writeHead(writer, id, attempt, "text/plain")
+func writeBody(writer answerWriter, attempt string) {
 	for piece := range plainPieces {
 		fmt.Fprintf(writer, "%-*s\n", plainBytes/plainPieces-1, fmt.Sprintf("piece %d to %s", piece+1, attempt))
 		if err := writer.Flush(); err != nil {
@@ -106,9 +147,7 @@
 	}
 }
 
-// writeAnswer writes a stream with the events from the first to the last.
-func writeAnswer(writer *bufio.Writer, id, attempt string, first int) {
-	writeHead(writer, id, attempt, "text/event-stream")
+func writeEvents(writer answerWriter, attempt string, first int) {
 	for event := first; event <= whole; event++ {
 		fmt.Fprintf(writer, "id: %[1]d\ndata: token %[1]d to %[2]s\n\n", event, attempt)
 		if err := writer.Flush(); err != nil {
