Bound the load of the callers that leave in the test of lost requests

Callers that left after 2 ms whether or not their request was handled piled up requests, so that the test took a minute beside a load and ten minutes with the race detector. Now they leave once their answer has begun.

--- a/pkg/router/reuse_test.go
+++ b/pkg/router/reuse_test.go
@@ -154,28 +154,23 @@
 const (
 	leavingCallers     = 60
 	connectingCallers  = 30
-	connectingRequests = 10_000
+	connectingRequests = 20_000
 )
 
 // TestSoundRequestsBesideCallersThatLeave guards against the same fault under load: each
 // whole request gets its answer while other callers leave just as theirs are answered,
 // so that the server closes many connections and accepts many.
 func TestSoundRequestsBesideCallersThatLeave(t *testing.T) {
-	for name, leave := range map[string]http.HandlerFunc{
-		"aborted": func(_ http.ResponseWriter, request *http.Request) {
-			sleep(request.Context(), 2*time.Millisecond)
-			panic(http.ErrAbortHandler)
-		},
-		"failed write": func(writer http.ResponseWriter, request *http.Request) {
-			sleep(request.Context(), 2*time.Millisecond)
-			_, _ = writer.Write(make([]byte, 1<<10))
-			_ = http.NewResponseController(writer).Flush()
-			_, _ = writer.Write(make([]byte, 1<<10))
-		},
+	for name, end := range map[string]func(writer http.ResponseWriter){
+		"aborted":      func(http.ResponseWriter) { panic(http.ErrAbortHandler) },
+		"failed write": func(writer http.ResponseWriter) { _, _ = writer.Write(make([]byte, 1<<10)) },
 	} {
 		handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 			if request.URL.Path == "/leave" {
-				leave(writer, request)
+				_, _ = io.WriteString(writer, "begin")
+				_ = http.NewResponseController(writer).Flush()
+				sleep(request.Context(), time.Millisecond)
+				end(writer)
 				return
 			}
 			_, _ = io.WriteString(writer, "answer")
@@ -226,7 +221,7 @@
 	require.Zero(t, unanswered.Load(), "of %d requests", connectingRequests)
 }
 
-// leaveEarly sends a request and leaves while its answer ends.
+// leaveEarly sends a request and leaves when its answer has begun, while it ends.
 func leaveEarly(address string) {
 	connection, err := net.Dial("tcp", address)
 	if err != nil {
@@ -236,7 +231,8 @@
 	if _, err := io.WriteString(connection, "GET /leave HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
 		return
 	}
-	time.Sleep(2 * time.Millisecond)
+	_, _ = connection.Read(make([]byte, 1))
+	time.Sleep(time.Millisecond)
 }
 
 // askOnNewConnection sends a whole request on a new connection and reads its answer.
