Hold a new connection back until its poller has come round

Callers saw the connection of a whole request end without an answer or a refusal, and no log line had it. A poller of nbio finds the connection of an event by the descriptor's number. If another goroutine closes that connection while the event waits in the poller's batch, and a new connection gets the number, the poller ends the new one for the end of the old one.

A connection is now handed over to the engine only when its poller has handled a byte that was sent to it after the connection had its number. The byte is fetched after each event of an earlier connection with that number, so none is left. All connections that wait share a round. This holds for the servers of callers, peers and operators, whoever closes.

The pollers' first round replaces the wait for their start (TestAbortEndsRightAfterStart).

--- a/pkg/router/httpengine.go
+++ b/pkg/router/httpengine.go
@@ -22,7 +22,8 @@
 // httpEngine is an nbio HTTP engine with its listener.
 type httpEngine struct {
 	*nbhttp.Engine
-	listener *stoppableListener
+	listener     *stoppableListener
+	engineRounds []*pollerRounds
 }
 
 // stop stops the engine and closes its connections. Engine.Stop closes only the
@@ -31,6 +32,7 @@
 func (engine *httpEngine) stop() {
 	engine.listener.stopAccepting()
 	engine.Stop()
+	closeRounds(engine.engineRounds)
 }
 
 // stoppableListener is a listener that can stop accepting before its engine
@@ -108,7 +110,8 @@
 			Cause:   err,
 		})
 	}
-	stoppable := newStoppableListener(listener)
+	roundListener := newRoundListener(listener)
+	stoppable := newStoppableListener(roundListener)
 	config.Listen = func(string, string) (net.Listener, error) { return stoppable, nil }
 	engine := nbhttp.NewEngine(config)
 	synchronizeAcceptAndRead(engine, callbacks.onOpen)
@@ -119,14 +122,17 @@
 		engine.OnClose(callbacks.onClose)
 	}
 	if err := engine.Start(); err != nil {
-		_ = stoppable.Close() // nothing was accepted
+		roundListener.start(nil)
+		_ = stoppable.Close() // nothing was handed over
 		return nil, notStarted(config.Name, err)
 	}
-	if err := awaitPollers(engine.Engine); err != nil {
+	engineRounds, err := newEngineRounds(engine.Engine)
+	roundListener.start(engineRounds)
+	if err != nil {
 		stoppable.stopAccepting() // stopping the engine, too, could block
 		return nil, notStarted(config.Name, err)
 	}
-	return &httpEngine{Engine: engine, listener: stoppable}, nil
+	return &httpEngine{Engine: engine, listener: stoppable, engineRounds: engineRounds}, nil
 }
 
 func notStarted(name string, err error) error {
