Let callers of the soak connect for each request and leave

The soak's callers keep their connections, so hardly any connection is accepted while a router closes another. Requests that are lost because a new connection got the descriptor of a closed one couldn't show.

--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -24,6 +24,7 @@
 	Routers   int           `help:"Number of routers in each fleet." default:"3"`
 	Upstreams int           `help:"Number of upstreams in each fleet." default:"4"`
 	Callers   int           `help:"Number of callers in each fleet." default:"6"`
+	Leaving   int           `help:"Maximum number of callers that leave at the same time." default:"300"`
 	Duration  time.Duration `help:"Time for which disturbances are injected." default:"8s"`
 	Logs      string        `help:"Directory for logs." default:"target/soak"`
 }
@@ -90,7 +91,8 @@
 		return soak.Report{}, err
 	}
 	report, err := soak.Run(soak.Config{
-		Seed: seed, Routers: commandLine.Routers, Upstreams: commandLine.Upstreams, Callers: commandLine.Callers, Duration: commandLine.Duration, Directory: directory,
+		Seed: seed, Routers: commandLine.Routers, Upstreams: commandLine.Upstreams, Callers: commandLine.Callers,
+		Leaving: commandLine.Leaving, Duration: commandLine.Duration, Directory: directory,
 	})
 	if err != nil || len(report.Findings) > 0 {
 		return report, err
@@ -99,7 +101,8 @@
 }
 
 func describe(report soak.Report) string {
-	text := fmt.Sprintf("seed %d: %d requests, %d served, %d refused", report.Seed, report.Requests, report.Served, report.Refused)
+	text := fmt.Sprintf("seed %d: %d requests, %d served, %d refused, %d on new connections, %d left", report.Seed, report.Requests, report.Served,
+		report.Refused, report.Connecting, report.Left)
 	for _, finding := range report.Findings {
 		text += "\n  " + finding.String()
 	}
