Report every whole request without an answer, and what closed its connection

A request could get neither an answer nor a refusal and leave no line: one that was read whole as its connection was closed, one whose answer was written to a caller that had just left, one that was begun behind the connection's last answer, and one whose connection was closed before anything was read. A read timeout below a request was reported as the caller's leave.

The server now counts what was read whole and answered on a connection, and reports the difference when it ends, with what closed it (caller, reset, server, timeout, limit, error), its age, the bytes and requests read, how far the last request was read, and whether the descriptor was another connection's just before and what closed that one. Reports of callers that left wait until the end of the connection is known.

--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -308,6 +308,7 @@
 		MaxDeadline:     maxDeadline,
 		Overloaded:      func() bool { return builder.congestion.Congested(time.Now()) },
 		OnUnanswered:    builder.recordUnanswered,
+		OnEnded:         builder.recordEnded,
 		Refuse:          func(writer http.ResponseWriter, _ *http.Request, err error) { builder.refuse(writer, err) },
 	})
 	builder.server.Store(server)
--- a/pkg/router/callerconnection.go
+++ b/pkg/router/callerconnection.go
@@ -61,6 +61,23 @@
 	parts                    *requestParts
 	lastRead, completedBytes int64
 	completed, refusedHead   bool
+
+	// parsed is the request that was completed last; it is used by the poller.
+	parsed *http.Request
+	// openedAt, use and previousUse, the use of the descriptor before this connection, or
+	// nil, don't change.
+	openedAt         time.Time
+	use, previousUse *descriptorUse
+	// bytesRead, wholeRequests, the number of requests that were read whole, answered,
+	// those with a complete answer, unanswered, those without, and readState, which is a
+	// ReadState, describe the connection when it ends.
+	bytesRead, wholeRequests, answered, unanswered atomic.Int64
+	readState                                      atomic.Value
+	// deferred are reports that wait until it is known what closed the connection, and
+	// ended is whether it is.
+	deferredMutex sync.Mutex
+	deferred      []Unanswered
+	ended         bool
 }
 
 var (
@@ -81,12 +98,14 @@
 	}
 	callerConnection := &callerConnection{
 		Conn: connection, parser: parser, server: server, wake: make(chan struct{}, 1), closed: make(chan struct{}),
+		openedAt: time.Now(), use: &descriptorUse{},
 	}
 	httpConnection.Conn = callerConnection
 	callerConnection.parts = &requestParts{Processor: parser.Processor, connection: callerConnection}
 	parser.Processor = callerConnection.parts
 	parser.Execute = callerConnection.runRequest
 	connection.SetSession(callerConnection)
+	callerConnection.previousUse = server.descriptors.begin(connection.Hash(), callerConnection.use)
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	server.connections[callerConnection] = struct{}{}
@@ -188,6 +207,19 @@
 	return nil
 }
 
+// reportDropped reports a request that was read whole and can't run, as the connection
+// is closed.
+func (callerConnection *callerConnection) reportDropped() {
+	request := callerConnection.parsed
+	if request == nil {
+		return
+	}
+	dropped := &activeRequest{
+		connection: callerConnection, request: request.WithContext(request.Context()), report: callerConnection.server.config.OnUnanswered,
+	}
+	dropped.reportUnanswered(UnansweredCallerLeft)
+}
+
 // abandon closes the connection, as the caller must not take the answer for complete.
 func (callerConnection *callerConnection) abandon(err error) {
 	callerConnection.writeErr = err
@@ -226,11 +258,18 @@
 	if request == nil {
 		return
 	}
-	if !callerConnection.noticeClosed() && callerConnection.unsent.Load() > 0 {
+	callerConnection.noticeClosed()
+	if callerConnection.writeErr == nil && callerConnection.unsent.Load() > 0 {
 		if err := callerConnection.awaitSent(0); err != nil {
 			callerConnection.abandon(err)
 		}
 	}
+	if callerConnection.writeErr != nil {
+		request.reportUnanswered(UnansweredCallerLeft)
+	}
+	if !request.reported.Load() {
+		callerConnection.answered.Add(1)
+	}
 	callerConnection.active = nil
 	callerConnection.server.closer.endRequest(callerConnection.Conn, time.Now())
 	callerConnection.server.remove(request)
--- a/pkg/router/handlers.go
+++ b/pkg/router/handlers.go
@@ -316,6 +316,17 @@
 	if unanswered.Request != nil {
 		key = unanswered.Request.Header.Get(headerIdempotencyKey)
 	}
-	router.info("event", "request_unanswered", "reason", unanswered.Reason, "idempotency_key", key,
-		"caller", unanswered.Caller, "err", unanswered.Err)
+	fields := []any{"event", "request_unanswered", "reason", unanswered.Reason, "idempotency_key", key,
+		"caller", unanswered.Caller, "err", unanswered.Err}
+	router.info(append(fields, unanswered.Connection.LogFields()...)...)
+}
+
+// recordEnded counts a connection that ended, and logs it if its last request was not
+// read whole.
+func (router *Router) recordEnded(end ConnectionEnd) {
+	router.metrics.connectionsEnded.WithLabelValues(end.MetricLabels()...).Inc()
+	if end.Read != ReadWhole {
+		fields := []any{"event", "connection_ended", "caller", end.Caller, "err", end.Err}
+		router.debug(append(fields, end.LogFields()...)...)
+	}
 }
--- a/pkg/router/metrics.go
+++ b/pkg/router/metrics.go
@@ -18,6 +18,7 @@
 	requestDurations *prometheus.HistogramVec
 	lateBills        prometheus.Counter
 	unanswered       *prometheus.CounterVec
+	connectionsEnded *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer, running func() float64, answers func() memory.Statistics) *metrics {
@@ -64,6 +65,11 @@
 			Name:      "requests_unanswered_total",
 			Help:      "Requests whose connection was closed before their answer was complete, by reason.",
 		}, []string{"reason"}),
+		connectionsEnded: factory.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace,
+			Name:      "connections_ended_total",
+			Help:      "Connections of callers that ended.",
+		}, ConnectionEndLabels()),
 	}
 }
 
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -82,6 +82,9 @@
 	// OnUnanswered receives requests that got no complete answer; nil ignores them. It
 	// must not block.
 	OnUnanswered func(Unanswered)
+	// OnEnded receives each connection that has ended; nil ignores them. It must not
+	// block.
+	OnEnded func(ConnectionEnd)
 }
 
 // Server is an HTTP server for callers.
@@ -92,6 +95,8 @@
 	requests   map[*activeRequest]struct{}
 	// connections are the open connections.
 	connections map[*callerConnection]struct{}
+	// descriptors are the last uses of the connections' descriptors.
+	descriptors descriptorUses
 	closer      *connectionCloser
 	// unsent is the number of bytes that all connections hold unsent.
 	unsent atomic.Int64
@@ -116,12 +121,21 @@
 }
 
 // reportUnanswered reports that the request got no complete answer. Only the first
-// call reports it.
+// call reports it. If its connection is closed, the report waits until it is known what
+// closed it.
 func (activeRequest *activeRequest) reportUnanswered(reason UnansweredReason) {
 	request := activeRequest.request
-	if activeRequest.reported.CompareAndSwap(false, true) {
-		activeRequest.report(Unanswered{Reason: reason, Caller: request.RemoteAddr, Request: request})
+	if !activeRequest.reported.CompareAndSwap(false, true) {
+		return
+	}
+	connection := activeRequest.connection
+	connection.unanswered.Add(1)
+	unanswered := Unanswered{Reason: reason, Caller: request.RemoteAddr, Request: request}
+	if reason == UnansweredCallerLeft && connection.deferReport(unanswered) {
+		return
 	}
+	unanswered.Connection = connection.end(EndedByServer, nil)
+	activeRequest.report(unanswered)
 }
 
 // closeAfterPanic closes the connection if the handler panicked, as no answer will
@@ -176,8 +190,9 @@
 	server := &Server{
 		config:   config,
 		requests: make(map[*activeRequest]struct{}), connections: make(map[*callerConnection]struct{}),
-		closer: newConnectionCloser(),
-		stop:   make(chan struct{}),
+		descriptors: descriptorUses{uses: make(map[int]*descriptorUse)},
+		closer:      newConnectionCloser(),
+		stop:        make(chan struct{}),
 	}
 	if server.config.Overloaded == nil {
 		server.config.Overloaded = neverOverloaded
@@ -191,11 +206,15 @@
 	if server.config.OnUnanswered == nil {
 		server.config.OnUnanswered = ignoreUnanswered
 	}
+	if server.config.OnEnded == nil {
+		server.config.OnEnded = ignoreEnded
+	}
 	httpEngine, err := startHTTPEngine(nbhttp.Config{
 		Name:                    "callers",
 		Network:                 "tcp",
 		Addrs:                   []string{config.Address},
 		Handler:                 server,
+		OnRequest:               noteParsed,
 		MaxLoad:                 config.MaxConnections,
 		MaxHTTPBodySize:         int(config.MaxBodyBytes) * bodyReadFactor,
 		ReadLimit:               config.MaxHeaderBytes + int(config.MaxBodyBytes)*bodyReadFactor,
@@ -224,6 +243,13 @@
 	return server, nil
 }
 
+// noteParsed records a request before it runs.
+func noteParsed(writer http.ResponseWriter, request *http.Request) {
+	if connection := callerConnectionOf(writer); connection != nil {
+		connection.parsed = request
+	}
+}
+
 func neverOverloaded() bool { return false }
 
 // Address returns the address that the server listens on.
--- a/pkg/router/unanswered.go
+++ b/pkg/router/unanswered.go
@@ -5,10 +5,7 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"net"
 	"net/http"
-	"syscall"
 )
 
 // UnansweredReason is why a request got no complete answer.
@@ -30,8 +27,11 @@
 	// UnansweredClosing means that the request came after the last answer of its
 	// connection, which had said so.
 	UnansweredClosing UnansweredReason = "closing"
-	// UnansweredUnread means that the server closed the connection because it could
-	// not be read or written, for example since a request exceeded a limit.
+	// UnansweredClosed means that the server closed the connection before the request
+	// was answered, with the cause in Err.
+	UnansweredClosed UnansweredReason = "closed"
+	// UnansweredUnread means that the server closed the connection before all of the
+	// request was read, for example since it exceeded a limit.
 	UnansweredUnread UnansweredReason = "unread"
 )
 
@@ -44,6 +44,8 @@
 	Request *http.Request
 	// Err is the cause; nil if the reason says all.
 	Err error
+	// Connection describes the request's connection.
+	Connection ConnectionEnd
 }
 
 func ignoreUnanswered(Unanswered) {}
@@ -62,11 +64,3 @@
 		return UnansweredPanic
 	}
 }
-
-// reportClosed reports a connection that the server closed because of an error.
-func (server *Server) reportClosed(connection net.Conn, err error) {
-	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
-		return
-	}
-	server.config.OnUnanswered(Unanswered{Reason: UnansweredUnread, Caller: connection.RemoteAddr().String(), Err: err})
-}
--- a/pkg/router/unread.go
+++ b/pkg/router/unread.go
@@ -85,6 +85,7 @@
 
 // Parse parses data that was read from the connection.
 func (callerConnection *callerConnection) Parse(data []byte) error {
+	callerConnection.bytesRead.Add(int64(len(data)))
 	if callerConnection.refusedHead {
 		return nil // is read until the caller has got the answer
 	}
@@ -92,6 +93,7 @@
 	callerConnection.addIncomplete(int64(len(data)))
 	if err := callerConnection.parser.Parse(data); err != nil {
 		callerConnection.setIncomplete(0)
+		callerConnection.noteRead()
 		return err
 	}
 	if callerConnection.completed && !callerConnection.parts.begun {
@@ -101,6 +103,7 @@
 	if !callerConnection.parts.headComplete && callerConnection.incomplete.Load() > int64(headFactor*server.config.MaxHeaderBytes) {
 		callerConnection.refuseHead()
 	}
+	callerConnection.noteRead()
 	server.limitRequests()
 	return nil
 }
@@ -120,6 +123,7 @@
 	rest := callerConnection.incomplete.Load() - bytes
 	callerConnection.setIncomplete(max(0, min(rest, callerConnection.lastRead)))
 	callerConnection.completed, callerConnection.completedBytes = true, bytes
+	callerConnection.wholeRequests.Add(1)
 }
 
 // runRequest runs a request that was just completed, after the earlier ones of the
@@ -141,6 +145,7 @@
 	})
 	if !executed {
 		release()
+		callerConnection.reportDropped()
 	}
 	return executed
 }
