Start the idle timeout anew when a request begins and when it was read

Callers saw a connection reset under a request, or got nothing, if the connection had been idle before for longer than the margin of a minute: nbhttp starts its read timeout when a connection is accepted and after each answer, and then closes the connection whatever it does. So an idle time and the request after it together had to be shorter than the timeout (6 min for callers of the platform's routers, 2 min for peers and operators). The log said caller_left.

Both servers now start the timeout anew at a request's first line and at its end.

--- a/pkg/router/callerconnection.go
+++ b/pkg/router/callerconnection.go
@@ -88,6 +88,7 @@
 // addConnection puts a callerConnection between nbhttp and a connection that was
 // accepted, before anything is read from it.
 func (server *Server) addConnection(connection *nbio.Conn) {
+	setIdleTimeout(connection, server.config.MaxDeadline+idleTimeoutMargin)
 	parser, ok := connection.Session().(*nbhttp.Parser)
 	if !ok {
 		return
--- a/pkg/router/controlserver.go
+++ b/pkg/router/controlserver.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 )
 
@@ -47,7 +48,7 @@
 		MessageHandlerPoolSize: maxControlRequests,
 		KeepaliveTime:          controlIdleTimeout,
 		NPoller:                1,
-	}, neverOverloaded, engineCallbacks{})
+	}, neverOverloaded, engineCallbacks{onOpen: func(connection *nbio.Conn) { setIdleTimeout(connection, controlIdleTimeout) }})
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/pkg/router/limits_test.go
@@ -0,0 +1,89 @@
+package router
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/stretchr/testify/require"
+)
+
+// exchangeOn sends a request and returns its answer's status and body.
+func exchangeOn(connection net.Conn, reader *bufio.Reader, request string) (*http.Response, string, error) {
+	if _, err := io.WriteString(connection, request); err != nil {
+		return nil, "", err
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+// TestIdleTimeoutSparesRequests guards against a request that gets no answer because its
+// connection had been idle for most of the idle timeout, which passes while the request
+// is read or runs.
+func TestIdleTimeoutSparesRequests(t *testing.T) {
+	const idleRest, runTime = 100 * time.Millisecond, 300 * time.Millisecond
+	opened := make(chan net.Conn, 1)
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/run" {
+			time.Sleep(runTime)
+		} else {
+			opened <- connectionBehind(writer)
+		}
+		_, _ = io.WriteString(writer, "answer")
+	})
+	server, err := NewServer(ServerConfig{
+		Address: "127.0.0.1:0", Handler: handler, MaxConnections: 10, MaxBodyBytes: 1 << 10, MaxHeaderBytes: 1 << 10, MaxRequests: 10,
+		MaxDeadline: time.Minute,
+	})
+	require.NoError(t, err)
+	defer server.Abort()
+	control, err := newControlServer("test", "127.0.0.1:0", handler)
+	require.NoError(t, err)
+	defer control.close(t.Context())
+	for name, address := range map[string]string{"callers": server.Address(), "control": control.httpEngine.Addrs[0]} {
+		for part, pieces := range map[string][]string{
+			"runs":    {"GET /run HTTP/1.1\r\nHost: a\r\n\r\n"},
+			"is read": {"POST /run HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx", "x"},
+		} {
+			t.Run(name+" "+part, func(t *testing.T) {
+				connection, err := net.Dial("tcp", address)
+				require.NoError(t, err)
+				defer connection.Close()
+				reader := bufio.NewReader(connection)
+				_, _, err = exchangeOn(connection, reader, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+				require.NoError(t, err)
+				time.Sleep(20 * time.Millisecond) // nbhttp sets the timeout after the answer
+				require.NoError(t, (<-opened).SetReadDeadline(time.Now().Add(idleRest)))
+				for _, piece := range pieces[1:] {
+					_, err = io.WriteString(connection, pieces[0])
+					require.NoError(t, err)
+					time.Sleep(2 * idleRest)
+					pieces[0] = piece
+				}
+				_, body, err := exchangeOn(connection, reader, pieces[0])
+				require.NoError(t, err)
+				require.Equal(t, "answer", body)
+			})
+		}
+	}
+}
+
+func connectionBehind(writer http.ResponseWriter) net.Conn {
+	if flushingWriter, ok := writer.(*flushingWriter); ok {
+		writer = flushingWriter.ResponseWriter
+	}
+	response, ok := writer.(*nbhttp.Response)
+	if !ok {
+		return nil
+	}
+	return response.Parser.Conn
+}
