Run requests of peers and operators without nbio's pool of handlers

With more than about 60 requests of peers or operators at a time, a further one got neither an answer nor a refusal, a health check included: it waited in nbio's pool, as did the handling of closed connections. The pool runs a task on the goroutine that hands out the others, which then waits for it.

Each connection now runs its request on a goroutine of its own, as for callers; the limit is that of the connections. TestControlServerAnswersBesideManyRequests (200 requests that run, then one more) failed before, as not even the 200 began within 10 s; with -race 2 of 2 runs pass.

--- a/pkg/router/controlserver.go
+++ b/pkg/router/controlserver.go
@@ -15,10 +15,9 @@
 const (
 	// maxControlBodyBytes limits the body of a request from a peer or an operator.
 	maxControlBodyBytes = 4 << 20
-	// maxControlConnections limits the open connections of each control server.
+	// maxControlConnections limits the open connections of each control server, each of
+	// which runs one request at a time.
 	maxControlConnections = 1024
-	// maxControlRequests limits the concurrent requests of each control server.
-	maxControlRequests = 64
 	// controlIdleTimeout is the idle timeout of a connection to a control server.
 	controlIdleTimeout = 2 * time.Minute
 )
@@ -42,12 +41,12 @@
 				handler.ServeHTTP(&flushingWriter{ResponseWriter: writer}, request)
 			}
 		}),
-		MaxLoad:                maxControlConnections,
-		MaxHTTPBodySize:        maxControlBodyBytes,
-		ReadLimit:              maxControlBodyBytes * 2,
-		MessageHandlerPoolSize: maxControlRequests,
-		KeepaliveTime:          controlIdleTimeout,
-		NPoller:                1,
+		MaxLoad:         maxControlConnections,
+		MaxHTTPBodySize: maxControlBodyBytes,
+		ReadLimit:       maxControlBodyBytes * 2,
+		ServerExecutor:  func(run func()) { go run() }, // nbio recovers from panics of run
+		KeepaliveTime:   controlIdleTimeout,
+		NPoller:         1,
 	}, neverOverloaded, engineCallbacks{onOpen: func(connection *nbio.Conn) { setIdleTimeout(connection, controlIdleTimeout) }})
 	if err != nil {
 		return nil, err
--- a/pkg/router/limits_test.go
+++ b/pkg/router/limits_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -87,3 +88,37 @@
 	}
 	return response.Parser.Conn
 }
+
+// TestControlServerAnswersBesideManyRequests guards against requests of peers and
+// operators, and health checks, that wait without an answer while others run.
+func TestControlServerAnswersBesideManyRequests(t *testing.T) {
+	const held = 200
+	release := make(chan struct{})
+	var running sync.WaitGroup
+	running.Add(held)
+	server, err := newControlServer("test", "127.0.0.1:0", http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/hold" {
+			running.Done()
+			<-release
+		}
+		_, _ = io.WriteString(writer, "answer")
+	}))
+	require.NoError(t, err)
+	defer server.close(t.Context())
+	defer close(release)
+	for range held {
+		connection, err := net.Dial("tcp", server.httpEngine.Addrs[0])
+		require.NoError(t, err)
+		defer connection.Close()
+		_, err = io.WriteString(connection, "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+	}
+	requireEnds(t, running.Wait)
+	connection, err := net.Dial("tcp", server.httpEngine.Addrs[0])
+	require.NoError(t, err)
+	defer connection.Close()
+	require.NoError(t, connection.SetReadDeadline(time.Now().Add(2*time.Second)))
+	_, body, err := exchangeOn(connection, bufio.NewReader(connection), "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	require.Equal(t, "answer", body)
+}
