Record that a request was read whole before it runs

The case of a request on a closed connection calls runRequest instead of Parse, which belongs to the poller.

--- a/pkg/router/unanswered_test.go
+++ b/pkg/router/unanswered_test.go
@@ -75,11 +75,9 @@
 		"closed before the next one runs": {
 			handler: func(writer http.ResponseWriter, _ *http.Request) {
 				connection := connectionOfHandler(writer)
-				for connection.readState.Load() == nil { // until the poller is done with it
-					time.Sleep(time.Millisecond)
-				}
 				_ = connection.Close()
-				_ = connection.Parse([]byte(request))
+				connection.wholeRequests.Add(1) // as the poller does before it runs the request
+				connection.runRequest(func() {})
 			},
 			sent: request, reason: UnansweredClosed, by: EndedByServer, read: ReadWhole, requests: 2, others: 1,
 		},
--- a/pkg/router/unread.go
+++ b/pkg/router/unread.go
@@ -124,6 +124,7 @@
 	callerConnection.setIncomplete(max(0, min(rest, callerConnection.lastRead)))
 	callerConnection.completed, callerConnection.completedBytes = true, bytes
 	callerConnection.wholeRequests.Add(1)
+	callerConnection.readState.Store(ReadWhole)
 }
 
 // runRequest runs a request that was just completed, after the earlier ones of the
