Refuse an incomplete request that is dropped to make room, instead of a reset

When the requests of all callers exceed their part of the memory, the largest incomplete one is dropped. Its caller, which may be sound and in the middle of sending, saw its connection reset: neither an answer nor a refusal.

The server now frees what was read, answers 503 (not run, Retry-After, Connection: close) and ignores what the caller still sends until it has got the answer, as for a header that is too large. The report stays (unread, now with ended_by=limit).

--- a/pkg/router/callerconnection.go
+++ b/pkg/router/callerconnection.go
@@ -61,6 +61,8 @@
 	parts                    *requestParts
 	lastRead, completedBytes int64
 	completed, refusedHead   bool
+	// dropped is whether an incomplete request was dropped. What follows it is ignored.
+	dropped atomic.Bool
 
 	// parsed is the request that was completed last; it is used by the poller.
 	parsed *http.Request
--- a/pkg/router/connectionend.go
+++ b/pkg/router/connectionend.go
@@ -242,7 +242,7 @@
 	for range end.Requests - end.Answered - callerConnection.unanswered.Load() {
 		server.config.OnUnanswered(Unanswered{Reason: UnansweredClosed, Caller: end.Caller, Err: err, Connection: end})
 	}
-	if by != EndedByCaller && by != EndedByReset && end.Unfinished() {
+	if by != EndedByCaller && by != EndedByReset && end.Unfinished() && !callerConnection.dropped.Load() {
 		server.config.OnUnanswered(Unanswered{Reason: UnansweredUnread, Caller: end.Caller, Err: err, Connection: end})
 	}
 	server.config.OnEnded(end)
--- a/pkg/router/limits_test.go
+++ b/pkg/router/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+	"gitlab.com/wisterialb/wisterialb/pkg/memory"
 )
 
 // exchangeOn sends a request and returns its answer's status and body.
@@ -179,3 +181,51 @@
 	require.NoError(t, err)
 	require.Equal(t, "answer", body)
 }
+
+// TestDroppedRequestsAreRefused guards against callers that get neither an answer nor a
+// refusal because their incomplete request is dropped to make room: they must be told
+// that it wasn't run, while they still send and when they have paused.
+func TestDroppedRequestsAreRefused(t *testing.T) {
+	const unfinished, bodyBytes = 8, testMaxBodyBytes
+	reports := make(chan Unanswered, 1<<10)
+	server := newReadServer(t, http.HandlerFunc(readWhole), reports)
+	responses := make(chan *http.Response, unfinished)
+	for range unfinished {
+		connection, err := net.Dial("tcp", server.Address())
+		require.NoError(t, err)
+		defer connection.Close()
+		go func() {
+			_, _ = fmt.Fprintf(connection, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", bodyBytes)
+			_, _ = connection.Write(make([]byte, bodyBytes-1))
+		}()
+		go func() {
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			if err == nil {
+				_, err = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+			if err != nil {
+				response = nil
+			}
+			responses <- response
+		}()
+	}
+	for range unfinished - memory.NewPlan(smallestVM).Requests/bodyBytes { // the others fit
+		select {
+		case response := <-responses:
+			require.NotNil(t, response, "the connection is closed without an answer")
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.Equal(t, string(fault.NotRun), response.Header.Get(headerOutcome))
+			require.NotEmpty(t, response.Header.Get("Retry-After"))
+			require.True(t, response.Close)
+		case <-time.After(10 * time.Second):
+			require.Fail(t, "no answer")
+		}
+		report := <-reports
+		require.Equal(t, UnansweredUnread, report.Reason)
+		require.Equal(t, EndedByLimit, report.Connection.By)
+	}
+	time.Sleep(2 * time.Second) // the connections are closed
+	require.Empty(t, reports, "each is reported once")
+	requireAllAnswered(t, server, 5, 1<<20)
+}
--- a/pkg/router/unread.go
+++ b/pkg/router/unread.go
@@ -5,7 +5,7 @@
 // nbhttp keeps a request until all of it is read. A caller that never sends the end of
 // its request, and many callers with large ones, would fill the VM's memory. Therefore
 // each connection counts what it holds; beyond a total for all, those that hold most of
-// a request without an end are closed, and whole requests that don't fit are refused. A
+// a request without an end are refused, and so are whole requests that don't fit. A
 // header that is too large is refused as it comes in.
 
 import (
@@ -89,6 +89,9 @@
 	if callerConnection.refusedHead {
 		return nil // is read until the caller has got the answer
 	}
+	if callerConnection.dropped.Load() {
+		return nil // the same
+	}
 	callerConnection.lastRead, callerConnection.completed = int64(len(data)), false
 	callerConnection.addIncomplete(int64(len(data)))
 	if err := callerConnection.parser.Parse(data); err != nil {
@@ -155,34 +158,57 @@
 // the answers to earlier requests.
 func (callerConnection *callerConnection) refuseHead() {
 	callerConnection.refusedHead = true
-	server := callerConnection.server
-	callerConnection.Execute(func() {
-		request := &http.Request{
-			Method: http.MethodGet, URL: &url.URL{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Close: true,
-			RemoteAddr: callerConnection.RemoteAddr().String(),
-		}
-		response := nbhttp.NewResponse(callerConnection.parser, request)
-		if !server.closer.beginRequest(callerConnection.Conn, response, request) {
-			return
+	callerConnection.Execute(func() { callerConnection.refuseUnread(headerTooLarge(callerConnection.server.config.MaxHeaderBytes)) })
+}
+
+// drop answers an incomplete request with a refusal, after the answers to earlier
+// requests, and forgets what was read of it.
+func (callerConnection *callerConnection) drop() {
+	if callerConnection.dropped.Swap(true) {
+		return
+	}
+	server, err := callerConnection.server, requestsTooLarge(callerConnection.incomplete.Load())
+	callerConnection.setIncomplete(0)
+	executed := callerConnection.Execute(func() {
+		callerConnection.parser.CloseAndClean(err)
+		if !callerConnection.refuseUnread(errRequestsTooLarge) {
+			_ = callerConnection.CloseWithError(err) // an error means that it is closed already
 		}
-		server.config.Refuse(response, request, headerTooLarge(server.config.MaxHeaderBytes))
-		response.Flush()
-		server.closer.endRequest(callerConnection.Conn, time.Now())
 	})
+	if executed {
+		server.config.OnUnanswered(Unanswered{
+			Reason: UnansweredUnread, Caller: callerConnection.RemoteAddr().String(), Err: err, Connection: callerConnection.end(EndedByLimit, err),
+		})
+	}
+}
+
+// refuseUnread refuses a request that wasn't read whole and closes the connection after
+// it. It reports false if an earlier answer was the connection's last.
+func (callerConnection *callerConnection) refuseUnread(err error) bool {
+	server := callerConnection.server
+	request := &http.Request{
+		Method: http.MethodGet, URL: &url.URL{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Close: true,
+		RemoteAddr: callerConnection.RemoteAddr().String(),
+	}
+	response := nbhttp.NewResponse(callerConnection.parser, request)
+	if !server.closer.beginRequest(callerConnection.Conn, response, request) {
+		return false
+	}
+	server.config.Refuse(response, request, err)
+	response.Flush()
+	server.closer.endRequest(callerConnection.Conn, time.Now())
+	return true
 }
 
-// limitRequests closes connections with incomplete requests, the largest first, while
-// all connections together hold more than MaxRequestBytes. It reports whether they hold
-// less then.
+// limitRequests drops incomplete requests, the largest first, while all connections
+// together hold more than MaxRequestBytes. It reports whether they hold less then.
 func (server *Server) limitRequests() bool {
 	for server.requestBytes.Load() > server.config.MaxRequestBytes {
 		largest := server.largestIncomplete()
 		if largest == nil {
 			return false
 		}
-		bytes := largest.incomplete.Load()
-		largest.setIncomplete(0)
-		_ = largest.CloseWithError(requestsTooLarge(bytes)) // an error means that it is closed already
+		largest.drop()
 	}
 	return true
 }
@@ -198,7 +224,7 @@
 	largestRuns := true
 	for connection := range server.connections {
 		bytes, runs := connection.incomplete.Load(), connection.held.Load() > 0
-		if bytes == 0 || runs && bytes <= maxReadBytes {
+		if bytes == 0 || runs && bytes <= maxReadBytes || connection.dropped.Load() {
 			continue
 		}
 		if largest != nil && (runs && !largestRuns || runs == largestRuns && bytes <= largestBytes) {
@@ -209,7 +235,7 @@
 	return largest
 }
 
-// requestsTooLarge is why a connection is closed with an incomplete request.
+// requestsTooLarge is why an incomplete request is dropped.
 func requestsTooLarge(bytes int64) error {
 	return fault.New(fault.Config{
 		Kind:    fault.Unavailable,
