Drop stalled requests first, and make room before a read is kept

Sound requests were refused (before, reset) for many smaller ones that had stalled: the largest incomplete request was dropped first, which is a sound one of 150 KB beside 520 of 23 KB that don't go on. Requests whose caller has sent nothing for a second are now dropped first, then the largest.

Room is now made before the read is kept; only a request that the read may complete is still kept first.

--- a/pkg/router/callerconnection.go
+++ b/pkg/router/callerconnection.go
@@ -61,6 +61,8 @@
 	parts                    *requestParts
 	lastRead, completedBytes int64
 	completed, refusedHead   bool
+	// lastReadAt is the time of the last read, in nanoseconds since 1970.
+	lastReadAt atomic.Int64
 	// dropped is whether an incomplete request was dropped. What follows it is ignored.
 	dropped atomic.Bool
 
@@ -226,9 +228,8 @@
 	if request == nil {
 		return
 	}
-	dropped := &activeRequest{
-		connection: callerConnection, request: request.WithContext(request.Context()), report: callerConnection.server.config.OnUnanswered,
-	}
+	copied := *request // nbhttp uses it again
+	dropped := &activeRequest{connection: callerConnection, request: &copied, report: callerConnection.server.config.OnUnanswered}
 	dropped.reportUnanswered(UnansweredCallerLeft)
 }
 
--- a/pkg/router/unread.go
+++ b/pkg/router/unread.go
@@ -4,9 +4,9 @@
 //
 // nbhttp keeps a request until all of it is read. A caller that never sends the end of
 // its request, and many callers with large ones, would fill the VM's memory. Therefore
-// each connection counts what it holds; beyond a total for all, those that hold most of
-// a request without an end are refused, and so are whole requests that don't fit. A
-// header that is too large is refused as it comes in.
+// each connection counts what it holds; beyond a total for all, requests without an end
+// are refused, first those that have stalled, then the largest, and so are whole requests
+// that don't fit. A header that is too large is refused as it comes in.
 
 import (
 	"fmt"
@@ -29,6 +29,9 @@
 	// smallRequestBytes is the size up to which whole requests always fit. MaxRequests
 	// limits how many run.
 	smallRequestBytes = 4 << 10
+	// stallTime is how long the caller of an incomplete request sends nothing before it is
+	// dropped in favor of larger ones.
+	stallTime = time.Second
 	// headerFieldOverhead is the size of the separators of a header field.
 	headerFieldOverhead = len(": \r\n")
 )
@@ -42,6 +45,8 @@
 	// whether they include the end of the header.
 	bytes               int64
 	begun, headComplete bool
+	// contentLength is the stated length of the body; negative without one.
+	contentLength int64
 }
 
 // OnMethod notes the begin of a request.
@@ -66,7 +71,7 @@
 // OnContentLength notes the end of the header.
 func (requestParts *requestParts) OnContentLength(parser *nbhttp.Parser, length int) {
 	requestParts.bytes += int64(len("\r\n"))
-	requestParts.headComplete = true
+	requestParts.headComplete, requestParts.contentLength = true, int64(length)
 	requestParts.Processor.OnContentLength(parser, length)
 }
 
@@ -86,6 +91,7 @@
 // Parse parses data that was read from the connection.
 func (callerConnection *callerConnection) Parse(data []byte) error {
 	callerConnection.bytesRead.Add(int64(len(data)))
+	callerConnection.lastReadAt.Store(time.Now().UnixNano())
 	if callerConnection.refusedHead {
 		return nil // is read until the caller has got the answer
 	}
@@ -93,7 +99,9 @@
 		return nil // the same
 	}
 	callerConnection.lastRead, callerConnection.completed = int64(len(data)), false
-	callerConnection.addIncomplete(int64(len(data)))
+	if !callerConnection.reserve(int64(len(data))) {
+		return nil
+	}
 	if err := callerConnection.parser.Parse(data); err != nil {
 		callerConnection.setIncomplete(0)
 		callerConnection.noteRead()
@@ -111,9 +119,36 @@
 	return nil
 }
 
-func (callerConnection *callerConnection) addIncomplete(count int64) {
-	callerConnection.server.requestBytes.Add(count)
+// reserve counts what was read before it is kept, and drops incomplete requests if there
+// is no room for it. It reports false if this request is one of them.
+func (callerConnection *callerConnection) reserve(count int64) bool {
+	server := callerConnection.server
+	for {
+		held := server.requestBytes.Load()
+		if held+count <= server.config.MaxRequestBytes {
+			if server.requestBytes.CompareAndSwap(held, held+count) {
+				break
+			}
+			continue
+		}
+		first := server.firstToDrop(time.Now())
+		if first == nil || first == callerConnection && !callerConnection.needsMoreThan(count) {
+			server.requestBytes.Add(count)
+			break
+		}
+		first.drop()
+		if first == callerConnection {
+			return false
+		}
+	}
 	callerConnection.incomplete.Add(count)
+	return true
+}
+
+// needsMoreThan reports whether the request is known to be incomplete with count further
+// bytes.
+func (callerConnection *callerConnection) needsMoreThan(count int64) bool {
+	return callerConnection.parts.headComplete && callerConnection.incomplete.Load()+count < callerConnection.parts.contentLength
 }
 
 func (callerConnection *callerConnection) setIncomplete(count int64) {
@@ -200,39 +235,65 @@
 	return true
 }
 
-// limitRequests drops incomplete requests, the largest first, while all connections
-// together hold more than MaxRequestBytes. It reports whether they hold less then.
+// isStalled reports whether the caller has sent nothing for stallTime.
+func (callerConnection *callerConnection) isStalled(now time.Time) bool {
+	return now.Sub(time.Unix(0, callerConnection.lastReadAt.Load())) > stallTime
+}
+
+// limitRequests drops incomplete requests while all connections together hold more than
+// MaxRequestBytes: the largest of those that have stalled, or else the largest of all. It
+// reports whether they hold less then.
 func (server *Server) limitRequests() bool {
 	for server.requestBytes.Load() > server.config.MaxRequestBytes {
-		largest := server.largestIncomplete()
-		if largest == nil {
+		connection := server.firstToDrop(time.Now())
+		if connection == nil {
 			return false
 		}
-		largest.drop()
+		connection.drop()
 	}
 	return true
 }
 
-// largestIncomplete returns the connection with the largest incomplete request, or nil
-// if there is none. It returns one with an earlier request that still runs only if there
-// is no other and the incomplete one has more than a read.
-func (server *Server) largestIncomplete() *callerConnection {
+// incompleteRequest is an incomplete request that may be dropped.
+type incompleteRequest struct {
+	connection *callerConnection
+	bytes      int64
+	// stalled is whether it doesn't go on, and behind whether an earlier request of its
+	// connection still runs.
+	stalled, behind bool
+}
+
+// goesBefore reports whether the request is to be dropped before another one.
+func (incompleteRequest incompleteRequest) goesBefore(other incompleteRequest) bool {
+	switch {
+	case incompleteRequest.behind != other.behind:
+		return other.behind
+	case incompleteRequest.stalled != other.stalled:
+		return incompleteRequest.stalled
+	default:
+		return incompleteRequest.bytes > other.bytes
+	}
+}
+
+// firstToDrop returns the connection whose incomplete request is to be dropped next, or
+// nil if there is none. It returns one with an earlier request that still runs only if
+// there is no other and the incomplete one has more than a read.
+func (server *Server) firstToDrop(now time.Time) *callerConnection {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	var largest *callerConnection
-	var largestBytes int64
-	largestRuns := true
+	var first incompleteRequest
 	for connection := range server.connections {
-		bytes, runs := connection.incomplete.Load(), connection.held.Load() > 0
-		if bytes == 0 || runs && bytes <= maxReadBytes || connection.dropped.Load() {
-			continue
+		request := incompleteRequest{
+			connection: connection, bytes: connection.incomplete.Load(), stalled: connection.isStalled(now), behind: connection.held.Load() > 0,
 		}
-		if largest != nil && (runs && !largestRuns || runs == largestRuns && bytes <= largestBytes) {
+		if request.bytes == 0 || request.behind && request.bytes <= maxReadBytes || connection.dropped.Load() {
 			continue
 		}
-		largest, largestBytes, largestRuns = connection, bytes, runs
+		if first.connection == nil || request.goesBefore(first) {
+			first = request
+		}
 	}
-	return largest
+	return first.connection
 }
 
 // requestsTooLarge is why an incomplete request is dropped.
