Refuse a body that is larger than the server reads instead of closing

A body above eight times the limit, with a stated length or in chunks, ended with a closed connection and no answer: nbhttp returns an error then, and closes. Its caller could not tell that from a loss. It is now refused with 413, not run and Connection: close, like a header that is too large; what was read is freed.

--- a/pkg/router/limits_test.go
+++ b/pkg/router/limits_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -229,3 +230,44 @@
 	require.Empty(t, reports, "each is reported once")
 	requireAllAnswered(t, server, 5, 1<<20)
 }
+
+// TestBodiesThatAreTooLargeAreRefused guards against a connection that is closed without
+// an answer because a request's body is larger than the server reads.
+func TestBodiesThatAreTooLargeAreRefused(t *testing.T) {
+	const maxBodyBytes = 1 << 10
+	for name, head := range map[string]string{
+		"with a length": fmt.Sprintf("Content-Length: %d\r\n\r\n", 100*maxBodyBytes),
+		"chunks":        "Transfer-Encoding: chunked\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int32
+			server, err := NewServer(ServerConfig{
+				Address: "127.0.0.1:0", MaxConnections: 10, MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: 1 << 10, MaxRequests: 10,
+				MaxDeadline: time.Minute, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }),
+			})
+			require.NoError(t, err)
+			defer server.Abort()
+			connection, err := net.Dial("tcp", server.Address())
+			require.NoError(t, err)
+			defer connection.Close()
+			go func() {
+				_, _ = io.WriteString(connection, "POST / HTTP/1.1\r\nHost: a\r\n"+head)
+				piece := []byte("400\r\n" + strings.Repeat("x", 0x400) + "\r\n") // of a body of either kind
+				for range 95 {
+					if _, err := connection.Write(piece); err != nil {
+						return
+					}
+					time.Sleep(time.Millisecond)
+				}
+			}()
+			require.NoError(t, connection.SetReadDeadline(time.Now().Add(10*time.Second)))
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			require.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
+			require.Equal(t, string(fault.NotRun), response.Header.Get(headerOutcome))
+			require.True(t, response.Close)
+			require.Zero(t, runs.Load())
+		})
+	}
+}
--- a/pkg/router/unread.go
+++ b/pkg/router/unread.go
@@ -9,6 +9,7 @@
 // that don't fit. A header that is too large is refused as it comes in.
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -103,8 +104,12 @@
 		return nil
 	}
 	if err := callerConnection.parser.Parse(data); err != nil {
-		callerConnection.setIncomplete(0)
 		callerConnection.noteRead()
+		if errors.Is(err, nbhttp.ErrTooLong) {
+			callerConnection.refuseRest(bodyTooLarge(callerConnection.server.config.MaxBodyBytes))
+			return nil
+		}
+		callerConnection.setIncomplete(0)
 		return err
 	}
 	if callerConnection.completed && !callerConnection.parts.begun {
@@ -196,25 +201,29 @@
 	callerConnection.Execute(func() { callerConnection.refuseUnread(headerTooLarge(callerConnection.server.config.MaxHeaderBytes)) })
 }
 
-// drop answers an incomplete request with a refusal, after the answers to earlier
-// requests, and forgets what was read of it.
+// drop refuses an incomplete request for which there is no room, and reports it.
 func (callerConnection *callerConnection) drop() {
+	err := requestsTooLarge(callerConnection.incomplete.Load())
+	if callerConnection.refuseRest(errRequestsTooLarge) {
+		callerConnection.server.config.OnUnanswered(Unanswered{
+			Reason: UnansweredUnread, Caller: callerConnection.RemoteAddr().String(), Err: err, Connection: callerConnection.end(EndedByLimit, err),
+		})
+	}
+}
+
+// refuseRest answers an incomplete request with a refusal, after the answers to earlier
+// requests, and forgets what was read of it. It reports whether the refusal is sent.
+func (callerConnection *callerConnection) refuseRest(err error) bool {
 	if callerConnection.dropped.Swap(true) {
-		return
+		return false
 	}
-	server, err := callerConnection.server, requestsTooLarge(callerConnection.incomplete.Load())
 	callerConnection.setIncomplete(0)
-	executed := callerConnection.Execute(func() {
+	return callerConnection.Execute(func() {
 		callerConnection.parser.CloseAndClean(err)
-		if !callerConnection.refuseUnread(errRequestsTooLarge) {
+		if !callerConnection.refuseUnread(err) {
 			_ = callerConnection.CloseWithError(err) // an error means that it is closed already
 		}
 	})
-	if executed {
-		server.config.OnUnanswered(Unanswered{
-			Reason: UnansweredUnread, Caller: callerConnection.RemoteAddr().String(), Err: err, Connection: callerConnection.end(EndedByLimit, err),
-		})
-	}
 }
 
 // refuseUnread refuses a request that wasn't read whole and closes the connection after
