Keep the connection of a request that is dropped while its next read is parsed

A poller can be parsing a read of a request while another one drops it. The parser then returns that it is closed, which closed the connection before the refusal was sent. With -race 4 of 4 runs of the tests of limits pass.

--- a/pkg/router/unread.go
+++ b/pkg/router/unread.go
@@ -103,7 +103,12 @@
 	if !callerConnection.reserve(int64(len(data))) {
 		return nil
 	}
-	if err := callerConnection.parser.Parse(data); err != nil {
+	err := callerConnection.parser.Parse(data)
+	if callerConnection.dropped.Load() { // by another poller meanwhile
+		callerConnection.setIncomplete(0)
+		return nil
+	}
+	if err != nil {
 		callerConnection.noteRead()
 		if errors.Is(err, nbhttp.ErrTooLong) {
 			callerConnection.refuseRest(bodyTooLarge(callerConnection.server.config.MaxBodyBytes))
