--- a/pkg/router/callerconnection.go
+++ b/pkg/router/callerconnection.go
@@ -61,6 +61,30 @@
 	parts                    *requestParts
 	lastRead, completedBytes int64
 	completed, refusedHead   bool
+	// lastReadAt is the time of the last read, in nanoseconds since 1970.
+	lastReadAt atomic.Int64
+	// dropped is whether an incomplete request was dropped. What follows it is ignored.
+	dropped atomic.Bool
+
+	// parsed is the request that was completed last; it is used by the poller.
+	parsed *http.Request
+	// openedAt, use and previousUse, the use of the descriptor before this connection, or
+	// nil, don't change.
+	openedAt         time.Time
+	use, previousUse *descriptorUse
+	// surplus is whether the connection is above MaxConnections. It is guarded by the
+	// server's mutex.
+	surplus bool
+	// bytesRead, wholeRequests, the number of requests that were read whole, answered,
+	// those with a complete answer, unanswered, those without, and readState, which is a
+	// ReadState, describe the connection when it ends.
+	bytesRead, wholeRequests, answered, unanswered atomic.Int64
+	readState                                      atomic.Value
+	// deferred are reports that wait until it is known what closed the connection, and
+	// ended is whether it is.
+	deferredMutex sync.Mutex
+	deferred      []Unanswered
+	ended         bool
 }
 
 var (
@@ -71,6 +95,7 @@
 // addConnection puts a callerConnection between nbhttp and a connection that was
 // accepted, before anything is read from it.
 func (server *Server) addConnection(connection *nbio.Conn) {
+	setIdleTimeout(connection, server.config.MaxDeadline+idleTimeoutMargin)
 	parser, ok := connection.Session().(*nbhttp.Parser)
 	if !ok {
 		return
@@ -81,20 +106,28 @@
 	}
 	callerConnection := &callerConnection{
 		Conn: connection, parser: parser, server: server, wake: make(chan struct{}, 1), closed: make(chan struct{}),
+		openedAt: time.Now(), use: &descriptorUse{},
 	}
 	httpConnection.Conn = callerConnection
 	callerConnection.parts = &requestParts{Processor: parser.Processor, connection: callerConnection}
 	parser.Processor = callerConnection.parts
 	parser.Execute = callerConnection.runRequest
 	connection.SetSession(callerConnection)
+	callerConnection.previousUse = server.descriptors.begin(connection.Hash(), callerConnection.use)
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	server.connections[callerConnection] = struct{}{}
+	if callerConnection.surplus = server.regularConnections >= server.config.MaxConnections; !callerConnection.surplus {
+		server.regularConnections++
+	}
 }
 
 func (server *Server) removeConnection(callerConnection *callerConnection) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
+	if _, open := server.connections[callerConnection]; open && !callerConnection.surplus {
+		server.regularConnections--
+	}
 	delete(server.connections, callerConnection)
 }
 
@@ -188,6 +221,18 @@
 	return nil
 }
 
+// reportDropped reports a request that was read whole and can't run, as the connection
+// is closed.
+func (callerConnection *callerConnection) reportDropped() {
+	request := callerConnection.parsed
+	if request == nil {
+		return
+	}
+	copied := *request // nbhttp uses it again
+	dropped := &activeRequest{connection: callerConnection, request: &copied, report: callerConnection.server.config.OnUnanswered}
+	dropped.reportUnanswered(UnansweredCallerLeft)
+}
+
 // abandon closes the connection, as the caller must not take the answer for complete.
 func (callerConnection *callerConnection) abandon(err error) {
 	callerConnection.writeErr = err
@@ -226,11 +271,18 @@
 	if request == nil {
 		return
 	}
-	if !callerConnection.noticeClosed() && callerConnection.unsent.Load() > 0 {
+	callerConnection.noticeClosed()
+	if callerConnection.writeErr == nil && callerConnection.unsent.Load() > 0 {
 		if err := callerConnection.awaitSent(0); err != nil {
 			callerConnection.abandon(err)
 		}
 	}
+	if callerConnection.writeErr != nil {
+		request.reportUnanswered(UnansweredCallerLeft)
+	}
+	if !request.reported.Load() {
+		callerConnection.answered.Add(1)
+	}
 	callerConnection.active = nil
 	callerConnection.server.closer.endRequest(callerConnection.Conn, time.Now())
 	callerConnection.server.remove(request)
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -39,6 +39,9 @@
 	// before nbhttp closes the connection, so that a caller whose body is too large
 	// gets an error answer.
 	bodyReadFactor = 8
+	// maxSurplusConnections is how many connections above MaxConnections are open at a time
+	// to refuse their requests.
+	maxSurplusConnections = 512
 	// overloadRetryAfter is the Retry-After value while the server runs as many requests
 	// as it may.
 	overloadRetryAfter = 500 * time.Millisecond
@@ -52,7 +55,7 @@
 	// Address is the IP address and port to listen on.
 	Address string
 	Handler http.Handler
-	// MaxConnections limits the open connections.
+	// MaxConnections limits the open connections. Requests on further ones are refused.
 	MaxConnections int
 	// MaxBodyBytes limits a request's body.
 	MaxBodyBytes int64
@@ -82,6 +85,9 @@
 	// OnUnanswered receives requests that got no complete answer; nil ignores them. It
 	// must not block.
 	OnUnanswered func(Unanswered)
+	// OnEnded receives each connection that has ended; nil ignores them. It must not
+	// block.
+	OnEnded func(ConnectionEnd)
 }
 
 // Server is an HTTP server for callers.
@@ -92,6 +98,10 @@
 	requests   map[*activeRequest]struct{}
 	// connections are the open connections.
 	connections map[*callerConnection]struct{}
+	// regularConnections counts those that aren't above MaxConnections.
+	regularConnections int
+	// descriptors are the last uses of the connections' descriptors.
+	descriptors descriptorUses
 	closer      *connectionCloser
 	// unsent is the number of bytes that all connections hold unsent.
 	unsent atomic.Int64
@@ -116,12 +126,21 @@
 }
 
 // reportUnanswered reports that the request got no complete answer. Only the first
-// call reports it.
+// call reports it. If its connection is closed, the report waits until it is known what
+// closed it.
 func (activeRequest *activeRequest) reportUnanswered(reason UnansweredReason) {
 	request := activeRequest.request
-	if activeRequest.reported.CompareAndSwap(false, true) {
-		activeRequest.report(Unanswered{Reason: reason, Caller: request.RemoteAddr, Request: request})
+	if !activeRequest.reported.CompareAndSwap(false, true) {
+		return
+	}
+	connection := activeRequest.connection
+	connection.unanswered.Add(1)
+	unanswered := Unanswered{Reason: reason, Caller: request.RemoteAddr, Request: request}
+	if reason == UnansweredCallerLeft && connection.deferReport(unanswered) {
+		return
 	}
+	unanswered.Connection = connection.end(EndedByServer, nil)
+	activeRequest.report(unanswered)
 }
 
 // closeAfterPanic closes the connection if the handler panicked, as no answer will
@@ -159,6 +178,15 @@
 	RetryAfter: overloadRetryAfter,
 })
 
+// errTooManyConnections refuses a request while there are more connections than are
+// allowed.
+var errTooManyConnections = fault.New(fault.Config{
+	Kind:       fault.Unavailable,
+	Message:    "this router has as many connections as it may",
+	Remedy:     "send the request to another router",
+	RetryAfter: overloadRetryAfter,
+})
+
 // errDrainTimeout is the context's cause for a request that a shutdown cancelled.
 var errDrainTimeout = fault.New(fault.Config{
 	Kind:    fault.Draining,
@@ -176,8 +204,9 @@
 	server := &Server{
 		config:   config,
 		requests: make(map[*activeRequest]struct{}), connections: make(map[*callerConnection]struct{}),
-		closer: newConnectionCloser(),
-		stop:   make(chan struct{}),
+		descriptors: descriptorUses{uses: make(map[int]*descriptorUse)},
+		closer:      newConnectionCloser(),
+		stop:        make(chan struct{}),
 	}
 	if server.config.Overloaded == nil {
 		server.config.Overloaded = neverOverloaded
@@ -191,12 +220,16 @@
 	if server.config.OnUnanswered == nil {
 		server.config.OnUnanswered = ignoreUnanswered
 	}
+	if server.config.OnEnded == nil {
+		server.config.OnEnded = ignoreEnded
+	}
 	httpEngine, err := startHTTPEngine(nbhttp.Config{
 		Name:                    "callers",
 		Network:                 "tcp",
 		Addrs:                   []string{config.Address},
 		Handler:                 server,
-		MaxLoad:                 config.MaxConnections,
+		OnRequest:               noteParsed,
+		MaxLoad:                 config.MaxConnections + maxSurplusConnections,
 		MaxHTTPBodySize:         int(config.MaxBodyBytes) * bodyReadFactor,
 		ReadLimit:               config.MaxHeaderBytes + int(config.MaxBodyBytes)*bodyReadFactor,
 		MaxWriteBufferSize:      2 * maxUnsentPerConnection,    // not reached, as writes wait before
@@ -224,6 +257,13 @@
 	return server, nil
 }
 
+// noteParsed records a request before it runs.
+func noteParsed(writer http.ResponseWriter, request *http.Request) {
+	if connection := callerConnectionOf(writer); connection != nil {
+		connection.parsed = request
+	}
+}
+
 func neverOverloaded() bool { return false }
 
 // Address returns the address that the server listens on.
@@ -241,20 +281,37 @@
 		connection: connection, request: request.WithContext(ctx), cancel: cancel, report: server.config.OnUnanswered,
 	}
 	ambiguous := hasAmbiguousLength(request)
-	request.Close = request.Close || ambiguous || server.config.Overloaded()
+	surplus := server.isSurplus(connection)
+	request.Close = request.Close || ambiguous || surplus || server.config.Overloaded()
 	if !server.closer.beginRequest(connection.Conn, writer, request) {
 		activeRequest.reportUnanswered(UnansweredClosing)
 		return
 	}
 	fits := connection.beginRequest(activeRequest)
 	defer activeRequest.closeAfterPanic(ctx)
-	if err := server.check(request, ambiguous, fits, connection.bodyFits); err != nil {
+	err := server.check(request, ambiguous, fits, connection.bodyFits)
+	if surplus {
+		err = errTooManyConnections
+	}
+	if err != nil {
 		server.config.Refuse(writer, request, err)
 		return
 	}
 	server.config.Handler.ServeHTTP(&flushingWriter{ResponseWriter: writer, connection: connection}, activeRequest.request)
 }
 
+// isSurplus reports whether a connection is above MaxConnections. One that was is not if
+// there is room by now.
+func (server *Server) isSurplus(connection *callerConnection) bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if connection.surplus && server.regularConnections < server.config.MaxConnections {
+		connection.surplus = false
+		server.regularConnections++
+	}
+	return connection.surplus
+}
+
 // check returns why the server refuses a request, or nil.
 func (server *Server) check(request *http.Request, ambiguous, fits, bodyFits bool) error {
 	switch {
