Give callers a small receive window while new ones are refused

What callers saw: with the listening socket open during a pause, the requests that are refused still cross the link and keep it full, so that other callers wait until their deadlines.

Cause: a request of a few kilobytes is on its way before its refusal.

Change: during a pause, connections are opened with the smallest receive buffer (SO_RCVBUF at the listening socket), so a caller sends about a kilobyte, and the rest only as it is read.

Evidence: TestPauseHoldsBackRequests and TestRequestsAreFastAfterAPause pass with -race.

--- a/pkg/router/pause_test.go
+++ b/pkg/router/pause_test.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/fault"
 )
@@ -213,6 +215,49 @@
 	requireRefused(t, connection)
 }
 
+// TestPauseHoldsBackRequests guards against a link that stays full because callers send
+// whole requests that are refused: while an overloaded server has not read what it got,
+// little more may come.
+func TestPauseHoldsBackRequests(t *testing.T) {
+	const bodyBytes, maxSent = 64 << 10, 4 << 10
+	server := newPausingServer(t)
+	server.pause(t)
+	server.mutex.Lock() // holds up the accepting
+	defer server.mutex.Unlock()
+	for range 3 {
+		connection := server.dial(t)
+		_, err := fmt.Fprintf(connection, headOfPost+strings.Repeat("x", bodyBytes), bodyBytes)
+		require.NoError(t, err)
+		time.Sleep(20 * time.Millisecond) // it is sent, if the window allows it
+		rawConnection, err := connection.(*net.TCPConn).SyscallConn()
+		require.NoError(t, err)
+		unsent, ioctlErr := 0, error(nil)
+		require.NoError(t, rawConnection.Control(func(descriptor uintptr) {
+			unsent, ioctlErr = unix.IoctlGetInt(int(descriptor), syscall.TIOCOUTQ)
+		}))
+		require.NoError(t, ioctlErr)
+		require.Greater(t, unsent, bodyBytes-maxSent)
+	}
+}
+
+// TestRequestsAreFastAfterAPause guards against requests that come slowly for as long as
+// their connection is open because it was opened during a pause.
+func TestRequestsAreFastAfterAPause(t *testing.T) {
+	server := newPausingServer(t)
+	server.pause(t)
+	connection := server.dial(t)
+	server.overloaded.Store(false)
+	time.Sleep(3 * sweepInterval) // the pause ends
+	startedAt := time.Now()
+	_, err := fmt.Fprintf(connection, headOfPost+strings.Repeat("x", testMaxBodyBytes), testMaxBodyBytes)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Less(t, time.Since(startedAt), 2*time.Second)
+}
+
 // TestRequestThatBeganBeforeAPauseIsServed guards against requests that are lost or
 // refused although the router had accepted them before a pause.
 func TestRequestThatBeganBeforeAPauseIsServed(t *testing.T) {
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -198,7 +198,7 @@
 	if server.config.OnPause == nil {
 		server.config.OnPause = func(Pause) {}
 	}
-	server.pauser = newPauser(server.config.Overloaded, server.config.OnPause)
+	server.pauser = newPauser(server.config.Overloaded, server.beginOrEndPause)
 	httpEngine, err := startHTTPEngine(nbhttp.Config{
 		Name:                    "callers",
 		Network:                 "tcp",
--- a/pkg/router/unread.go
+++ b/pkg/router/unread.go
@@ -87,6 +87,8 @@
 		requestParts.connection.unread.Store(true)
 		pauser.refused.Add(1)
 		requestParts.connection.refuseUnread(requestParts.refusal, errPaused)
+	} else if !requestParts.completed {
+		requestParts.connection.widenWindow()
 	}
 	requestParts.refusal = nil
 }
