Ask refused callers to come back after the pause

What callers saw: a router that pauses answered with Retry-After 0.05 s. Those that know no other router came back within the same pause, and their requests kept the link full.

Change: Retry-After is the longest pause, 1 s.

--- a/pkg/congestion/pauses.go
+++ b/pkg/congestion/pauses.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// maxPause is how long new callers are refused at a time, so that callers that know
+	// MaxPause is how long new callers are refused at a time, so that callers that know
 	// no other router get through now and then.
-	maxPause = time.Second
+	MaxPause = time.Second
 	// minOpen is how long new callers are served between two pauses.
 	minOpen = 200 * time.Millisecond
 )
@@ -21,7 +21,7 @@
 func (pauses *Pauses) Update(congested bool, now time.Time) bool {
 	inState := now.Sub(pauses.changedAt)
 	switch {
-	case pauses.paused && (!congested || inState >= maxPause):
+	case pauses.paused && (!congested || inState >= MaxPause):
 		pauses.paused, pauses.changedAt = false, now
 	case !pauses.paused && congested && inState >= minOpen:
 		pauses.paused, pauses.changedAt = true, now
--- a/pkg/router/pause.go
+++ b/pkg/router/pause.go
@@ -25,9 +25,9 @@
 	servedBufferBytes = 256 << 10
 )
 
-// pauseRetryAfter is the Retry-After value during a pause. It is short, since other
-// routers may serve the request at once.
-const pauseRetryAfter = 50 * time.Millisecond
+// pauseRetryAfter is the Retry-After value during a pause. The pause has ended then, and
+// callers that know no other router come back as spread as they came.
+const pauseRetryAfter = congestion.MaxPause
 
 // errPaused refuses a request during a pause.
 var errPaused = fault.New(fault.Config{
