--- a/pkg/router/pause.go
+++ b/pkg/router/pause.go
@@ -33,7 +33,7 @@
 var errPaused = fault.New(fault.Config{
 	Kind:       fault.Unavailable,
 	Message:    "this router is overloaded",
-	Remedy:     "send the request to another router",
+	Remedy:     anotherRouterRemedy,
 	RetryAfter: pauseRetryAfter,
 })
 
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -174,11 +174,14 @@
 	Outcome: fault.OutcomeUnknown,
 })
 
+// anotherRouterRemedy is the remedy of requests that this router has no room for.
+const anotherRouterRemedy = "send the request to another router"
+
 // errTooManyRequests refuses a request while as many as are allowed are running.
 var errTooManyRequests = fault.New(fault.Config{
 	Kind:       fault.Unavailable,
 	Message:    "this router runs as many requests as it may",
-	Remedy:     "send the request to another router",
+	Remedy:     anotherRouterRemedy,
 	RetryAfter: overloadRetryAfter,
 })
 
@@ -187,7 +190,7 @@
 var errTooManyConnections = fault.New(fault.Config{
 	Kind:       fault.Unavailable,
 	Message:    "this router has as many connections as it may",
-	Remedy:     "send the request to another router",
+	Remedy:     anotherRouterRemedy,
 	RetryAfter: overloadRetryAfter,
 })
 
--- a/pkg/router/unread.go
+++ b/pkg/router/unread.go
@@ -362,7 +362,7 @@
 	return fault.New(fault.Config{
 		Kind:    fault.Unavailable,
 		Message: fmt.Sprintf("the requests of all callers take too much memory; %d bytes of an incomplete one are dropped", bytes),
-		Remedy:  "send the request to another router",
+		Remedy:  anotherRouterRemedy,
 	})
 }
 
@@ -370,6 +370,6 @@
 var errRequestsTooLarge = fault.New(fault.Config{
 	Kind:       fault.Unavailable,
 	Message:    "the requests of all callers take too much memory",
-	Remedy:     "send the request to another router",
+	Remedy:     anotherRouterRemedy,
 	RetryAfter: overloadRetryAfter,
 })
