Revert refusals in place of pauses

Refusing new callers with the listening socket open cut nobody off, but refused requests still cross the full link. A caller that is refused a connection can go elsewhere at once, one that waits until its deadline can't.

--- a/pkg/router/assemble.go
+++ b/pkg/router/assemble.go
@@ -307,7 +307,6 @@
 		MaxRequests:     maxRequests,
 		MaxDeadline:     maxDeadline,
 		Overloaded:      func() bool { return builder.congestion.Congested(time.Now()) },
-		OnPause:         builder.recordPause,
 		OnUnanswered:    builder.recordUnanswered,
 		OnEnded:         builder.recordEnded,
 		Refuse:          func(writer http.ResponseWriter, _ *http.Request, err error) { builder.refuse(writer, err) },
@@ -316,12 +315,6 @@
 	return err
 }
 
-// recordPause logs that the server for callers begins or ends to refuse new ones.
-func (builder *builder) recordPause(pause Pause) {
-	delay, addresses := builder.congestion.Delay(time.Now())
-	builder.info("event", "pause", "begins", pause.Begins, "refused", pause.Refused, "delay", delay, "upstreams", addresses)
-}
-
 func (builder *builder) startControlServer(name, address string, handler http.Handler) error {
 	server, err := newControlServer(name, address, handler)
 	if err != nil {
--- a/pkg/router/callerconnection.go
+++ b/pkg/router/callerconnection.go
@@ -55,8 +55,6 @@
 	// incomplete is the number of bytes read of a request that isn't complete, and held the
 	// number of complete requests that run or wait.
 	incomplete, held atomic.Int64
-	// unread is set while the rest of a refused request is on its way.
-	unread atomic.Bool
 	// parts, lastRead, the size of the last read, completed, whether it completed a request,
 	// completedBytes, the size of the last complete request, and refusedHead, whether a
 	// header was too large, are used by the poller.
--- a/pkg/router/connectioncloser.go
+++ b/pkg/router/connectioncloser.go
@@ -116,8 +116,6 @@
 	switch {
 	case closeState.answeredAt.IsZero():
 		return false
-	case hasUnreadRest(connection) && sinceAnswer < unsentTimeout:
-		return false // a close would reset the connection, and the caller could lose the answer
 	case closeState.dropped:
 		return sinceAnswer >= unsentTimeout || !hasUnsentBytes(connection)
 	case sinceAnswer < callerCloseTimeout:
@@ -130,12 +128,6 @@
 	return sinceAnswer >= unsentTimeout || closeState.drainedSweeps >= minDrainedSweeps
 }
 
-// hasUnreadRest reports whether the rest of a refused request is on its way.
-func hasUnreadRest(connection *nbio.Conn) bool {
-	callerConnection, ok := connection.Session().(*callerConnection)
-	return ok && callerConnection.unread.Load()
-}
-
 // hasUnsentBytes reports whether the kernel's send buffer holds bytes that the
 // peer has not acknowledged. It returns true if the socket cannot be queried;
 // unsentTimeout still limits the wait.
--- a/pkg/router/connectionend.go
+++ b/pkg/router/connectionend.go
@@ -186,7 +186,7 @@
 func (callerConnection *callerConnection) noteRead() {
 	state := ReadHeader
 	switch {
-	case callerConnection.refusedHead, callerConnection.parts.dropping:
+	case callerConnection.refusedHead:
 		state = ReadWhole // is answered without the rest
 	case callerConnection.parts.headComplete:
 		state = ReadBody
--- a/pkg/router/controlserver.go
+++ b/pkg/router/controlserver.go
@@ -47,7 +47,7 @@
 		ServerExecutor:  func(run func()) { go run() }, // nbio recovers from panics of run
 		KeepaliveTime:   controlIdleTimeout,
 		NPoller:         1,
-	}, engineCallbacks{onOpen: func(connection *nbio.Conn) { setIdleTimeout(connection, controlIdleTimeout) }})
+	}, neverOverloaded, engineCallbacks{onOpen: func(connection *nbio.Conn) { setIdleTimeout(connection, controlIdleTimeout) }})
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/router/httpengine.go
+++ b/pkg/router/httpengine.go
@@ -97,10 +97,11 @@
 	onClose func(net.Conn, error)
 }
 
-// startHTTPEngine starts an HTTP engine. It returns fault.Unavailable if the engine
-// cannot listen on its address, or cannot start.
-func startHTTPEngine(config nbhttp.Config, callbacks engineCallbacks) (*httpEngine, error) {
-	listener, err := net.Listen(config.Network, config.Addrs[0])
+// startHTTPEngine starts an HTTP engine. It pauses accepting connections while
+// overloaded returns true. It returns fault.Unavailable if the engine cannot listen on
+// its address, or cannot start.
+func startHTTPEngine(config nbhttp.Config, overloaded func() bool, callbacks engineCallbacks) (*httpEngine, error) {
+	listener, err := listen(config.Network, config.Addrs[0], overloaded)
 	if err != nil {
 		return nil, fault.New(fault.Config{
 			Kind:    fault.Unavailable,
--- a/pkg/router/lost_test.go
+++ b/pkg/router/lost_test.go
@@ -2,15 +2,53 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
+// TestPauseKeepsWaitingConnections guards against whole requests that get neither an
+// answer nor a refusal because a router pauses accepting: connections that the kernel
+// has opened before must not be reset.
+func TestPauseKeepsWaitingConnections(t *testing.T) {
+	const waiting = 5
+	listener, err := listen("tcp", "127.0.0.1:0", neverOverloaded)
+	require.NoError(t, err)
+	defer listener.Close()
+	var connections []net.Conn
+	for range waiting {
+		connection, err := net.Dial("tcp", listener.Addr().String())
+		require.NoError(t, err)
+		defer connection.Close()
+		_, err = io.WriteString(connection, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		connections = append(connections, connection)
+	}
+	listener.setPaused(true)
+	reset := 0
+	for _, connection := range connections {
+		require.NoError(t, connection.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+		if _, err := connection.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+			reset++
+		}
+	}
+	require.Zero(t, reset, "of %d connections", waiting)
+	for range waiting {
+		connection, err := listener.Accept()
+		require.NoError(t, err)
+		line, err := bufio.NewReader(connection).ReadString('\n')
+		require.NoError(t, err)
+		require.Equal(t, "GET / HTTP/1.1\r\n", line)
+		require.NoError(t, connection.Close())
+	}
+}
+
 // TestRequestBehindTheLastAnswerEndsSoon guards against a whole request that was sent
 // behind another one, is never answered because the answer to that one closes the
 // connection, and whose caller isn't told for longer than a request may be lost.
--- a/pkg/router/roundlistener.go
+++ b/pkg/router/roundlistener.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
@@ -74,15 +73,6 @@
 	roundListener.accepted <- acceptResult{connection: connection}
 }
 
-// SyscallConn gives access to the listening socket.
-func (roundListener *roundListener) SyscallConn() (syscall.RawConn, error) {
-	socket, ok := roundListener.Listener.(syscall.Conn)
-	if !ok {
-		return nil, errors.ErrUnsupported
-	}
-	return socket.SyscallConn()
-}
-
 // Accept returns the next connection. It returns net.ErrClosed when the listener is
 // closed and all accepted connections have been returned.
 func (roundListener *roundListener) Accept() (net.Conn, error) {
--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -76,12 +76,9 @@
 	// deadline for the writing of an answer with http.ResponseController.
 	MaxDeadline time.Duration
 	// Overloaded reports whether callers should use other routers: the server then
-	// pauses, in which it refuses new callers (pause.go), and closes the connections of
-	// others after their next answer. Nil means never.
+	// pauses accepting connections, and closes open ones after their next answer. Nil
+	// means never.
 	Overloaded func() bool
-	// OnPause receives the begin and the end of each pause; nil ignores them. It must not
-	// block.
-	OnPause func(Pause)
 	// CancelTimeout is how long a shutdown waits for the answers of requests that
 	// it cancelled; zero means 5 s.
 	CancelTimeout time.Duration
@@ -106,7 +103,6 @@
 	// descriptors are the last uses of the connections' descriptors.
 	descriptors descriptorUses
 	closer      *connectionCloser
-	pauser      *pauser
 	// unsent is the number of bytes that all connections hold unsent.
 	unsent atomic.Int64
 	// requestBytes is the size of the requests that all connections hold.
@@ -230,10 +226,6 @@
 	if server.config.OnEnded == nil {
 		server.config.OnEnded = ignoreEnded
 	}
-	if server.config.OnPause == nil {
-		server.config.OnPause = func(Pause) {}
-	}
-	server.pauser = newPauser(server.config.Overloaded, server.beginOrEndPause)
 	httpEngine, err := startHTTPEngine(nbhttp.Config{
 		Name:                    "callers",
 		Network:                 "tcp",
@@ -247,7 +239,7 @@
 		ServerExecutor:          func(run func()) { go run() }, // nbio recovers from panics of run
 		KeepaliveTime:           config.MaxDeadline + idleTimeoutMargin,
 		ReleaseWebsocketPayload: true,
-	}, engineCallbacks{onOpen: server.addConnection, onSent: recordSent, onClose: server.reportClosed})
+	}, server.config.Overloaded, engineCallbacks{onOpen: server.addConnection, onSent: recordSent, onClose: server.reportClosed})
 	if err != nil {
 		return nil, err
 	}
@@ -260,7 +252,6 @@
 			case <-server.stop:
 				return
 			case now := <-ticker.C:
-				server.pauser.update(now)
 				server.cancelDisconnected()
 				server.closer.sweep(now)
 			}
--- a/pkg/router/unread.go
+++ b/pkg/router/unread.go
@@ -48,21 +48,12 @@
 	begun, headComplete bool
 	// contentLength is the stated length of the body; negative without one.
 	contentLength int64
-	// completed is set once the connection has had a request.
-	completed bool
-	// refusal is the header of a request that is refused if the server still pauses at
-	// its end; nil for another one. dropping is set while the rest of it is read.
-	refusal  *http.Request
-	dropping bool
 }
 
 // OnMethod notes the begin of a request.
 func (requestParts *requestParts) OnMethod(parser *nbhttp.Parser, method string) {
 	requestParts.bytes += int64(len(method))
 	requestParts.begun = true
-	if !requestParts.completed && requestParts.connection.server.pauser.paused.Load() {
-		requestParts.refusal = requestParts.connection.newRefusedRequest(method)
-	}
 	requestParts.Processor.OnMethod(parser, method)
 }
 
@@ -75,58 +66,26 @@
 // OnHeader counts a header field.
 func (requestParts *requestParts) OnHeader(parser *nbhttp.Parser, key, value string) {
 	requestParts.bytes += int64(len(key) + len(value) + headerFieldOverhead)
-	if requestParts.refusal != nil {
-		requestParts.refusal.Header.Add(key, value)
-	}
 	requestParts.Processor.OnHeader(parser, key, value)
 }
 
-// OnContentLength notes the end of the header. While the server pauses, it refuses the
-// request.
+// OnContentLength notes the end of the header.
 func (requestParts *requestParts) OnContentLength(parser *nbhttp.Parser, length int) {
 	requestParts.bytes += int64(len("\r\n"))
 	requestParts.headComplete, requestParts.contentLength = true, int64(length)
 	requestParts.Processor.OnContentLength(parser, length)
-	pauser := requestParts.connection.server.pauser
-	if requestParts.refusal != nil && pauser.paused.Load() {
-		requestParts.dropping = true
-		requestParts.connection.unread.Store(true)
-		pauser.refused.Add(1)
-		refusal := requestParts.refusal
-		requestParts.connection.Execute(func() { requestParts.connection.refuseUnread(refusal, errPaused) })
-	} else if !requestParts.completed {
-		requestParts.connection.widenWindow()
-	}
-	requestParts.refusal = nil
 }
 
 // OnBody counts the body or a chunk of it.
 func (requestParts *requestParts) OnBody(parser *nbhttp.Parser, data []byte) error {
 	requestParts.bytes += int64(len(data))
-	if requestParts.dropping {
-		return nil
-	}
 	return requestParts.Processor.OnBody(parser, data)
 }
 
-// OnTrailerHeader passes on a trailer, unless the request is refused.
-func (requestParts *requestParts) OnTrailerHeader(parser *nbhttp.Parser, key, value string) {
-	if !requestParts.dropping {
-		requestParts.Processor.OnTrailerHeader(parser, key, value)
-	}
-}
-
-// OnComplete hands the request over to the connection's goroutine, unless it is refused.
+// OnComplete hands the request over to the connection's goroutine.
 func (requestParts *requestParts) OnComplete(parser *nbhttp.Parser) {
 	requestParts.connection.completeRequest(requestParts.bytes)
-	requestParts.bytes, requestParts.begun, requestParts.headComplete, requestParts.completed = 0, false, false, true
-	if requestParts.dropping {
-		requestParts.dropping = false
-		requestParts.connection.unread.Store(false)
-		requestParts.Clean(parser)
-		return
-	}
-	requestParts.connection.wholeRequests.Add(1)
+	requestParts.bytes, requestParts.begun, requestParts.headComplete = 0, false, false
 	requestParts.Processor.OnComplete(parser)
 }
 
@@ -158,8 +117,8 @@
 		callerConnection.setIncomplete(0)
 		return err
 	}
-	if callerConnection.completed && !callerConnection.parts.begun || callerConnection.parts.dropping {
-		callerConnection.setIncomplete(0) // the sizes of the parts are only estimates, and what is dropped isn't held
+	if callerConnection.completed && !callerConnection.parts.begun {
+		callerConnection.setIncomplete(0) // the sizes of the parts are only estimates
 	}
 	server := callerConnection.server
 	if !callerConnection.parts.headComplete && callerConnection.incomplete.Load() > int64(headFactor*server.config.MaxHeaderBytes) {
@@ -212,6 +171,7 @@
 	rest := callerConnection.incomplete.Load() - bytes
 	callerConnection.setIncomplete(max(0, min(rest, callerConnection.lastRead)))
 	callerConnection.completed, callerConnection.completedBytes = true, bytes
+	callerConnection.wholeRequests.Add(1)
 	callerConnection.readState.Store(ReadWhole)
 }
 
@@ -243,9 +203,7 @@
 // the answers to earlier requests.
 func (callerConnection *callerConnection) refuseHead() {
 	callerConnection.refusedHead = true
-	callerConnection.Execute(func() {
-		callerConnection.refuseUnread(callerConnection.newRefusedRequest(http.MethodGet), headerTooLarge(callerConnection.server.config.MaxHeaderBytes))
-	})
+	callerConnection.Execute(func() { callerConnection.refuseUnread(headerTooLarge(callerConnection.server.config.MaxHeaderBytes)) })
 }
 
 // drop refuses an incomplete request for which there is no room, and reports it.
@@ -267,25 +225,20 @@
 	callerConnection.setIncomplete(0)
 	return callerConnection.Execute(func() {
 		callerConnection.parser.CloseAndClean(err)
-		if !callerConnection.refuseUnread(callerConnection.newRefusedRequest(http.MethodGet), err) {
+		if !callerConnection.refuseUnread(err) {
 			_ = callerConnection.CloseWithError(err) // an error means that it is closed already
 		}
 	})
 }
 
-// newRefusedRequest returns a request without a header, for an answer to one that isn't
-// read completely.
-func (callerConnection *callerConnection) newRefusedRequest(method string) *http.Request {
-	return &http.Request{
-		Method: method, URL: &url.URL{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Close: true,
-		RemoteAddr: callerConnection.RemoteAddr().String(),
-	}
-}
-
 // refuseUnread refuses a request that wasn't read whole and closes the connection after
 // it. It reports false if an earlier answer was the connection's last.
-func (callerConnection *callerConnection) refuseUnread(request *http.Request, err error) bool {
+func (callerConnection *callerConnection) refuseUnread(err error) bool {
 	server := callerConnection.server
+	request := &http.Request{
+		Method: http.MethodGet, URL: &url.URL{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Close: true,
+		RemoteAddr: callerConnection.RemoteAddr().String(),
+	}
 	response := nbhttp.NewResponse(callerConnection.parser, request)
 	if !server.closer.beginRequest(callerConnection.Conn, response, request) {
 		return false
