Keep the platform's connections within its descriptors, those above the limit included

Refusing requests on connections above the limit let each server open 512 more, so that 3,500 callers and those left none of 3,900 descriptors for upstreams. At most 256 are open now, and the platform's limit is 3,500 with them.

--- a/pkg/router/server.go
+++ b/pkg/router/server.go
@@ -39,9 +39,9 @@
 	// before nbhttp closes the connection, so that a caller whose body is too large
 	// gets an error answer.
 	bodyReadFactor = 8
-	// maxSurplusConnections is how many connections above MaxConnections are open at a time
+	// MaxSurplusConnections is how many connections above MaxConnections are open at a time
 	// to refuse their requests.
-	maxSurplusConnections = 512
+	MaxSurplusConnections = 256
 	// overloadRetryAfter is the Retry-After value while the server runs as many requests
 	// as it may.
 	overloadRetryAfter = 500 * time.Millisecond
@@ -232,7 +232,7 @@
 		Addrs:                   []string{config.Address},
 		Handler:                 server,
 		OnRequest:               noteParsed,
-		MaxLoad:                 config.MaxConnections + maxSurplusConnections,
+		MaxLoad:                 config.MaxConnections + MaxSurplusConnections,
 		MaxHTTPBodySize:         int(config.MaxBodyBytes) * bodyReadFactor,
 		ReadLimit:               config.MaxHeaderBytes + int(config.MaxBodyBytes)*bodyReadFactor,
 		MaxWriteBufferSize:      2 * maxUnsentPerConnection,    // not reached, as writes wait before
