--- a/review/peers/endlesshead.go
+++ b/review/peers/endlesshead.go
@@ -11,12 +11,8 @@
 )
 
 const (
-	// llmRunners and deskRunners are those of the sheet, and troubledLLM and troubledDesk
-	// those in trouble: no more than three fifths.
-	llmRunners, deskRunners   = 9, 3
-	troubledLLM, troubledDesk = 9, 0
-	troubleAfter, troubleFor  = 3 * time.Second, 5 * time.Second
-	trafficFor                = 12 * time.Second
+	// troubleFor is how long the runners are in trouble, the length of the users' garble.
+	troubleFor = 5 * time.Second
 	// headBurstBytes are sent at once of a head without end; then a field follows each
 	// headPause.
 	headBurstBytes = 60 << 10
@@ -49,19 +45,8 @@
 		}
 		return false
 	}
-	for _, pool := range []struct {
-		name                   string
-		count, troubled, slots int
-	}{{llm, llmRunners, troubledLLM, 64}, {desk, deskRunners, troubledDesk, 6}} {
-		for number := range pool.count {
-			serve := serveSound
-			if number < pool.troubled {
-				serve = serveEndless
-			}
-			if _, err := stage.newRunner(fmt.Sprintf("i-%s-%d", pool.name, number), pool.name, pool.slots, serve); err != nil {
-				return false, err
-			}
-		}
+	if err := stage.newRunners(serveSound, serveEndless, llmRunners, 0); err != nil {
+		return false, err
 	}
 	router, err := stage.startRouter(1)
 	if err != nil {
--- a/review/peers/main.go
+++ b/review/peers/main.go
@@ -24,7 +24,10 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(arguments []string) int {
-	cases := map[string]runCase{"endless-heads": runEndlessHeads}
+	cases := map[string]runCase{
+		"endless-heads": runEndlessHeads, "nameless-failures": runNamelessFailures, "odd-paths": runOddPaths,
+		"released-line-ends": runReleasedLineEnds, "crowd": runCrowd,
+	}
 	if len(arguments) != 1 || cases[arguments[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage, in the folder of the case: review-peers CASE")
 		return exitNotRun
--- a/review/peers/stage.go
+++ b/review/peers/stage.go
@@ -27,9 +27,11 @@
 	directoryPort = 7003
 	program       = "target/wisterialb"
 	// root is the root of the repository, as seen from the folder of a case.
-	root         = "../.."
-	recordName   = "record.txt"
-	startTimeout = 20 * time.Second
+	root       = "../.."
+	recordName = "record.txt"
+	// maxDescriptors are those of the sheet without the ones that are reserved for files.
+	maxDescriptors = 3900
+	startTimeout   = 20 * time.Second
 )
 
 const settingsTemplate = `nodeName=edge-%[1]d
@@ -156,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	process := exec.Command(program, "edge")
+	process := exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s edge", maxDescriptors, program)) //nolint:gosec // constants
 	process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "WISTERIALB_SETTINGS=" + router.settings}
 	process.Dir = root // where the platform starts it, too
 	process.Stdout, process.Stderr = output, output
@@ -213,21 +215,24 @@
 	return 0
 }
 
-// runner is a server of a service, on a raw listener. serve answers one request and
-// reports whether the connection goes on.
+// serveRequest answers a request of a connection and reports whether the connection goes
+// on.
+type serveRequest func(runner *runner, connection net.Conn, request *http.Request, body []byte) bool
+
+// runner is a server of a service, on a raw listener.
 type runner struct {
 	id, service string
 	born        int64
 	listener    net.Listener
-	serve       func(runner *runner, connection net.Conn, request *http.Request, body []byte) bool
+	serve       serveRequest
 	connections sync.Map
 }
 
 // newRunner starts a runner and registers it in the store.
-func (stage *stage) newRunner(id, service string, slots int, serve func(*runner, net.Conn, *http.Request, []byte) bool) (*runner, error) {
+func (stage *stage) newRunner(id, service string, slots int, serve serveRequest) error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return err
 	}
 	runner := &runner{id: id, service: service, born: time.Now().UnixMilli(), listener: listener, serve: serve}
 	stage.runners = append(stage.runners, runner)
@@ -242,7 +247,7 @@
 			go runner.run(connection)
 		}
 	}()
-	return runner, nil
+	return nil
 }
 
 func (runner *runner) run(connection net.Conn) {
--- a/review/peers/traffic.go
+++ b/review/peers/traffic.go
@@ -10,6 +10,14 @@
 	"time"
 )
 
+const (
+	// Numbers and slots of runners are those of the sheet.
+	llmRunners, deskRunners = 9, 3
+	llmSlots, deskSlots     = 64, 6
+	// troubleAfter is when a disruption begins, and trafficFor how long clients send.
+	troubleAfter, trafficFor = 3 * time.Second, 12 * time.Second
+)
+
 // class is a kind of request of the sheet of kitahama-lb.
 type class struct {
 	name, method, target string
@@ -64,13 +72,19 @@
 	address string
 	nextID  atomic.Uint64
 	sending sync.WaitGroup
+	// check receives each answer with the ID of its request.
+	check func(id string, answer answer)
+	// target returns the target of a request.
+	target func(class class, id uint64) string
 
 	mutex  sync.Mutex
 	counts map[string]int
 }
 
 func newTraffic(stage *stage, address string) *traffic {
-	return &traffic{stage: stage, address: address, counts: make(map[string]int)}
+	return &traffic{
+		stage: stage, address: address, counts: make(map[string]int), check: func(string, answer) {}, target: func(class class, _ uint64) string { return class.target },
+	}
 }
 
 // run sends for the duration and waits for the answers.
@@ -95,11 +109,13 @@
 
 func (traffic *traffic) send(class class) {
 	id := traffic.nextID.Add(1)
+	class.target = traffic.target(class, id)
 	answer := class.request(id).send(traffic.address)
 	result := fmt.Sprintf("%d", answer.status)
 	if answer.err != nil {
 		result = "no complete answer"
 	}
+	traffic.check(fmt.Sprintf("%016x", id), answer)
 	traffic.mutex.Lock()
 	traffic.counts[class.name+" "+result]++
 	traffic.mutex.Unlock()
@@ -109,18 +125,26 @@
 // serveSound answers as a sound runner does: a stream with the events of the class, or a
 // body.
 func serveSound(runner *runner, connection net.Conn, request *http.Request, _ []byte) bool {
+	class, ok := classOf(request)
+	if !ok {
+		return false
+	}
+	if class.events > 0 {
+		return serveStream(runner, connection, request, class.events)
+	}
+	time.Sleep(30 * time.Millisecond)
+	_, err := fmt.Fprintf(connection, "%s%s", runner.head("200 OK", request, "Content-Length: 800"), strings.Repeat("a", 800))
+	return err == nil
+}
+
+// classOf returns the class of a request by its path.
+func classOf(request *http.Request) (class, bool) {
 	for _, class := range classes() {
-		if class.target != request.URL.Path {
-			continue
-		}
-		if class.events == 0 {
-			time.Sleep(30 * time.Millisecond)
-			_, err := fmt.Fprintf(connection, "%s%s", runner.head("200 OK", request, "Content-Length: 800"), strings.Repeat("a", 800))
-			return err == nil
+		if strings.HasPrefix(request.URL.Path, class.target) {
+			return class, true
 		}
-		return serveStream(runner, connection, request, class.events)
 	}
-	return false
+	return class{}, false
 }
 
 func serveStream(runner *runner, connection net.Conn, request *http.Request, events int) bool {
@@ -141,3 +165,23 @@
 	_, err := fmt.Fprint(connection, "0\r\n\r\n")
 	return err == nil
 }
+
+// newRunners starts the runners of the sheet. The first ones of each service, of the given
+// numbers, serve in the second way.
+func (stage *stage) newRunners(serve, serveFirst serveRequest, firstLLM, firstDesk int) error {
+	for _, pool := range []struct {
+		name                string
+		count, first, slots int
+	}{{llm, llmRunners, firstLLM, llmSlots}, {desk, deskRunners, firstDesk, deskSlots}} {
+		for number := range pool.count {
+			serveRequest := serve
+			if number < pool.first {
+				serveRequest = serveFirst
+			}
+			if err := stage.newRunner(fmt.Sprintf("i-%s-%d", pool.name, number), pool.name, pool.slots, serveRequest); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
