--- a/review/peers/main.go
+++ b/review/peers/main.go
@@ -25,8 +25,8 @@
 
 func run(arguments []string) int {
 	cases := map[string]runCase{
-		"endless-heads": runEndlessHeads, "nameless-failures": runNamelessFailures, "odd-paths": runOddPaths,
-		"released-line-ends": runReleasedLineEnds, "crowd": runCrowd,
+		"endless-heads": runEndlessHeads, "nameless-failures": runNamelessFailures,
+		"released-line-ends": runReleasedLineEnds, "crowd": runCrowd, "head-refusals": runHeadRefusals,
 	}
 	if len(arguments) != 1 || cases[arguments[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage, in the folder of the case: review-peers CASE")
--- a/review/peers/traffic.go
+++ b/review/peers/traffic.go
@@ -74,8 +74,6 @@
 	sending sync.WaitGroup
 	// check receives each answer with the ID of its request.
 	check func(id string, answer answer)
-	// target returns the target of a request.
-	target func(class class, id uint64) string
 
 	mutex  sync.Mutex
 	counts map[string]int
@@ -83,7 +81,7 @@
 
 func newTraffic(stage *stage, address string) *traffic {
 	return &traffic{
-		stage: stage, address: address, counts: make(map[string]int), check: func(string, answer) {}, target: func(class class, _ uint64) string { return class.target },
+		stage: stage, address: address, counts: make(map[string]int), check: func(string, answer) {},
 	}
 }
 
@@ -109,7 +107,6 @@
 
 func (traffic *traffic) send(class class) {
 	id := traffic.nextID.Add(1)
-	class.target = traffic.target(class, id)
 	answer := class.request(id).send(traffic.address)
 	result := fmt.Sprintf("%d", answer.status)
 	if answer.err != nil {
