--- a/review/peers/lineends.go
+++ b/review/peers/lineends.go
@@ -42,7 +42,7 @@
 	}()
 	traffic := newTraffic(stage, router.front())
 	var whole, wrong atomic.Int64
-	traffic.check = func(id string, answer answer) {
+	traffic.check = func(_ class, id string, answer answer) {
 		switch {
 		case answer.status != http.StatusOK || answer.err != nil:
 		case ledger.gaveBody(id, string(answer.body)):
--- a/review/peers/stage.go
+++ b/review/peers/stage.go
@@ -76,6 +76,8 @@
 	store     *standin.Store
 	routers   []*router
 	runners   []*runner
+	// children are other processes of the case.
+	children []*exec.Cmd
 
 	mutex  sync.Mutex
 	record *os.File
@@ -110,6 +112,10 @@
 	for _, runner := range stage.runners {
 		runner.stop()
 	}
+	for _, child := range stage.children {
+		_ = child.Process.Kill() // it may have ended
+		_ = child.Wait()
+	}
 	stage.store.Close()
 	_ = os.RemoveAll(stage.directory)
 	_ = stage.record.Close()
@@ -237,19 +243,22 @@
 	runner := &runner{id: id, service: service, born: time.Now().UnixMilli(), listener: listener, serve: serve}
 	stage.runners = append(stage.runners, runner)
 	stage.store.Put("servers", id, runner.entry("ready", slots))
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			runner.connections.Store(connection, true)
-			go runner.run(connection)
-		}
-	}()
+	go serveAll(runner)
 	return nil
 }
 
+// serveAll serves all connections of a runner until its listener is closed.
+func serveAll(runner *runner) {
+	for {
+		connection, err := runner.listener.Accept()
+		if err != nil {
+			return
+		}
+		runner.connections.Store(connection, true)
+		go runner.run(connection)
+	}
+}
+
 func (runner *runner) run(connection net.Conn) {
 	defer runner.connections.Delete(connection)
 	defer connection.Close()
