--- a/review/peers/failure.go
+++ b/review/peers/failure.go
@@ -67,7 +67,7 @@
 	}
 	traffic := newTraffic(stage, router.front())
 	var wrong atomic.Int64
-	traffic.check = func(_ class, id string, answer answer) {
+	traffic.check = func(id string, answer answer) {
 		if answer.status == http.StatusOK && !ledger.gave(id, http.StatusOK) {
 			wrong.Add(1)
 			stage.note("client gets %d with the seal %q and the body %q for %s, which a runner failed with %d",
--- a/review/peers/ledger.go
+++ b/review/peers/ledger.go
@@ -37,15 +37,3 @@
 	}
 	return false
 }
-
-// gaveBody reports whether a runner gave the whole body to the request.
-func (ledger *ledger) gaveBody(id, body string) bool {
-	ledger.mutex.Lock()
-	defer ledger.mutex.Unlock()
-	for _, answered := range ledger.answers[id] {
-		if answered.body == body {
-			return true
-		}
-	}
-	return false
-}
--- a/review/peers/main.go
+++ b/review/peers/main.go
@@ -26,13 +26,7 @@
 func run(arguments []string) int {
 	cases := map[string]runCase{
 		"endless-heads": runEndlessHeads, "nameless-failures": runNamelessFailures,
-		"released-line-ends": runReleasedLineEnds, "crowd": runCrowd, "crashes": runCrashes,
-	}
-	if len(arguments) == 2 && arguments[0] == runnerCommand {
-		if err := runRunner(arguments[1]); err != nil {
-			return exitNotRun
-		}
-		return exitHeld
+		"crowd": runCrowd, "silences": runSilences, "head-refusals": runHeadRefusals,
 	}
 	if len(arguments) != 1 || cases[arguments[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage, in the folder of the case: review-peers CASE")
--- a/review/peers/stage.go
+++ b/review/peers/stage.go
@@ -76,8 +76,6 @@
 	store     *standin.Store
 	routers   []*router
 	runners   []*runner
-	// children are other processes of the case.
-	children []*exec.Cmd
 
 	mutex  sync.Mutex
 	record *os.File
@@ -112,10 +110,6 @@
 	for _, runner := range stage.runners {
 		runner.stop()
 	}
-	for _, child := range stage.children {
-		_ = child.Process.Kill() // it may have ended
-		_ = child.Wait()
-	}
 	stage.store.Close()
 	_ = os.RemoveAll(stage.directory)
 	_ = stage.record.Close()
--- a/review/peers/traffic.go
+++ b/review/peers/traffic.go
@@ -73,7 +73,7 @@
 	nextID  atomic.Uint64
 	sending sync.WaitGroup
 	// check receives each answer with the ID of its request.
-	check func(class class, id string, answer answer)
+	check func(id string, answer answer)
 
 	mutex  sync.Mutex
 	counts map[string]int
@@ -81,7 +81,7 @@
 
 func newTraffic(stage *stage, address string) *traffic {
 	return &traffic{
-		stage: stage, address: address, counts: make(map[string]int), check: func(class, string, answer) {},
+		stage: stage, address: address, counts: make(map[string]int), check: func(string, answer) {},
 	}
 }
 
@@ -112,7 +112,7 @@
 	if answer.err != nil {
 		result = "no complete answer"
 	}
-	traffic.check(class, fmt.Sprintf("%016x", id), answer)
+	traffic.check(fmt.Sprintf("%016x", id), answer)
 	traffic.mutex.Lock()
 	traffic.counts[class.name+" "+result]++
 	traffic.mutex.Unlock()
