--- a/review/peers/crowd.go
+++ b/review/peers/crowd.go
@@ -108,8 +108,8 @@
 func serveFull(runner *runner, connection net.Conn, request *http.Request, running *atomic.Int64) bool {
 	defer running.Add(-1)
 	if running.Add(1) > llmSlots+engineQueue {
-		_, err := fmt.Fprintf(connection, "HTTP/1.1 503 Service Unavailable\r\nWisterialb-Attempt-Id: %s\r\nWisterialb-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-			request.Header.Get("Wisterialb-Attempt-Id"))
+		_, err := fmt.Fprintf(connection, "HTTP/1.1 503 Service Unavailable\r\nWisterialb-Attempt-Id: %s\r\n%sWisterialb-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+			request.Header.Get("Wisterialb-Attempt-Id"), runner.load())
 		return err == nil
 	}
 	head := runner.head("200 OK", request, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
--- a/review/peers/silence.go
+++ b/review/peers/silence.go
@@ -14,8 +14,10 @@
 	// silenceFor is how long a runner falls silent, silenceEvery the time between the begins
 	// of two silences, and silenceTimes their number.
 	silenceFor   = 1500 * time.Millisecond
-	silenceEvery = 4 * time.Second
-	silenceTimes = 4
+	silenceEvery = 3 * time.Second
+	silenceTimes = 9
+	// workingOn is the number of model runners that work on when a channel closes.
+	workingOn = 3
 	// overlapLimit is how long a runner may still work on a request that goes on at another.
 	overlapLimit = 400 * time.Millisecond
 	eventTime    = 20 * time.Millisecond
@@ -94,13 +96,19 @@
 	}
 }
 
-// runSilences lets one runner, which works on when a channel closes, fall silent now and
-// then, and looks for requests that run at two runners.
+// runSilences lets the runners that work on when a channel closes fall silent in turn, and
+// looks for requests that run at two runners.
 func runSilences(stage *stage, trouble bool) (bool, error) {
 	stage.store.Put("op", "config", mustJSON(newConfiguration(1<<40)))
 	workbook := &workbook{works: make(map[string][]*work)}
-	silence, never := &silence{}, &silence{}
-	if err := stage.newRunners(serveWork(workbook, never, true), serveWork(workbook, silence, false), 1, 0); err != nil {
+	never, silences := &silence{}, make(map[string]*silence, workingOn)
+	for number := range workingOn {
+		silences[workingOnID(number)] = &silence{}
+	}
+	serveOn := func(runner *runner, connection net.Conn, request *http.Request, body []byte) bool {
+		return serveWork(workbook, silences[runner.id], false)(runner, connection, request, body)
+	}
+	if err := stage.newRunners(serveWork(workbook, never, true), serveOn, workingOn, 0); err != nil {
 		return false, err
 	}
 	router, err := stage.startRouter(1)
@@ -112,8 +120,9 @@
 			break
 		}
 		time.AfterFunc(troubleAfter+time.Duration(number)*silenceEvery, func() {
-			stage.note("runner i-%s-0 falls silent for %d ms", llm, silenceFor.Milliseconds())
-			silence.begin(silenceFor)
+			id := workingOnID(number % workingOn)
+			stage.note("runner %s falls silent for %d ms", id, silenceFor.Milliseconds())
+			silences[id].begin(silenceFor)
 		})
 	}
 	traffic := newTraffic(stage, router.front())
@@ -125,6 +134,8 @@
 	return overlaps > 0, nil
 }
 
+func workingOnID(number int) string { return fmt.Sprintf("i-%s-%d", llm, number) }
+
 // serveWork answers streams. A runner that drops ends a run when its channel closes.
 func serveWork(workbook *workbook, silence *silence, drops bool) serveRequest {
 	return func(runner *runner, connection net.Conn, request *http.Request, body []byte) bool {
--- a/review/peers/stage.go
+++ b/review/peers/stage.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gitlab.com/wisterialb/wisterialb/platform/standin"
@@ -226,6 +227,9 @@
 	listener    net.Listener
 	serve       serveRequest
 	connections sync.Map
+	slots       int
+	// running counts the requests that the runner has.
+	running atomic.Int64
 }
 
 // newRunner starts a runner and registers it in the store.
@@ -234,7 +238,7 @@
 	if err != nil {
 		return err
 	}
-	runner := &runner{id: id, service: service, born: time.Now().UnixMilli(), listener: listener, serve: serve}
+	runner := &runner{id: id, service: service, born: time.Now().UnixMilli(), listener: listener, slots: slots, serve: serve}
 	stage.runners = append(stage.runners, runner)
 	stage.store.Put("servers", id, runner.entry("ready", slots))
 	go serveAll(runner)
@@ -270,7 +274,10 @@
 			fmt.Fprintf(connection, "HTTP/1.1 421 Misdirected Request\r\nWisterialb-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", runner.id)
 			continue
 		}
-		if !runner.serve(runner, connection, request, body) {
+		runner.running.Add(1)
+		goesOn := runner.serve(runner, connection, request, body)
+		runner.running.Add(-1)
+		if !goesOn {
 			return
 		}
 	}
@@ -296,10 +303,16 @@
 	})
 }
 
+// load returns the header that states the running and the waiting requests, and the slots.
+func (runner *runner) load() string {
+	running := int(runner.running.Load())
+	return fmt.Sprintf("Wisterialb-Server-Load: %d,%d,%d\r\n", min(running, runner.slots), max(running-runner.slots, 0), runner.slots)
+}
+
 // head returns the head of an answer to the request with the given extra lines.
 func (runner *runner) head(status string, request *http.Request, lines ...string) string {
 	head := "HTTP/1.1 " + status + "\r\nWisterialb-Attempt-Id: " + request.Header.Get("Wisterialb-Attempt-Id") +
-		"\r\nWisterialb-Server-Seal: seal-of-" + runner.id + "\r\nWisterialb-Server-Load: 1,0,64\r\n"
+		"\r\nWisterialb-Server-Seal: seal-of-" + runner.id + "\r\n" + runner.load()
 	if len(lines) > 0 {
 		head += strings.Join(lines, "\r\n") + "\r\n"
 	}
