--- a/review/peers/crowd.go
+++ b/review/peers/crowd.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -49,8 +50,15 @@
 	return strings.Repeat(request.text(), crowdAhead)
 }
 
+// needDescriptors is how many descriptors the clients and the runners of a crowd need here.
+const needDescriptors = 3*crowdClients + 500
+
 // runCrowd lets many clients send requests ahead and read no answer.
 func runCrowd(stage *stage, trouble bool) (bool, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < needDescriptors {
+		return false, fmt.Errorf("the case needs %d descriptors", needDescriptors)
+	}
 	stage.store.Put("op", "config", mustJSON(newConfiguration(1<<50)))
 	var running sync.Map
 	serve := func(runner *runner, connection net.Conn, request *http.Request, body []byte) bool {
--- a/review/peers/main.go
+++ b/review/peers/main.go
@@ -8,6 +8,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes.
@@ -38,6 +40,14 @@
 		return exitNotRun
 	}
 	defer stage.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		stage.note("the case was stopped")
+		stage.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := cases[arguments[0]](stage, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
