--- a/review/peers/crowd.go
+++ b/review/peers/crowd.go
@@ -21,8 +21,8 @@
 	crowdAhead = 2
 	crowdStay  = 10 * time.Second
 	// crowdFields are header fields of a request besides the usual ones, and crowdParts
-	// the parts of its prompt. Its header has less than 4 KB of the 16 KB allowed.
-	crowdFields, crowdParts = 58, 200
+	// the parts of its prompt. Its header has 3 KB of the 16 KB allowed.
+	crowdFields, crowdParts = 58, 400
 	// engineQueue is how many requests a runner queues, and eventPause the time between two
 	// events of a full runner.
 	engineQueue = 192
