--- a/review/peers/failure.go
+++ b/review/peers/failure.go
@@ -13,16 +13,22 @@
 	// failingShare is the share of its requests that a grey runner fails, for greyFor.
 	failingShare = 0.4
 	greyFor      = 6500 * time.Millisecond
+	// greyEvery is the time between the begins of two disruptions, and greyTimes their
+	// number. They hit the runners in turn.
+	greyEvery = 7 * time.Second
+	greyTimes = 11
 	// failureStatus is a server error without a registered name.
 	failureStatus = 529
 	failureBody   = "overloaded, not recorded"
 	greySeed      = 48
 )
 
-// runNamelessFailures lets the runners of the plain service fail a part of their requests, and compares the answers of clients with those of the runners.
+// runNamelessFailures lets one runner of the plain service after the other fail a part of
+// its requests for a while, and compares the answers of clients with those of the runners.
 func runNamelessFailures(stage *stage, trouble bool) (bool, error) {
 	stage.store.Put("op", "config", mustJSON(newConfiguration(1<<40)))
-	var inTrouble atomic.Bool
+	var greyRunner atomic.Value
+	greyRunner.Store("")
 	ledger := newLedger()
 	random := rand.New(rand.NewPCG(greySeed, greySeed))
 	fails := make(chan bool)
@@ -36,7 +42,7 @@
 		return serveSound(runner, connection, request, body)
 	}
 	serveGrey := func(runner *runner, connection net.Conn, request *http.Request, body []byte) bool {
-		if !inTrouble.Load() || !<-fails {
+		if greyRunner.Load() != runner.id || !<-fails {
 			return serve(runner, connection, request, body)
 		}
 		ledger.add(request, failureStatus, failureBody)
@@ -51,9 +57,13 @@
 	if err != nil {
 		return false, err
 	}
-	if trouble {
-		time.AfterFunc(troubleAfter, func() { inTrouble.Store(true) })
-		time.AfterFunc(troubleAfter+greyFor, func() { inTrouble.Store(false) })
+	for number := range greyTimes {
+		if !trouble {
+			break
+		}
+		begin := troubleAfter + time.Duration(number)*greyEvery
+		time.AfterFunc(begin, func() { greyRunner.Store(fmt.Sprintf("i-%s-%d", desk, number%deskRunners)) })
+		time.AfterFunc(begin+greyFor, func() { greyRunner.Store("") })
 	}
 	traffic := newTraffic(stage, router.front())
 	var wrong atomic.Int64
@@ -64,7 +74,7 @@
 				answer.status, answer.header.Get("Wisterialb-Server-Seal"), answer.body, id, failureStatus)
 		}
 	}
-	traffic.run(trafficFor)
+	traffic.run(troubleAfter + greyTimes*greyEvery)
 	stage.note("answers: %v", traffic.counts)
 	stage.note("%d failures of runners became successes", wrong.Load())
 	return wrong.Load() > 0, nil
