--- a/review/peers/crowd.go
+++ b/review/peers/crowd.go
@@ -19,7 +19,9 @@
 	// crowdAhead is how many requests a client sends without reading an answer, and
 	// crowdStay how long it stays.
 	crowdAhead = 2
-	crowdStay  = 10 * time.Second
+	crowdStay  = 4 * time.Second
+	// crowdsFor is about how long all crowds take.
+	crowdsFor = 44 * time.Second
 	// crowdFields are header fields of a request besides the usual ones, and crowdParts
 	// the parts of its prompt. Its header has 3 KB of the 16 KB allowed.
 	crowdFields, crowdParts = 58, 400
@@ -71,26 +73,37 @@
 	if err := stage.newRunners(serve, nil, 0, 0); err != nil {
 		return false, err
 	}
-	router, err := stage.startRouter(1)
+	addresses, err := stage.startRouters(minMachines)
 	if err != nil {
 		return false, err
 	}
-	memory := router.enforceMemory()
-	var crowd sync.WaitGroup
+	memory := stage.enforceMemory()
+	var crowds sync.WaitGroup
 	if trouble {
-		crowd.Go(func() {
-			time.Sleep(troubleAfter)
-			stage.runClients(router.front())
-		})
+		crowds.Go(stage.runCrowds)
 	}
-	traffic := newTraffic(stage, router.front())
-	traffic.run(trafficFor)
-	crowd.Wait()
+	traffic := newTraffic(stage, addresses...)
+	traffic.run(crowdsFor)
+	crowds.Wait()
 	broken := memory.end()
 	stage.note("answers: %v", traffic.counts)
 	return broken, nil
 }
 
+// runCrowds sends a crowd to each router in turn, minEnds times. Each waits until the
+// router has been ready for a while.
+func (stage *stage) runCrowds() {
+	for range minEnds {
+		for _, router := range stage.routers {
+			time.Sleep(troubleAfter)
+			if err := router.waitReady(); err != nil {
+				stage.note("router %d: %v", router.number, err)
+			}
+			stage.runClients(router.front())
+		}
+	}
+}
+
 func (stage *stage) runClients(address string) {
 	var clients sync.WaitGroup
 	var sent atomic.Int64
--- a/review/peers/endlesshead.go
+++ b/review/peers/endlesshead.go
@@ -11,8 +11,12 @@
 )
 
 const (
-	// troubleFor is how long the runners are in trouble, the length of the users' garble.
-	troubleFor = 5 * time.Second
+	// troubleFor is how long the runners are in trouble, less than the longest garble of the
+	// site, troubleEvery the time between the begins of two troubles, and troubleTimes their
+	// number.
+	troubleFor   = 6500 * time.Millisecond
+	troubleEvery = 12 * time.Second
+	troubleTimes = 3
 	// headBurstBytes are sent at once of a head without end; then a field follows each
 	// headPause.
 	headBurstBytes = 60 << 10
@@ -28,7 +32,7 @@
 	return text.String()
 }
 
-// runEndlessHeads lets some runners answer with heads without end for a while.
+// runEndlessHeads lets the model runners answer with heads without end, three times for a while.
 func runEndlessHeads(stage *stage, trouble bool) (bool, error) {
 	stage.store.Put("op", "config", mustJSON(newConfiguration(1<<40)))
 	var inTrouble atomic.Bool
@@ -48,17 +52,21 @@
 	if err := stage.newRunners(serveSound, serveEndless, llmRunners, 0); err != nil {
 		return false, err
 	}
-	router, err := stage.startRouter(1)
+	addresses, err := stage.startRouters(minMachines)
 	if err != nil {
 		return false, err
 	}
-	memory := router.enforceMemory()
-	if trouble {
-		time.AfterFunc(troubleAfter, func() { inTrouble.Store(true) })
-		time.AfterFunc(troubleAfter+troubleFor, func() { inTrouble.Store(false) })
+	memory := stage.enforceMemory()
+	for number := range troubleTimes {
+		if !trouble {
+			break
+		}
+		begin := troubleAfter + time.Duration(number)*troubleEvery
+		time.AfterFunc(begin, func() { inTrouble.Store(true) })
+		time.AfterFunc(begin+troubleFor, func() { inTrouble.Store(false) })
 	}
-	traffic := newTraffic(stage, router.front())
-	traffic.run(trafficFor)
+	traffic := newTraffic(stage, addresses...)
+	traffic.run(troubleAfter + troubleTimes*troubleEvery)
 	broken := memory.end()
 	stage.note("answers: %v", traffic.counts)
 	return broken, nil
--- a/review/peers/main.go
+++ b/review/peers/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 )
 
 // Exit codes.
@@ -19,6 +20,9 @@
 	exitNotRun = 2
 )
 
+// maxRunTime is when a case that has not ended is stopped.
+const maxRunTime = 112 * time.Second
+
 // runCase runs a case and reports whether the rule was broken. Without trouble it does the
 // same without the disruption.
 type runCase func(stage *stage, trouble bool) (bool, error)
@@ -43,7 +47,10 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
-		<-signals
+		select {
+		case <-signals:
+		case <-time.After(maxRunTime):
+		}
 		stage.note("the case was stopped")
 		stage.close()
 		os.Exit(exitNotRun)
--- a/review/peers/stage.go
+++ b/review/peers/stage.go
@@ -152,6 +152,28 @@
 	return router, router.waitReady()
 }
 
+// startRouters starts routers beside the store and returns their addresses once they are
+// ready.
+func (stage *stage) startRouters(count int) ([]string, error) {
+	addresses := make([]string, 0, count)
+	for number := range count {
+		router, err := stage.newRouter(number+1, stage.store.Address())
+		if err != nil {
+			return nil, err
+		}
+		if err := router.start(); err != nil {
+			return nil, err
+		}
+		addresses = append(addresses, router.front())
+	}
+	for _, router := range stage.routers {
+		if err := router.waitReady(); err != nil {
+			return nil, err
+		}
+	}
+	return addresses, nil
+}
+
 // start starts the process with the command of the deploy file.
 func (router *router) start() error {
 	router.starts++
--- a/review/peers/traffic.go
+++ b/review/peers/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -68,10 +69,11 @@
 
 // traffic sends the requests of all classes at their rates.
 type traffic struct {
-	stage   *stage
-	address string
-	nextID  atomic.Uint64
-	sending sync.WaitGroup
+	stage *stage
+	// addresses are those of the routers, of which each request uses one at random.
+	addresses []string
+	nextID    atomic.Uint64
+	sending   sync.WaitGroup
 	// check receives each answer with the ID of its request.
 	check func(id string, answer answer)
 
@@ -79,9 +81,9 @@
 	counts map[string]int
 }
 
-func newTraffic(stage *stage, address string) *traffic {
+func newTraffic(stage *stage, addresses ...string) *traffic {
 	return &traffic{
-		stage: stage, address: address, counts: make(map[string]int), check: func(string, answer) {},
+		stage: stage, addresses: addresses, counts: make(map[string]int), check: func(string, answer) {},
 	}
 }
 
@@ -107,7 +109,7 @@
 
 func (traffic *traffic) send(class class) {
 	id := traffic.nextID.Add(1)
-	answer := class.request(id).send(traffic.address)
+	answer := class.request(id).send(traffic.addresses[rand.IntN(len(traffic.addresses))])
 	result := fmt.Sprintf("%d", answer.status)
 	if answer.err != nil {
 		result = "no complete answer"
