Refuse answers whose head has a malformed line

What callers saw: an answer with a blank inside, behind or before the name of a field in its head was passed on, with that line. Where the name was that of Content-Length or Transfer-Encoding, the body was not the upstream's: it held the sizes of the chunks, or bytes behind the length. A refusal with such a head was believed, too.

Cause: heads were read by net/http only. It accepts blanks in the names of fields and keeps such fields under that name, so it neither knows the length or the chunks nor refuses the answer. A line that begins with a blank continues the line before.

Nothing is read behind it. Control requests begin a new head on their connection, kept ones included; before, the head of none but attempts was read.

Why it works: net/http gets no byte of a head before the line has been checked, so no field can be lost or mean something else to it. RFC 9112 asks for such answers to be refused or, for lines that begin with a blank, allows it.

--- a/pkg/exchange/connection.go
+++ b/pkg/exchange/connection.go
@@ -38,9 +38,20 @@
 	defer connection.mutex.Unlock()
 	repeated := connection.used && connection.attemptID == attemptID
 	connection.attemptID, connection.used = attemptID, true
+	connection.resetRecords(share)
+	connection.sealed = connection.sealed || repeated
+}
+
+// beginControl resets the records for a control request, which has no attempt ID.
+func (connection *connection) beginControl() {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	connection.resetRecords(nil)
+}
+
+func (connection *connection) resetRecords(share *memory.Share) {
 	connection.written, connection.answered = false, false
 	connection.head, connection.headErr = headMeter{share: share}, nil
-	connection.sealed = connection.sealed || repeated
 }
 
 // seal makes the connection reject further writes and reports whether data was
@@ -75,8 +86,11 @@
 
 // Read reads data. It seals the connection and returns errUnsolicited if the data
 // arrived before the request was written, as it belongs to no request. It returns the
-// errors of headMeter, too.
+// errors of headMeter, too, and nothing behind them.
 func (connection *connection) Read(data []byte) (int, error) {
+	if err := connection.headError(); err != nil {
+		return 0, err
+	}
 	bytesRead, err := connection.Conn.Read(data)
 	if bytesRead == 0 {
 		return bytesRead, err
--- a/pkg/exchange/control.go
+++ b/pkg/exchange/control.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"time"
 )
@@ -124,7 +125,8 @@
 	if err != nil {
 		return false, err
 	}
-	response, err := transport.RoundTrip(httpRequest)
+	trace := &httptrace.ClientTrace{GotConn: beginControl}
+	response, err := transport.RoundTrip(httpRequest.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return false, err
 	}
@@ -144,3 +146,11 @@
 	_, _ = io.Copy(io.Discard, body)
 	return leaving, err
 }
+
+// beginControl prepares the connection that the transport has assigned to a control
+// request.
+func beginControl(info httptrace.GotConnInfo) {
+	if assignedConnection, ok := info.Conn.(*connection); ok {
+		assignedConnection.beginControl()
+	}
+}
--- a/pkg/exchange/error.go
+++ b/pkg/exchange/error.go
@@ -93,6 +93,7 @@
 	errOversized     = errors.New("an event is larger than the limit")
 	errHeadOversized = errors.New("the answer's head has more fields than the limit")
 	errHeadGivenUp   = errors.New("there is no room for the answer's head")
+	errHeadMalformed = errors.New("the answer's head has a malformed line")
 	// errBodyOversized is not errOversized: the stated length is no answer without end.
 	errBodyOversized = errors.New("the stated length of the answer is more than the limit")
 )
--- a/pkg/router/brokenanswer_test.go
+++ b/pkg/router/brokenanswer_test.go
@@ -91,6 +91,19 @@
 	})
 }
 
+// TestMalformedHeadsAreNotPassedOn guards against an answer whose head has a line that is no
+// field, and which callers of the product's own interface get as an answer.
+func TestMalformedHeadsAreNotPassedOn(t *testing.T) {
+	requestBrokenAnswers(t, map[string]string{
+		"blank behind a name":    "HTTP/1.1 200 OK\r\nA : b\r\n",
+		"blank inside a name":    "HTTP/1.1 200 OK\r\nA B: c\r\n",
+		"blank before a name":    "HTTP/1.1 200 OK\r\nA: b\r\n C: d\r\n",
+		"control byte in a name": "HTTP/1.1 200 OK\r\nA\x01: b\r\n",
+		"length with a blank":    "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
+		"chunks with a blank":    "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+	})
+}
+
 // TestSoundAnswersOfReplacedUpstreams guards against tests of broken answers that pass
 // because their upstreams are never believed.
 func TestSoundAnswersOfReplacedUpstreams(t *testing.T) {
