Refuse answers without a length that a reset cut off during the upload

What callers saw: an upstream answered a long upload at once with 200 and without a length, sent a part and reset the connection. Callers got the part as a complete answer.

Cause: the kernel reports a reset to one system call. If that is the write of the request, the read behind it returns the end of the connection, which is the only mark of the end that such an answer has. net/http closes the connection for the failed write, but the read may come before. The same is seen when the upstream's socket is closed with nothing unread in it: the connection ends in good order, and the reset follows when more of the request arrives.

The order is brought about by a connection of the stand-in, on real sockets, and the tests assert that the upstream was reached.

Change: message.Conn remembers a failed write, and returns its error where a read would return the end of the connection. While the request isn't written and acknowledged, it waits for the outcome for up to 50 ms. A write that the upstream doesn't read is then cut off, and the answer is whole.

Why it works: a read meets the end behind a reset only if a write got the reset first. That write has failed or is running at that moment, and its end is awaited without a limit. A close shows in the reset that answers the rest of the request. An answer that ends when its request has arrived isn't touched.

Early answers without a length whose upstream reads on, or keeps the connection without reading, arrive whole.

--- a/pkg/exchange/answer.go
+++ b/pkg/exchange/answer.go
@@ -118,6 +118,15 @@
 	answer.connection, answer.reused = assignedConnection, info.Reused
 }
 
+// wroteRequest records that the request was written, or that writing it failed.
+func (answer *Answer) wroteRequest(httptrace.WroteRequestInfo) {
+	answer.mutex.Lock()
+	defer answer.mutex.Unlock()
+	if answer.connection != nil {
+		answer.connection.endRequest()
+	}
+}
+
 // wasReused reports whether the request was assigned a kept connection.
 func (answer *Answer) wasReused() bool {
 	answer.mutex.Lock()
--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -26,6 +26,7 @@
 	"golang.org/x/time/rate"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/memory"
+	"gitlab.com/wisterialb/wisterialb/pkg/message"
 	"gitlab.com/wisterialb/wisterialb/pkg/notice"
 )
 
@@ -147,7 +148,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &connection{Conn: conn}, nil
+			return &connection{Conn: message.NewConn(conn)}, nil
 		},
 		DisableCompression:  true,
 		IdleConnTimeout:     client.config.IdleTimeout,
@@ -350,7 +351,7 @@
 	answer := &Answer{client: client, options: options}
 	answer.position.Store(options.afterPosition)
 	answer.start(ctx)
-	trace := &httptrace.ClientTrace{GotConn: answer.gotConnection}
+	trace := &httptrace.ClientTrace{GotConn: answer.gotConnection, WroteRequest: answer.wroteRequest}
 	httpRequest = httpRequest.WithContext(httptrace.WithClientTrace(answer.ctx, trace)) //nolint:contextcheck // answer.ctx is derived from ctx
 	httpRequest.Body = nonReplayableBody{bytes.NewReader(options.body)}
 	response, err := client.transport(client.needsNewConnection(options)).RoundTrip(httpRequest) //nolint:bodyclose // Answer.Close closes it
--- a/pkg/exchange/connection.go
+++ b/pkg/exchange/connection.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"gitlab.com/wisterialb/wisterialb/pkg/memory"
+	"gitlab.com/wisterialb/wisterialb/pkg/message"
 )
 
 // connection is a TCP connection that records what of the current request was
@@ -40,6 +41,16 @@
 	connection.attemptID, connection.used = attemptID, true
 	connection.resetRecords(share)
 	connection.sealed = connection.sealed || repeated
+	if conn, ok := connection.Conn.(*message.Conn); ok {
+		conn.BeginRequest()
+	}
+}
+
+// endRequest records that net/http has written the request, or failed to.
+func (connection *connection) endRequest() {
+	if conn, ok := connection.Conn.(*message.Conn); ok {
+		conn.EndRequest()
+	}
 }
 
 // beginControl resets the records for a control request, which has no attempt ID.
@@ -144,8 +155,8 @@
 func (connection *connection) discard() {
 	connection.seal()
 	connection.endHead()
-	if tcp, ok := connection.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	if conn, ok := connection.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = conn.SetLinger(0)
 	}
 	_ = connection.Close()
 }
--- a/pkg/message/limiter.go
+++ b/pkg/message/limiter.go
@@ -2,6 +2,7 @@
 // one, and how many large ones are read at once.
 //
 // Limiter has the limits, and Transport applies them to the responses of an HTTP client.
+// Conn keeps a response that was cut off from being taken for a whole one.
 package message
 
 import (
--- a/pkg/router/brokenanswer_test.go
+++ b/pkg/router/brokenanswer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -48,6 +49,7 @@
 const (
 	completionChunk = `{"choices":[{"index":0,"delta":{"content":"a"}}]}`
 	wholeStream     = "id: 1\ndata: " + completionChunk + "\n\ndata: [DONE]\n\n"
+	cutStream       = "id: 1\ndata: " + completionChunk + "\n\n"
 )
 
 // requestBrokenAnswers sends a booking and a stream to upstreams whose answers begin with
@@ -104,6 +106,26 @@
 	})
 }
 
+// TestResetDuringUploadIsNoEnd guards against a part of an answer that callers of the
+// product's own interface get as the whole, because it has no length and its connection
+// was reset during the upload.
+func TestResetDuringUploadIsNoEnd(t *testing.T) {
+	const uploadBytes = 200 << 10
+	fleet := startFleet(t, 10_000_000, standin.EngineConfig{})
+	head := "HTTP/1.1 200 OK\r\n" + exchange.HeaderAttempt + ": {id}\r\n"
+	for range 10 {
+		reached := fleet.replaceUpstream("desk-1", demo.OrderService, head+"\r\npart", standin.Reset)
+		outcome, answer := fleet.sendBooking(call{body: fmt.Sprintf("{%*s}", uploadBytes, ""), key: ulid.Make().String()})
+		require.Equal(t, 1, reached())
+		require.Equal(t, fault.OutcomeUnknown, outcome, answer)
+
+		reached = fleet.replaceUpstream("engine-1", demo.ModelService, head+"Content-Type: text/event-stream\r\n\r\n"+cutStream, standin.Reset)
+		_, end := fleet.openStream(call{key: ulid.Make().String()}, strings.Repeat("p", uploadBytes), 20).readRemaining()
+		require.Positive(t, reached())
+		require.NotEqual(t, "[DONE]", end)
+	}
+}
+
 // TestSoundAnswersOfReplacedUpstreams guards against tests of broken answers that pass
 // because their upstreams are never believed.
 func TestSoundAnswersOfReplacedUpstreams(t *testing.T) {
--- a/pkg/standin/earlyanswer.go
+++ b/pkg/standin/earlyanswer.go
@@ -17,6 +17,9 @@
 const (
 	// Reset resets the connection, which discards the rest of the request.
 	Reset ConnectionEnd = "reset"
+	// CloseThenReset closes the sending direction and then resets the connection, as a
+	// process does that ends before the rest of the request arrives.
+	CloseThenReset ConnectionEnd = "close_then_reset"
 	// CloseAndRead closes the sending direction and reads the rest of the request.
 	CloseAndRead ConnectionEnd = "close_and_read"
 	// CloseUnread closes the sending direction and doesn't read the rest of the request.
@@ -92,6 +95,9 @@
 	switch earlyUpstream.config.End {
 	case Reset:
 		_ = tcp.SetLinger(0)
+	case CloseThenReset:
+		_ = tcp.CloseWrite()
+		_ = tcp.SetLinger(0)
 	case CloseAndRead:
 		_ = tcp.CloseWrite()
 		_, _ = io.Copy(io.Discard, request.Body)
