Take no status of a non-final answer for a success or a refusal of a call

What was seen: an engine's answer with the status 000 counted as the acceptance of an order. The store's answer with the status 000 to a write was reported as a refusal, so that a write which may have been applied was taken for one that wasn't. What follows from that for callers was not tried.

Cause: net/http accepts any three digits as a status. The client of engines takes each status below 300 for a success, and the store's client each but 200 for an answer that says that nothing was done.

Change: message.Transport and message.Client, through which the clients of the store, of engines, of routers and of operators read, refuse statuses below 200 with a fault whose outcome is unknown.

Why it works: no reader of theirs gets such a response, and all of them treat an error of the transport as an unknown outcome.

--- /dev/null
+++ b/pkg/message/head.go
@@ -0,0 +1,27 @@
+package message
+
+import (
+	"fmt"
+	"net/http"
+
+	"gitlab.com/wisterialb/wisterialb/pkg/fault"
+)
+
+// checkHead returns an error if the head of the sender's response is none of a final
+// response, so that the outcome of the request is unknown. net/http accepts any three
+// digits as a status.
+func checkHead(sender string, response *http.Response) error {
+	if response.StatusCode < http.StatusOK {
+		return headError(sender, fmt.Sprintf("the status %03d, which is none of a final response", response.StatusCode))
+	}
+	return nil
+}
+
+func headError(sender, what string) error {
+	return fault.New(fault.Config{
+		Kind:    fault.Unavailable,
+		Message: "the response of " + sender + " has " + what,
+		Remedy:  "check the process at that address",
+		Outcome: fault.OutcomeUnknown,
+	})
+}
--- a/pkg/message/transport.go
+++ b/pkg/message/transport.go
@@ -6,7 +6,8 @@
 // default of net/http is 10 MB, which is too much for many responses at once on a small VM.
 const MaxHeaderBytes = 64 << 10
 
-// Transport limits the bodies of the responses that another transport receives.
+// Transport limits the bodies of the responses that another transport receives, and refuses
+// responses whose head is none of a final response.
 type Transport struct {
 	Next    http.RoundTripper
 	Limiter *Limiter
@@ -15,10 +16,10 @@
 // RoundTrip sends the request with the next transport.
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := transport.Next.RoundTrip(request)
-	if err == nil {
-		response.Body = transport.Limiter.Limit(request.Context(), request.URL.Host, response.Body)
+	if err != nil {
+		return nil, err
 	}
-	return response, err
+	return transport.Limiter.receive(request, response)
 }
 
 // CloseIdleConnections closes those of the next transport.
@@ -33,7 +34,7 @@
 	Do(request *http.Request) (*http.Response, error)
 }
 
-// Client limits the bodies of the responses that another client receives.
+// Client does the same as Transport for another client.
 type Client struct {
 	Next    HTTPClient
 	Limiter *Limiter
@@ -42,8 +43,19 @@
 // Do sends the request with the next client.
 func (client *Client) Do(request *http.Request) (*http.Response, error) {
 	response, err := client.Next.Do(request)
-	if err == nil {
-		response.Body = client.Limiter.Limit(request.Context(), request.URL.Host, response.Body)
+	if err != nil {
+		return nil, err
 	}
-	return response, err
+	return client.Limiter.receive(request, response)
+}
+
+// receive returns the response with a limited body, or an error if its head is none of a
+// final response.
+func (limiter *Limiter) receive(request *http.Request, response *http.Response) (*http.Response, error) {
+	if err := checkHead(request.URL.Host, response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	response.Body = limiter.Limit(request.Context(), request.URL.Host, response.Body)
+	return response, nil
 }
