--- a/pkg/message/head_test.go
+++ b/pkg/message/head_test.go
@@ -58,3 +58,20 @@
 		}
 	}
 }
+
+// TestMalformedFieldNamesAreRefused guards against a response with a field that net/http
+// neither knows nor refuses, such as a length whose name has a blank.
+func TestMalformedFieldNamesAreRefused(t *testing.T) {
+	for _, byClient := range []bool{false, true} {
+		for _, line := range []string{"A : b", "A B: c", " A: b", "A\tB: c", "A\x01: b", ": b", "Content-Length : 1", "Transfer-Encoding : chunked"} {
+			for _, status := range []string{"200 OK", "503 Full"} {
+				_, err := send(t, "HTTP/1.1 "+status+"\r\n"+line+"\r\nContent-Length: 2\r\n\r\n{}", byClient)
+				require.Error(t, err, "%q", line)
+				require.Equal(t, fault.OutcomeUnknown, fault.OutcomeOf(err), "%q: %v", line, err)
+			}
+		}
+		body, err := send(t, "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: b\r\nContent-Length: 2\r\n\r\n{}", byClient)
+		require.NoError(t, err)
+		require.Equal(t, "{}", body)
+	}
+}
