Take no part of a platform's or router's answer for a success of a call

What was seen: a transaction of the product's own platform counted as applied, and a change as published by a router, though the response was a head without a length and a reset while the request was being written.

Cause: the reset met the write of the request, as with answers of upstreams, and an empty or shorter message of protobuf is a message.

Change: the connections of these two clients are of message.Conn. message.Transport and message.Client tell it when a request begins and when it has been written.

Why it works: the read returns the error of the write in place of the end, and the call's outcome is unknown.

Read, and not changed: the store's answers and engines' states are JSON, which isn't valid where it was cut off, an order to an engine is one write, and routers sign the answers to each other.

--- a/pkg/message/conn.go
+++ b/pkg/message/conn.go
@@ -1,10 +1,12 @@
 package message
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/http/httptrace"
 	"os"
 	"sync/atomic"
 	"syscall"
@@ -44,6 +46,39 @@
 	return &Conn{Conn: conn}
 }
 
+// DialFunc opens a connection, like net.Dialer.DialContext.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// DialConn returns a function that opens a Conn with dial.
+func DialConn(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
+}
+
+// traceRequest returns a context in which net/http tells a Conn when a request begins and
+// when it has been written.
+func traceRequest(ctx context.Context) context.Context {
+	var assigned atomic.Pointer[Conn]
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*Conn); ok {
+				conn.BeginRequest()
+				assigned.Store(conn)
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			if conn := assigned.Load(); conn != nil {
+				conn.EndRequest()
+			}
+		},
+	})
+}
+
 // BeginRequest states that a request is to be written.
 func (conn *Conn) BeginRequest() {
 	conn.answered.Store(false)
--- a/pkg/message/transport.go
+++ b/pkg/message/transport.go
@@ -15,7 +15,7 @@
 
 // RoundTrip sends the request with the next transport.
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := transport.Next.RoundTrip(request)
+	response, err := transport.Next.RoundTrip(request.WithContext(traceRequest(request.Context())))
 	if err != nil {
 		return nil, err
 	}
@@ -42,7 +42,7 @@
 
 // Do sends the request with the next client.
 func (client *Client) Do(request *http.Request) (*http.Response, error) {
-	response, err := client.Next.Do(request)
+	response, err := client.Next.Do(request.WithContext(traceRequest(request.Context())))
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -60,9 +61,7 @@
 		config.MaxAttempts = defaultMaxAttempts
 	}
 	if config.HTTPClient == nil {
-		config.HTTPClient = &http.Client{Transport: &http.Transport{
-			DisableKeepAlives: true, MaxResponseHeaderBytes: message.MaxHeaderBytes,
-		}}
+		config.HTTPClient = newHTTPClient((&net.Dialer{}).DialContext)
 	}
 	httpClient := &message.Client{
 		Next: config.HTTPClient, Limiter: message.NewLimiter(message.Config{MaxBytes: maxResponseBytes}),
@@ -78,6 +77,13 @@
 	return client, nil
 }
 
+// newHTTPClient returns a client that opens a connection for each request.
+func newHTTPClient(dial message.DialFunc) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: message.DialConn(dial), DisableKeepAlives: true, MaxResponseHeaderBytes: message.MaxHeaderBytes,
+	}}
+}
+
 // convertErrors is a client interceptor that converts twirp errors to faults.
 func convertErrors(next twirp.Method) twirp.Method {
 	return func(ctx context.Context, request any) (any, error) {
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -115,7 +115,7 @@
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:            dial,
+		DialContext:            message.DialConn(dial),
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConns:           maxIdleConns,
 		MaxIdleConnsPerHost:    maxIdleConns,
