Refuse answers of HTTP/1.0 that announce chunks

What callers saw: an upstream's answer of HTTP/1.0 with Transfer-Encoding: chunked reached them as a success with the sizes of the chunks in its body.

Cause: HTTP/1.0 has no chunks, so net/http drops the field and takes what follows for the body.

Evidence, without this change: 3 of 6 cases of TestChunksOfHTTP10AreNoAnswer fail, those that announce an encoding; each asserts that the upstream was reached.

Change: headMeter treats the field as a malformed line in a head of HTTP/1.0.

Why it works: the field is found before net/http reads the line. RFC 9112 (6.1) has the framing of such an answer treated as faulty, whatever length it states.

Measured: all six cases pass, with those of HTTP/1.0 that state a length or end with their connection.

--- a/pkg/exchange/fieldname.go
+++ b/pkg/exchange/fieldname.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -12,6 +13,8 @@
 // a blank for more of the line before, which RFC 9112 allows a proxy to refuse.
 type fieldName struct {
 	length int
+	// start holds the first bytes of the name, enough to compare it with transferEncoding.
+	start [len(transferEncoding) + 1]byte
 	// ended is set once the colon has been read.
 	ended bool
 	// carriageReturn is set if the line began with a carriage return, which only an empty
@@ -19,6 +22,15 @@
 	carriageReturn bool
 }
 
+// transferEncoding is the name of the field which says that a body has chunks.
+const transferEncoding = "Transfer-Encoding"
+
+// isTransferEncoding reports whether the name is transferEncoding.
+func (fieldName *fieldName) isTransferEncoding() bool {
+	return fieldName.ended && fieldName.length == len(transferEncoding) &&
+		strings.EqualFold(string(fieldName.start[:len(transferEncoding)]), transferEncoding)
+}
+
 // read reads a part of the line. It reports false if the line is neither empty nor begins
 // with a token and a colon.
 func (fieldName *fieldName) read(part []byte) bool {
@@ -32,6 +44,7 @@
 		return true
 	}
 	name, _, ended := bytes.Cut(part, []byte(":"))
+	copy(fieldName.start[min(fieldName.length, len(fieldName.start)):], name)
 	fieldName.length += len(name)
 	fieldName.ended = ended
 	return fieldName.length > 0 && (len(name) == 0 || httpguts.ValidHeaderFieldName(string(name)))
--- a/pkg/exchange/headmeter.go
+++ b/pkg/exchange/headmeter.go
@@ -87,7 +87,8 @@
 // endLine ends a line. It reports false if the line is malformed.
 func (headMeter *headMeter) endLine() bool {
 	isEmpty := headMeter.lineLength == 0 || headMeter.lineLength == 1 && headMeter.lastByte == '\r'
-	isSound := headMeter.name.isComplete()
+	hasFaultyFraming := headMeter.isHTTP10() && headMeter.name.isTransferEncoding()
+	isSound := headMeter.name.isComplete() && !hasFaultyFraming
 	headMeter.lineLength, headMeter.name = 0, fieldName{}
 	switch {
 	case !headMeter.inFields:
@@ -123,6 +124,13 @@
 	return status != "" && strings.Trim(status, "0123456789") == "" && headMeter.statusLine[len("HTTP/1.1")] == ' '
 }
 
+// isHTTP10 reports whether the answer is one of HTTP/1.0, which has no chunks. net/http
+// takes what a Transfer-Encoding announces for the body itself; RFC 9112 calls the framing
+// of such an answer faulty.
+func (headMeter *headMeter) isHTTP10() bool {
+	return bytes.HasPrefix(headMeter.statusLine, []byte("HTTP/1.0"))
+}
+
 // isInterim reports whether another head follows the one that was read. One with status
 // 101 is the last.
 func (headMeter *headMeter) isInterim() bool {
--- a/pkg/exchange/malformedhead_test.go
+++ b/pkg/exchange/malformedhead_test.go
@@ -125,6 +125,36 @@
 	}
 }
 
+// TestChunksOfHTTP10AreNoAnswer guards against an answer of HTTP/1.0 whose body holds the
+// sizes of the chunks that it announces. Other answers of HTTP/1.0 are read.
+func TestChunksOfHTTP10AreNoAnswer(t *testing.T) {
+	for fields, isSound := range map[string]bool{
+		"Transfer-Encoding: chunked\r\n":                      false,
+		"transfer-encoding:chunked\r\nContent-Length: 14\r\n": false,
+		"Content-Length: 14\r\nTRANSFER-ENCODING: gzip\r\n":   false,
+		"Content-Length: 14\r\n":                              true,
+		"":                                                    true,
+		"Transfer-Encodings: chunked\r\nTransfer-Encodin: a\r\n": true,
+	} {
+		t.Run(fields, func(t *testing.T) {
+			const body = "4\r\nbody\r\n0\r\n\r\n"
+			var requests atomic.Int64
+			client := startHeadServer(t, func(connection net.Conn, _ string) {
+				requests.Add(1)
+				_, _ = io.WriteString(connection, "HTTP/1.0 200 OK\r\n"+echoHeader+": 1\r\n"+fields+"\r\n"+body)
+			})
+			_, got, err := exchangeAll(t, client, passedThrough("1"))
+			require.EqualValues(t, 1, requests.Load())
+			if isSound {
+				require.NoError(t, err)
+				require.Equal(t, body, got)
+			} else {
+				require.ErrorIs(t, err, errHeadMalformed, "%q", got)
+			}
+		})
+	}
+}
+
 // TestSoundFieldNamesAreRead guards against heads that are refused though their names are
 // tokens, and against fields that are missed when a head arrives in pieces.
 func TestSoundFieldNamesAreRead(t *testing.T) {
