--- a/pkg/exchange/connection.go
+++ b/pkg/exchange/connection.go
@@ -60,6 +60,8 @@
 	connection.resetRecords(nil)
 }
 
+// resetRecords resets what is recorded of the current request and its answer. The caller
+// holds the mutex.
 func (connection *connection) resetRecords(share *memory.Share) {
 	connection.written, connection.answered = false, false
 	connection.head, connection.headErr = headMeter{share: share}, nil
--- a/pkg/message/conn.go
+++ b/pkg/message/conn.go
@@ -120,8 +120,8 @@
 
 // awaitWrites waits until the peer has acknowledged the request, or has reset the
 // connection: a peer that closes its socket ends the connection, and resets it when more of
-// the request arrives. After outcomeTimeout, the peer has ended only its response; a write
-// that it doesn't read is then cut off.
+// the request arrives. If neither has happened after outcomeTimeout, the peer has ended
+// its response in good order, and a write that it doesn't read is cut off.
 func (conn *Conn) awaitWrites() error {
 	for deadline := time.Now().Add(outcomeTimeout); conn.isSending(); time.Sleep(outcomeInterval) {
 		if err := conn.failure(); err != nil {
