Test statuses of no final answer in control requests and resumed streams

Records, cancellations, load reports, health checks and resumed streams had no test with such a status.

Change: TestStatusOfNoFinalAnswerIsNoSuccess sends 000, 099 and 101 to each of them and asserts that the upstream was reached.

--- a/pkg/exchange/malformedhead_test.go
+++ b/pkg/exchange/malformedhead_test.go
@@ -187,3 +187,36 @@
 		})
 	}
 }
+
+// TestStatusOfNoFinalAnswerIsNoSuccess guards against a resumed stream, a record, a report
+// or a healthy upstream that is read from an answer with a status of no final one.
+func TestStatusOfNoFinalAnswerIsNoSuccess(t *testing.T) {
+	for _, status := range []string{"000", "099", "101"} {
+		t.Run(status, func(t *testing.T) {
+			server, client := startRawServer(t, func(_, _ int, request *http.Request) string {
+				fields, body := "", `{"attempt":"1","state":"finished","running":1}`
+				if strings.HasSuffix(request.URL.Path, "/events") {
+					fields, body = HeaderAttempt+": 1\r\nContent-Type: text/event-stream\r\n", "id: 2\ndata: b\n\ndata: [DONE]\n\n"
+				}
+				return fmt.Sprintf("HTTP/1.1 %s None\r\n%sContent-Length: %d\r\n\r\n%s", status, fields, len(body), body)
+			})
+			for what, call := range map[string]func(ctx context.Context) error{
+				"report": func(ctx context.Context) error { _, err := client.LoadReport(ctx); return err },
+				"record": func(ctx context.Context) error { _, err := client.AttemptRecord(ctx, "1"); return err },
+				"cancel": func(ctx context.Context) error { _, err := client.Cancel(ctx, "1"); return err },
+				"health": func(ctx context.Context) error { _, err := client.CheckHealth(ctx); return err },
+				"resume": func(ctx context.Context) error {
+					answer, err := client.Resume(ctx, "1", 1, nil)
+					if err == nil {
+						answer.Close()
+					}
+					return err
+				},
+			} {
+				before := server.connections.Load()
+				require.Error(t, call(t.Context()), what)
+				require.Greater(t, server.connections.Load(), before)
+			}
+		})
+	}
+}
