Keep answers whole that ended before their connection was reset

What callers would have seen: since an answer without a length was refused if its connection was reset right behind its end, though the upstream had received the whole request.

Cause: awaitWrites asked the socket for its error at the end in any case, and also while it only waited for what net/http may still have in its buffer.

Change: the socket's error counts only while a part of the request isn't written or not acknowledged. The error of a write counts always.

Why it works: bytes in front of the end of the connection have all arrived, in order. What a reset behind it can take is a part of the request, and there is none left.

--- a/pkg/exchange/earlyanswer_test.go
+++ b/pkg/exchange/earlyanswer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 
@@ -85,3 +86,22 @@
 		}
 	}
 }
+
+// TestResetBehindTheEndTakesNothing guards against an answer that is refused though its
+// request had arrived and it had ended, because its connection was reset afterwards.
+func TestResetBehindTheEndTakesNothing(t *testing.T) {
+	for name, form := range earlyAnswers {
+		t.Run(name, func(t *testing.T) {
+			client := startHeadServer(t, func(connection net.Conn, _ string) {
+				_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\n%s: whole\r\n%s\r\n%s", echoHeader, form.head, form.body)
+				_ = connection.(*net.TCPConn).CloseWrite()
+				_ = connection.(*net.TCPConn).SetLinger(0)
+			})
+			request := passedThrough("whole")
+			request.Body = make([]byte, uploadBytes)
+			_, body, err := exchangeAll(t, client, request)
+			require.NoError(t, err)
+			require.Equal(t, form.body, body)
+		})
+	}
+}
--- a/pkg/message/conn.go
+++ b/pkg/message/conn.go
@@ -121,35 +121,45 @@
 // awaitWrites waits until the peer has acknowledged the request, or has reset the
 // connection: a peer that closes its socket ends the connection, and resets it when more of
 // the request arrives. If neither has happened after outcomeTimeout, the peer has ended
-// its response in good order, and a write that it doesn't read is cut off.
+// its response in good order, and a write that it doesn't read is cut off. A reset behind
+// the end of a response whose request has arrived takes nothing from it.
 func (conn *Conn) awaitWrites() error {
-	for deadline := time.Now().Add(outcomeTimeout); conn.isSending(); time.Sleep(outcomeInterval) {
-		if err := conn.failure(); err != nil {
+	for deadline := time.Now().Add(outcomeTimeout); time.Now().Before(deadline); time.Sleep(outcomeInterval) {
+		if err := conn.writeError(); err != nil {
 			return err
 		}
-		if time.Now().After(deadline) {
-			break
+		if !conn.isSending() {
+			if time.Since(time.Unix(0, conn.requestEndedAt.Load())) >= outcomeInterval {
+				return nil
+			}
+			continue // net/http may be about to write its buffer
+		}
+		if err := conn.resetError(); err != nil {
+			return err
 		}
 	}
 	for conn.writes.Load() > 0 {
 		_ = conn.SetWriteDeadline(time.Now())
 		time.Sleep(outcomeInterval)
 	}
-	return conn.failure()
+	return conn.writeError()
 }
 
 // isSending reports whether a part of the request may not have arrived.
 func (conn *Conn) isSending() bool {
-	return conn.unwritten.Load() || conn.writes.Load() > 0 || conn.unacknowledgedBytes() > 0 ||
-		time.Since(time.Unix(0, conn.requestEndedAt.Load())) < outcomeInterval
+	return conn.unwritten.Load() || conn.writes.Load() > 0 || conn.unacknowledgedBytes() > 0
 }
 
-// failure returns the error of the first failed write, or the one that the kernel has not
-// reported yet.
-func (conn *Conn) failure() error {
+// writeError returns the error of the first write that failed, or nil.
+func (conn *Conn) writeError() error {
 	if err := conn.writeErr.Load(); err != nil {
 		return *err
 	}
+	return nil
+}
+
+// resetError returns the error that the kernel has not reported yet, or nil.
+func (conn *Conn) resetError() error {
 	code, err := conn.control(func(descriptor int) (int, error) {
 		return unix.GetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_ERROR)
 	})
