Measure the end of a request by the steady clock

What callers would have seen: after the time of day had jumped back, the end of an answer without a length came up to 50 ms late.

Cause: message.Conn kept the time at which a request had been written as Unix time.

Change: it keeps the time since the connection was opened, from Go's monotonic clock.

The jump itself was not tried.

--- a/pkg/message/conn.go
+++ b/pkg/message/conn.go
@@ -31,10 +31,12 @@
 	net.Conn
 	// writes is the number of writes that are running.
 	writes atomic.Int64
-	// unwritten is set while more of a request is to be written, and requestEndedAt is when
-	// it was last cleared, as Unix time in nanoseconds.
-	unwritten      atomic.Bool
+	// unwritten is set while more of a request is to be written.
+	unwritten atomic.Bool
+	// requestEndedAt is when unwritten was last cleared, as a time.Duration since openedAt:
+	// the clock of the day may jump.
 	requestEndedAt atomic.Int64
+	openedAt       time.Time
 	// answered is set once data has been read since the request began.
 	answered atomic.Bool
 	// writeErr is the error of the first write that failed.
@@ -43,7 +45,7 @@
 
 // NewConn returns a Conn that reads from and writes to conn.
 func NewConn(conn net.Conn) *Conn {
-	return &Conn{Conn: conn}
+	return &Conn{Conn: conn, openedAt: time.Now()}
 }
 
 // DialFunc opens a connection, like net.Dialer.DialContext.
@@ -88,7 +90,7 @@
 // EndRequest states that the request has been written, except for what net/http still
 // has in its buffer and writes next.
 func (conn *Conn) EndRequest() {
-	conn.requestEndedAt.Store(time.Now().UnixNano())
+	conn.requestEndedAt.Store(int64(time.Since(conn.openedAt)))
 	conn.unwritten.Store(false)
 }
 
@@ -129,7 +131,7 @@
 			return err
 		}
 		if !conn.isSending() {
-			if time.Since(time.Unix(0, conn.requestEndedAt.Load())) >= outcomeInterval {
+			if time.Since(conn.openedAt)-time.Duration(conn.requestEndedAt.Load()) >= outcomeInterval {
 				return nil
 			}
 			continue // net/http may be about to write its buffer
