Ask for a reset only while the request isn't acknowledged

What callers would have seen: beside a load, an answer without a length was refused if its connection was reset right behind its end, though the upstream had the whole request.

Cause: the kernel had sent the last bytes of the request, and the upstream had answered, closed and reset, before the goroutine that wrote them ran again. awaitWrites took the request for unwritten and the reset for one of the upload.

Change: the socket's error counts only while the kernel has bytes that aren't acknowledged. A write that is running or follows is awaited: on a connection that was reset it fails by itself.

Why it works: what the peer has acknowledged it has received, whichever goroutine ran last.

--- a/pkg/message/conn.go
+++ b/pkg/message/conn.go
@@ -130,14 +130,12 @@
 		if err := conn.writeError(); err != nil {
 			return err
 		}
-		if !conn.isSending() {
-			if time.Since(conn.openedAt)-time.Duration(conn.requestEndedAt.Load()) >= outcomeInterval {
-				return nil
+		if conn.unacknowledgedBytes() > 0 {
+			if err := conn.resetError(); err != nil {
+				return err
 			}
-			continue // net/http may be about to write its buffer
-		}
-		if err := conn.resetError(); err != nil {
-			return err
+		} else if !conn.isWriting() {
+			break
 		}
 	}
 	for conn.writes.Load() > 0 {
@@ -147,9 +145,12 @@
 	return conn.writeError()
 }
 
-// isSending reports whether a part of the request may not have arrived.
-func (conn *Conn) isSending() bool {
-	return conn.unwritten.Load() || conn.writes.Load() > 0 || conn.unacknowledgedBytes() > 0
+// isWriting reports whether a write of the request is running or may follow, which fails
+// if the connection was reset. After EndRequest, net/http may be about to write its
+// buffer.
+func (conn *Conn) isWriting() bool {
+	return conn.unwritten.Load() || conn.writes.Load() > 0 ||
+		time.Since(conn.openedAt)-time.Duration(conn.requestEndedAt.Load()) < outcomeInterval
 }
 
 // writeError returns the error of the first write that failed, or nil.
