--- a/review/trial/deadly.go
+++ b/review/trial/deadly.go
@@ -117,6 +117,9 @@
 	for _, runner := range trial.runners {
 		crashes = append(crashes, runner.DeadlyCrashTimes()...)
 	}
+	for _, engine := range trial.engines {
+		crashes = append(crashes, engine.crashes...)
+	}
 	slices.SortFunc(crashes, time.Time.Compare)
 	for number, crash := range crashes {
 		trial.note("crash %d at %s", number+1, trial.at(crash))
@@ -129,17 +132,29 @@
 	}
 	knownFrom := crashes[crashesKnown-1].Add(stable)
 	late := 0
-	for _, arrival := range trial.arrivals() {
-		id := arrival.Header.Get("Wisterialb-Attempt-Id")
-		if prompts.suspects[id] && arrival.ReceivedAt.After(knownFrom) && strings.HasPrefix(arrival.Target, "/dossier/") {
+	for _, arrival := range trial.allArrivals() {
+		if prompts.suspects[arrival.id] && arrival.at.After(knownFrom) {
 			late++
-			trial.note("%s reached a runner at %s", id, trial.at(arrival.ReceivedAt))
+			trial.note("%s reached a runner at %s", arrival.id, trial.at(arrival.at))
 		}
 	}
 	trial.note("%d requests with the part reached runners later than %s, %s after crash %d; allowed are %d", late, trial.at(knownFrom), stable, crashesKnown, maxLate)
 	return late > maxLate
 }
 
+// allArrivals returns the requests that reached runners of either kind, in order.
+func (trial *trial) allArrivals() []engineArrival {
+	var all []engineArrival
+	for _, arrival := range trial.arrivals() {
+		all = append(all, engineArrival{id: arrival.Header.Get("Wisterialb-Attempt-Id"), at: arrival.ReceivedAt})
+	}
+	for _, engine := range trial.engines {
+		all = append(all, engine.arrivals...)
+	}
+	slices.SortFunc(all, func(a, b engineArrival) int { return a.at.Compare(b.at) })
+	return all
+}
+
 // arrivals returns what the runners received, in order.
 func (trial *trial) arrivals() []standin.ReceivedRequest {
 	var arrivals []standin.ReceivedRequest
--- a/review/trial/engine.go
+++ b/review/trial/engine.go
@@ -1,63 +1,62 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
-const (
-	engineSlots = 64
-	engineQueue = 134
-)
-
-// engine is a stand-in of a runner that runs a limited number of requests at once, lets a
-// few more wait and refuses the rest.
+// engine is a stand-in of a model runner whose process ends before anything of its answer
+// to a prompt with the deadly part has left.
 type engine struct {
-	id, service string
-	work, gap   time.Duration
-	events      int
+	id      string
+	address string
 
-	server           *http.Server
-	address          string
-	slots            chan struct{}
-	running, waiting atomic.Int64
-	startedAt        time.Time
-	sequence         int
+	mutex  sync.Mutex
+	server *http.Server
+	// startedAt is the start of the current process, and downUntil the end of the time after
+	// a crash in which there is none.
+	startedAt, crashedAt, downUntil time.Time
+	sequence                        int
+	crashes                         []time.Time
+	// arrivals are the requests that reached it.
+	arrivals []engineArrival
+}
 
-	mutex sync.Mutex
-	// ran are the IDs of the requests that ran.
-	ran map[string]bool
+// engineArrival is a request that reached an engine.
+type engineArrival struct {
+	id string
+	at time.Time
 }
 
-// addEngine starts an engine that writes its entry at each heartbeat. An answer has that
-// many events with the gap between them after the work, or a body if there are none.
-func (trial *trial) addEngine(id, service string, work, gap time.Duration, events int) (*engine, error) {
+const (
+	engineEvents = 8
+	engineGap    = 25 * time.Millisecond
+	// engineWork is the time to the first event.
+	engineWork      = 60 * time.Millisecond
+	restartInterval = 20 * time.Millisecond
+)
+
+// addEngine starts an engine that writes its entry at each heartbeat.
+func (trial *trial) addEngine(id string) error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
-	}
-	engine := &engine{
-		id: id, service: service, work: work, gap: gap, events: events, address: listener.Addr().String(),
-		slots: make(chan struct{}, engineSlots), startedAt: time.Now(), ran: make(map[string]bool),
+		return err
 	}
-	engine.server = &http.Server{Handler: engine, ReadHeaderTimeout: time.Minute}
-	trial.loops.Go(func() { _ = engine.server.Serve(listener) }) // ends with the trial
+	engine := &engine{id: id, address: listener.Addr().String()}
+	engine.serve(listener)
 	trial.engines = append(trial.engines, engine)
 	trial.loops.Go(func() {
 		ticker := time.NewTicker(heartbeat)
 		defer ticker.Stop()
 		for {
-			engine.sequence++
-			trial.store.Put("servers", id, map[string]any{
-				"born": engine.startedAt.UnixMilli(), "service": service, "address": engine.address, "zone": "varnamo", "version": "v1",
-				"slots": engineSlots, "state": "ready", "coldLeftMs": 0, "seq": engine.sequence,
-			})
+			trial.writeEngineEntry(engine)
 			select {
 			case <-trial.closed:
 				return
@@ -65,7 +64,63 @@
 			}
 		}
 	})
-	return engine, nil
+	return nil
+}
+
+func (trial *trial) writeEngineEntry(engine *engine) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	now := time.Now()
+	if now.Before(engine.downUntil) {
+		if now.Sub(engine.crashedAt) > silentHeartbeats*heartbeat {
+			trial.store.Remove("servers", engine.id)
+		}
+		return
+	}
+	engine.sequence++
+	trial.store.Put("servers", engine.id, map[string]any{
+		"born": engine.startedAt.UnixMilli(), "service": "llm", "address": engine.address, "zone": "varnamo", "version": "v1",
+		"slots": 64, "state": "ready", "coldLeftMs": 0, "seq": engine.sequence,
+	})
+}
+
+// serve starts a process of the engine.
+func (engine *engine) serve(listener net.Listener) {
+	server := &http.Server{Handler: engine, ReadHeaderTimeout: time.Minute}
+	engine.server, engine.startedAt = server, time.Now()
+	go func() { _ = server.Serve(listener) }() // ends with the process
+}
+
+// crash ends the process with its channels, and starts another one after downTime.
+func (engine *engine) crash() {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	now := time.Now()
+	if now.Before(engine.downUntil) {
+		return
+	}
+	engine.crashes = append(engine.crashes, now)
+	engine.crashedAt, engine.downUntil = now, now.Add(downTime)
+	_ = engine.server.Close() // its channels, too
+	time.AfterFunc(downTime, engine.restart)
+}
+
+func (engine *engine) restart() {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	listener, err := net.Listen("tcp", engine.address)
+	if err != nil {
+		time.AfterFunc(restartInterval, engine.restart)
+		return
+	}
+	engine.serve(listener)
+}
+
+// close ends the engine.
+func (engine *engine) close() {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	_ = engine.server.Close() // it ends with the trial
 }
 
 // ServeHTTP serves one request.
@@ -79,55 +134,29 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if !engine.enter(request.Context()) {
-		writer.Header().Set("Wisterialb-Not-Executed", "1")
-		writer.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	defer func() {
-		engine.running.Add(-1)
-		<-engine.slots
-	}()
 	engine.mutex.Lock()
-	engine.ran[id] = true
+	engine.arrivals = append(engine.arrivals, engineArrival{id: id, at: time.Now()})
 	engine.mutex.Unlock()
-	if !pause(request.Context(), engine.work) {
+	if !pause(request.Context(), engineWork) {
 		return
 	}
-	writer.Header().Set("Wisterialb-Server-Load", fmt.Sprintf("%d,%d,%d", engine.running.Load(), engine.waiting.Load(), engineSlots))
-	writer.Header().Set("Wisterialb-Server-Seal", "seal-of-"+engine.id)
-	if engine.events == 0 {
-		_, _ = fmt.Fprint(writer, "answer to "+id) //nolint:gosec // plain text for a stand-in of a consumer
-		return
-	}
-	engine.stream(writer, request)
-}
-
-// enter waits for a slot. It reports false if too many wait.
-func (engine *engine) enter(ctx context.Context) bool {
-	if engine.waiting.Add(1) > engineQueue {
-		engine.waiting.Add(-1)
-		return false
-	}
-	defer engine.waiting.Add(-1)
-	select {
-	case engine.slots <- struct{}{}:
-		engine.running.Add(1)
-		return true
-	case <-ctx.Done():
-		return false
+	parts := strings.Split(request.Header.Get("Wisterialb-Prompt-Prefix"), ",")
+	for _, part := range parts[:max(len(parts)-1, 0)] {
+		if strings.HasPrefix(part, deadlyPart+":") {
+			engine.crash()
+			panic(http.ErrAbortHandler)
+		}
 	}
-}
-
-func (engine *engine) stream(writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set("Wisterialb-Server-Load", "1,0,64")
+	writer.Header().Set("Wisterialb-Server-Seal", "seal-of-"+engine.id)
 	first := 0
-	_, _ = fmt.Sscan(request.Header.Get("Last-Event-Id"), &first) // zero without one
+	_, _ = fmt.Sscan(cmp.Or(request.Header.Get("Last-Event-Id"), "0"), &first) // zero without a number
 	writer.Header().Set("Content-Type", "text/event-stream")
-	for event := first + 1; event <= engine.events; event++ {
+	for event := first + 1; event <= engineEvents; event++ {
 		if _, err := fmt.Fprintf(writer, "id: %d\ndata: token %d\n\n", event, event); err != nil {
 			return
 		}
-		if err := http.NewResponseController(writer).Flush(); err != nil || !pause(request.Context(), engine.gap) {
+		if err := http.NewResponseController(writer).Flush(); err != nil || !pause(request.Context(), engineGap) {
 			return
 		}
 	}
@@ -142,8 +171,33 @@
 	}
 }
 
-func (engine *engine) hasRun(id string) bool {
-	engine.mutex.Lock()
-	defer engine.mutex.Unlock()
-	return engine.ran[id]
+// playRare sends a prompt with the part now and then, beside sound ones.
+func playRare(trial *trial) (bool, error) {
+	const (
+		runners, routers = 9, 3
+		gap              = 12400 * time.Millisecond
+		prompt           = 9
+	)
+	trial.store.Put("op", "config", []byte(streamConfig))
+	for number := range runners {
+		if err := trial.addEngine(fmt.Sprintf("i-llm-%d", number+1)); err != nil {
+			return false, err
+		}
+	}
+	if err := trial.startRouters(routers); err != nil {
+		return false, err
+	}
+	prompts := newPrompts(trial)
+	stopped := make(chan struct{})
+	prompts.senders.Go(func() { prompts.sendSound(80*time.Millisecond, stopped) })
+	time.Sleep(stable + time.Second)
+	for number := range prompt {
+		prompts.send(true)
+		if number < prompt-1 {
+			time.Sleep(gap)
+		}
+	}
+	time.Sleep(time.Second)
+	close(stopped)
+	return prompts.judge(), nil
 }
--- a/review/trial/fleet.go
+++ b/review/trial/fleet.go
@@ -298,7 +298,7 @@
 func (trial *trial) close() {
 	close(trial.closed)
 	for _, engine := range trial.engines {
-		_ = engine.server.Close()
+		engine.close()
 	}
 	trial.loops.Wait()
 	for _, router := range trial.routers {
--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -24,11 +24,11 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(trial *trial) (bool, error){
-	"crowd":    playCrowd,
 	"unstated": playUnstated,
 	"batch":    playBatch,
 	"long":     playLong,
 	"night":    playNight,
+	"rare":     playRare,
 }
 
 func main() {
