--- a/review/trial/deadly.go
+++ b/review/trial/deadly.go
@@ -20,6 +20,8 @@
 	crashesKnown = 5
 	maxLate      = 3
 	downTime     = 2 * time.Second
+	// soundAnswered counts the sound prompts that were answered.
+	soundAnswered = "part false: status 200"
 )
 
 const streamConfig = `{"version":1,"routes":[
@@ -110,9 +112,17 @@
 
 // judge counts the requests with the part that reached runners later than stable after the
 // fifth crash. Without the disruption there is no crash.
-func (prompts *prompts) judge() bool {
+//
+// The case couldn't run if most of the sound prompts weren't answered.
+func (prompts *prompts) judge() (bool, error) {
 	prompts.senders.Wait()
 	trial := prompts.trial
+	if sound := prompts.count - len(prompts.suspects); 2*prompts.answers[soundAnswered] < sound {
+		return false, fmt.Errorf("%d of %d sound prompts were answered", prompts.answers[soundAnswered], sound)
+	}
+	for _, arrival := range trial.allArrivals() {
+		trial.note("%s reached a runner at %s", arrival.id, trial.at(arrival.at))
+	}
 	var crashes []time.Time
 	for _, runner := range trial.runners {
 		crashes = append(crashes, runner.DeadlyCrashTimes()...)
@@ -128,18 +138,18 @@
 		trial.note("answers: %s: %d", answer, count)
 	}
 	if len(crashes) < crashesKnown {
-		return false
+		return false, nil
 	}
 	knownFrom := crashes[crashesKnown-1].Add(stable)
 	late := 0
 	for _, arrival := range trial.allArrivals() {
 		if prompts.suspects[arrival.id] && arrival.at.After(knownFrom) {
 			late++
-			trial.note("%s reached a runner at %s", arrival.id, trial.at(arrival.at))
+			trial.note("late: %s at %s", arrival.id, trial.at(arrival.at))
 		}
 	}
 	trial.note("%d requests with the part reached runners later than %s, %s after crash %d; allowed are %d", late, trial.at(knownFrom), stable, crashesKnown, maxLate)
-	return late > maxLate
+	return late > maxLate, nil
 }
 
 // allArrivals returns the requests that reached runners of either kind, in order.
@@ -190,7 +200,7 @@
 		time.Sleep(batchGap)
 	}
 	close(stopped)
-	return prompts.judge(), nil
+	return prompts.judge()
 }
 
 // playNight sends one prompt with the part after the other, with hardly any other traffic.
@@ -214,7 +224,7 @@
 		prompts.send(number%soundEvery != 0)
 		time.Sleep(gap)
 	}
-	return prompts.judge(), nil
+	return prompts.judge()
 }
 
 // playLong sends prompts of long sessions, in which the part comes after many others.
@@ -238,5 +248,5 @@
 		time.Sleep(gap)
 	}
 	close(stopped)
-	return prompts.judge(), nil
+	return prompts.judge()
 }
--- a/review/trial/engine.go
+++ b/review/trial/engine.go
@@ -199,5 +199,5 @@
 	}
 	time.Sleep(time.Second)
 	close(stopped)
-	return prompts.judge(), nil
+	return prompts.judge()
 }
--- a/review/trial/fleet.go
+++ b/review/trial/fleet.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -241,15 +242,17 @@
 
 // startRouters starts routers and waits until they are ready.
 func (trial *trial) startRouters(count int) error {
-	host := fmt.Sprintf("127.%d.%d", 1+os.Getpid()/octets%octets, 1+os.Getpid()%octets)
 	for number := range count {
-		added := &router{name: fmt.Sprintf("edge-%d", number+1), host: fmt.Sprintf("%s.%d", host, number+1)}
+		host, err := freeHost(number + 1)
+		if err != nil {
+			return err
+		}
+		added := &router{name: fmt.Sprintf("edge-%d", number+1), host: host}
 		added.settings = filepath.Join(trial.directory, added.name+".conf")
 		content := fmt.Sprintf(settingsTemplate, added.name, added.host, trial.store.Address(), trial.memoryMB)
 		if err := os.WriteFile(added.settings, []byte(content), 0o600); err != nil { //nolint:gosec // in a new temporary folder
 			return err
 		}
-		var err error
 		if added.log, err = os.Create(filepath.Join(trial.directory, added.name+".log")); err != nil { //nolint:gosec // the same
 			return err
 		}
@@ -261,6 +264,31 @@
 	return trial.waitReady()
 }
 
+// ports are those of a router: front, ready, control, directory and metrics.
+var ports = []string{"8227", "8220", "8229", "8224", "7340"}
+
+// freeHost returns a loopback address on which the ports of a router are free.
+func freeHost(number int) (string, error) {
+	for second := range octets {
+		host := fmt.Sprintf("127.%d.%d.%d", 1+second, 1+os.Getpid()%octets, number)
+		if isFree(host) {
+			return host, nil
+		}
+	}
+	return "", errors.New("no loopback address has the ports free")
+}
+
+func isFree(host string) bool {
+	for _, port := range ports {
+		listener, err := net.Listen("tcp", host+":"+port)
+		if err != nil {
+			return false
+		}
+		_ = listener.Close() // nothing was accepted
+	}
+	return true
+}
+
 func (trial *trial) waitReady() error {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	deadline := time.Now().Add(startTimeout)
@@ -291,6 +319,7 @@
 	for _, router := range trial.routers {
 		router.signal(syscall.SIGKILL)
 	}
+	_ = os.RemoveAll(trial.directory)
 	os.Exit(exitNotRun)
 }
 
--- a/review/trial/unstated.go
+++ b/review/trial/unstated.go
@@ -50,12 +50,12 @@
 		trial.note("%s by %s states %q: status %d, %d events, %v", id, router.name, usage, answer.status, answer.events, answer.err)
 		time.Sleep(gap)
 	}
-	return trial.judgeBudget(answers), nil
+	return trial.judgeBudget(answers)
 }
 
 // judgeBudget counts the tokens of the prompts that ran, once for each request, and of the
-// events that were delivered.
-func (trial *trial) judgeBudget(answers map[string]answer) bool {
+// events that were delivered. The case couldn't run if most of the budget wasn't used.
+func (trial *trial) judgeBudget(answers map[string]answer) (bool, error) {
 	ran := make(map[string]bool)
 	for _, arrival := range trial.arrivals() {
 		if arrival.Ran && arrival.Method == http.MethodPost {
@@ -66,8 +66,12 @@
 	for id, answer := range answers {
 		if ran[id] {
 			used += promptTokens + eventTokens*answer.events
+			trial.note("%s ran", id)
 		}
 	}
 	trial.note("%d requests ran; the tenant got %d tokens of %d prepaid", len(ran), used, prepaid)
-	return used > prepaid
+	if 2*used < prepaid {
+		return false, fmt.Errorf("only %d of %d tokens were used", used, prepaid)
+	}
+	return used > prepaid, nil
 }
