--- a/review/trial/engine.go
+++ b/review/trial/engine.go
@@ -12,8 +12,8 @@
 	"time"
 )
 
-// engine is a stand-in of a model runner whose process ends before anything of its answer
-// to a prompt with the deadly part has left.
+// engine is a stand-in of a model runner whose process ends while it writes the head of
+// its answer to a prompt with the deadly part.
 type engine struct {
 	id      string
 	address string
@@ -143,6 +143,7 @@
 	parts := strings.Split(request.Header.Get("Wisterialb-Prompt-Prefix"), ",")
 	for _, part := range parts[:max(len(parts)-1, 0)] {
 		if strings.HasPrefix(part, deadlyPart+":") {
+			engine.beginAnswer(writer)
 			engine.crash()
 			panic(http.ErrAbortHandler)
 		}
@@ -162,6 +163,16 @@
 	}
 }
 
+// beginAnswer writes the begin of an answer, which the crash cuts off in its head.
+func (engine *engine) beginAnswer(writer http.ResponseWriter) {
+	connection, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nWisterialb-Server-Load: 1,0,64\r\n") // it crashes next
+	_ = connection.Close()
+}
+
 func pause(ctx context.Context, duration time.Duration) bool {
 	select {
 	case <-ctx.Done():
